--- /dev/null
+++ b/src/bin/jackdawctl.rs
@@ -0,0 +1,7 @@
+//! The operator's command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ExitCode::from(jackdawpulley::ctl::main())
+}
--- /dev/null
+++ b/src/board.rs
@@ -0,0 +1,244 @@
+//! The blackboard that controllers read and write.
+//!
+//! Each controller owns one part and replaces it as a whole; the path of a request reads immutable
+//! snapshots and moves atomics, and takes no lock that a controller holds. A call keeps the
+//! snapshot it began with.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use serde::Serialize;
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::document::Document;
+use crate::member::{Offer, Stage};
+use crate::roster::Roster;
+use crate::route::Table;
+use crate::settings::Settings;
+use crate::telemetry::Meter;
+use crate::units::{Slots, Version};
+use crate::wire::Digest;
+
+/// The configuration of one version, compiled for the path of a request.
+#[derive(Debug, Default)]
+pub struct Snapshot {
+    /// What it is.
+    pub digest: Digest,
+    /// Document, sorted.
+    pub document: Arc<Document>,
+    /// Routes.
+    pub table: Table,
+}
+
+impl Snapshot {
+    /// Compiles a checked and sorted document.
+    #[must_use]
+    pub fn compile(version: Version, document: Arc<Document>) -> Self {
+        let digest = Digest {
+            version,
+            hash: document.hash(),
+        };
+        let table = Table::compile(&document);
+        Self {
+            digest,
+            document,
+            table,
+        }
+    }
+}
+
+/// The co-located target, as it announced itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Target {
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// What it offers.
+    pub service: crate::units::Service,
+    /// Calls that it takes at the same time.
+    pub slots: Slots,
+    /// When its announcement lapses.
+    #[serde(skip)]
+    pub lease_until: Instant,
+}
+
+impl Target {
+    /// What the other daemons are told.
+    #[must_use]
+    pub fn offer(&self) -> Offer {
+        Offer {
+            service: self.service.clone(),
+            slots: self.slots,
+        }
+    }
+}
+
+/// State shared by the controllers of one daemon.
+#[derive(Debug)]
+pub struct Board {
+    /// Settings, fixed at the start.
+    pub settings: Settings,
+    /// Where events are written.
+    pub logger: Logger,
+    /// Control bytes.
+    pub meter: Arc<Meter>,
+    config: ArcSwap<Snapshot>,
+    roster: ArcSwap<Roster>,
+    target: ArcSwapOption<Target>,
+    stage: AtomicU8,
+    in_flight: AtomicU64,
+    versions: watch::Sender<Version>,
+    rosters: watch::Sender<u64>,
+    stages: watch::Sender<Stage>,
+}
+
+impl Board {
+    /// An empty board of a daemon that is starting.
+    #[must_use]
+    pub fn new(settings: Settings, logger: Logger) -> Self {
+        Self {
+            settings,
+            logger,
+            meter: Meter::shared(),
+            config: ArcSwap::default(),
+            roster: ArcSwap::default(),
+            target: ArcSwapOption::empty(),
+            stage: AtomicU8::new(Stage::Starting as u8),
+            in_flight: AtomicU64::new(0),
+            versions: watch::Sender::new(Version(0)),
+            rosters: watch::Sender::new(0),
+            stages: watch::Sender::new(Stage::Starting),
+        }
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Arc<Snapshot> {
+        self.config.load_full()
+    }
+
+    /// Version and hash in force.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        self.config.load().digest
+    }
+
+    /// Puts a snapshot in force; `false` when it is not newer than the one in force.
+    pub fn install(&self, snapshot: Snapshot) -> bool {
+        let version = snapshot.digest.version;
+        let snapshot = Arc::new(snapshot);
+        // Guards against updates that cross in flight: an older one that arrives late would take
+        // routes back. The comparison and the swap are one step, so no order of arrival can.
+        let previous = self.config.rcu(|current| {
+            if current.digest.version < version {
+                Arc::clone(&snapshot)
+            } else {
+                Arc::clone(current)
+            }
+        });
+        let newer = previous.digest.version < version;
+        if newer {
+            self.versions.send_replace(version);
+        }
+        newer
+    }
+
+    /// Follows the version in force.
+    #[must_use]
+    pub fn versions(&self) -> watch::Receiver<Version> {
+        self.versions.subscribe()
+    }
+
+    /// The members, as the path of a request sees them.
+    #[must_use]
+    pub fn roster(&self) -> Arc<Roster> {
+        self.roster.load_full()
+    }
+
+    /// Replaces the members.
+    pub fn set_roster(&self, roster: Roster) {
+        self.roster.store(Arc::new(roster));
+        self.rosters.send_modify(|count| *count += 1);
+    }
+
+    /// Follows changes of the members.
+    #[must_use]
+    pub fn rosters(&self) -> watch::Receiver<u64> {
+        self.rosters.subscribe()
+    }
+
+    /// The co-located target, while its lease holds.
+    #[must_use]
+    pub fn target(&self) -> Option<Arc<Target>> {
+        self.target.load_full()
+    }
+
+    /// Replaces the co-located target.
+    pub fn set_target(&self, target: Option<Target>) {
+        self.target.store(target.map(Arc::new));
+    }
+
+    /// Where the daemon is in its life.
+    #[must_use]
+    pub fn stage(&self) -> Stage {
+        match self.stage.load(Ordering::Acquire) {
+            stage if stage == Stage::Starting as u8 => Stage::Starting,
+            stage if stage == Stage::Serving as u8 => Stage::Serving,
+            _ => Stage::Draining,
+        }
+    }
+
+    /// Moves the daemon on in its life; it never moves back.
+    pub fn advance(&self, stage: Stage) {
+        self.stage.fetch_max(stage as u8, Ordering::AcqRel);
+        self.stages.send_replace(self.stage());
+    }
+
+    /// Follows the stage.
+    #[must_use]
+    pub fn stages(&self) -> watch::Receiver<Stage> {
+        self.stages.subscribe()
+    }
+
+    /// Calls that this daemon works on, as entry or gate.
+    #[must_use]
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Counts a call until the returned value is dropped.
+    #[must_use]
+    pub fn begin(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        InFlight {
+            board: Arc::clone(self),
+        }
+    }
+
+    /// Waits until no call is in flight, or `limit` has passed; `false` in the latter case.
+    pub async fn idle(&self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        while self.in_flight() > 0 {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        true
+    }
+}
+
+/// Counts one call while it exists.
+#[derive(Debug)]
+pub struct InFlight {
+    board: Arc<Board>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.board.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,180 @@
+//! Checks of a document against itself.
+//!
+//! All faults are found in one pass, each with the path of the field and a remedy, so that an
+//! operator mends a document once.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::{Document, Group, Retry, Route};
+
+/// Longest name of a resource, in bytes.
+pub const MAX_NAME: usize = 128;
+/// Most resources of one kind in a document.
+pub const MAX_RESOURCES: usize = 10_000;
+/// Longest time-out of a route, in milliseconds.
+pub const MAX_TIMEOUT_MS: u64 = 600_000;
+const MAX_ATTEMPTS: u32 = 10;
+const MAX_PERCENT: u8 = 100;
+
+/// One fault of a document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// Where it is, as `routes[2].group`.
+    pub path: String,
+    /// What is wrong.
+    pub problem: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}; {}", self.path, self.problem, self.remedy)
+    }
+}
+
+/// Finds every fault of `document`.
+#[must_use]
+pub fn document(document: &Document) -> Vec<Fault> {
+    let mut check = Check::default();
+    check.names("routes", document.routes.iter().map(|r| r.name.as_str()));
+    check.names("groups", document.groups.iter().map(|g| g.name.as_str()));
+    check.names("retries", document.retries.iter().map(|r| r.name.as_str()));
+    for (index, route) in document.routes.iter().enumerate() {
+        check.route(index, route, document);
+    }
+    for (index, group) in document.groups.iter().enumerate() {
+        check.group(index, group);
+    }
+    for (index, retry) in document.retries.iter().enumerate() {
+        check.retry(index, retry);
+    }
+    check.faults
+}
+
+#[derive(Default)]
+struct Check {
+    faults: Vec<Fault>,
+}
+
+impl Check {
+    fn require(&mut self, holds: bool, path: String, problem: String, remedy: &str) {
+        if !holds {
+            self.faults.push(Fault {
+                path,
+                problem,
+                remedy: remedy.to_owned(),
+            });
+        }
+    }
+
+    fn names<'a>(&mut self, kind: &str, names: impl Iterator<Item = &'a str>) {
+        let mut seen: Vec<&str> = Vec::new();
+        for (index, name) in names.enumerate() {
+            let path = format!("{kind}[{index}].name");
+            let fits = !name.is_empty() && name.len() <= MAX_NAME;
+            let problem = format!("the name has {} bytes", name.len());
+            self.require(fits, path.clone(), problem, "use 1 to 128 bytes");
+            match seen.binary_search(&name) {
+                Ok(_) => {
+                    let problem = format!("{name:?} stands twice");
+                    self.require(false, path, problem, "give each resource its own name");
+                }
+                Err(place) => seen.insert(place, name),
+            }
+        }
+        let problem = format!("{} resources", seen.len());
+        let fits = seen.len() <= MAX_RESOURCES;
+        self.require(
+            fits,
+            kind.to_owned(),
+            problem,
+            "split the document: at most 10000 of a kind",
+        );
+    }
+
+    fn route(&mut self, index: usize, route: &Route, document: &Document) {
+        let at = |field: &str| format!("routes[{index}].{field}");
+        let rooted = route.path.starts_with('/');
+        let problem = format!("{:?} is not absolute", route.path);
+        self.require(rooted, at("path"), problem, "begin the path with a slash");
+        let known = document.groups.iter().any(|g| g.name == route.group);
+        let problem = format!("no group is named {:?}", route.group);
+        self.require(
+            known,
+            at("group"),
+            problem,
+            "add the group or name another one",
+        );
+        let known = document.retries.iter().any(|r| r.name == route.retry);
+        let problem = format!("no retry rule is named {:?}", route.retry);
+        self.require(
+            known,
+            at("retry"),
+            problem,
+            "add the rule or name another one",
+        );
+        let fits = (1..=MAX_TIMEOUT_MS).contains(&route.timeout_ms.0);
+        let problem = format!("{} ms", route.timeout_ms);
+        self.require(fits, at("timeout_ms"), problem, "use 1 to 600000 ms");
+        if let Some(method) = &route.method {
+            let valid = http::Method::from_bytes(method.as_bytes()).is_ok()
+                && method.bytes().all(|b| b.is_ascii_uppercase());
+            let problem = format!("{method:?} is no HTTP method");
+            self.require(valid, at("method"), problem, "write it in capitals, as GET");
+        }
+        if let Some(host) = &route.host {
+            let valid = !host.is_empty() && !host.contains([':', '/', ' ']);
+            let problem = format!("{host:?} is no host name");
+            self.require(
+                valid,
+                at("host"),
+                problem,
+                "leave out scheme, port and path",
+            );
+        }
+        let twin = document.routes[..index].iter().find(|other| {
+            (&other.host, &other.method, &other.path) == (&route.host, &route.method, &route.path)
+        });
+        if let Some(twin) = twin {
+            let problem = format!("matches the same requests as {:?}", twin.name);
+            self.require(false, at("path"), problem, "remove one of the two");
+        }
+    }
+
+    fn group(&mut self, index: usize, group: &Group) {
+        let at = |field: &str| format!("groups[{index}].{field}");
+        let named = !group.service.as_str().is_empty();
+        self.require(
+            named,
+            at("service"),
+            "it is empty".into(),
+            "name the service",
+        );
+        let fits = group.slots.is_none_or(|slots| slots.0 > 0);
+        self.require(
+            fits,
+            at("slots"),
+            "0 slots take no call".into(),
+            "use 1 or more",
+        );
+        let fits = group.ejection.max_share.0 <= MAX_PERCENT;
+        let problem = format!("{} percent", group.ejection.max_share);
+        self.require(fits, at("ejection.max_share"), problem, "use 0 to 100");
+        let fits = group.ejection.failures > 0;
+        let problem = "0 failures would eject every target".to_owned();
+        self.require(fits, at("ejection.failures"), problem, "use 1 or more");
+    }
+
+    fn retry(&mut self, index: usize, retry: &Retry) {
+        let at = |field: &str| format!("retries[{index}].{field}");
+        let fits = (1..=MAX_ATTEMPTS).contains(&retry.attempts);
+        let problem = format!("{} attempts", retry.attempts);
+        self.require(fits, at("attempts"), problem, "use 1 to 10");
+        let fits = retry.budget.0 <= MAX_PERCENT;
+        let problem = format!("{} percent", retry.budget);
+        self.require(fits, at("budget"), problem, "use 0 to 100");
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,261 @@
+//! The configuration controller: the fold, what is in force, and content for peers.
+//!
+//! Everything that may change the configuration goes through [`Store`], which keeps the fold, puts
+//! each newer version on the board as one swap, and encodes content for peers once.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use slog::{info, warn};
+
+use crate::board::{Board, Snapshot};
+use crate::check;
+use crate::delta::Delta;
+use crate::document::Document;
+use crate::error::{Error, Result};
+use crate::fold::{Checkpoint, Fold, Record, Verdict};
+use crate::log::Stored;
+use crate::settings::Delivery;
+use crate::units::{EditId, Offset, Version};
+use crate::wire::{self, Digest, Reply, Update};
+
+/// Earlier versions that deltas can start from.
+const HISTORY: usize = 16;
+
+/// Holds the configuration and its history.
+#[derive(Debug)]
+pub struct Store {
+    board: Arc<Board>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    fold: Fold,
+    /// Documents that were in force, oldest first, the current one last.
+    history: Vec<Past>,
+    /// Encoded updates to the current version, by the version they start from.
+    encoded: Vec<Encoded>,
+    checkpoint_seen: Instant,
+}
+
+#[derive(Debug)]
+struct Past {
+    version: Version,
+    document: Arc<Document>,
+}
+
+#[derive(Debug)]
+struct Encoded {
+    base: Version,
+    reply: Bytes,
+    whole: bool,
+}
+
+/// Content for a peer, encoded.
+#[derive(Debug, Clone)]
+pub struct Content {
+    /// A [`Reply::Update`].
+    pub reply: Bytes,
+    /// Whether it is a whole document.
+    pub whole: bool,
+}
+
+impl Store {
+    /// A store that holds nothing.
+    #[must_use]
+    pub fn new(board: Arc<Board>) -> Self {
+        let state = State {
+            fold: Fold::new(),
+            history: Vec::new(),
+            encoded: Vec::new(),
+            checkpoint_seen: Instant::now(),
+        };
+        Self {
+            board,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// First offset not folded yet.
+    #[must_use]
+    pub fn next(&self) -> Offset {
+        self.state().fold.next()
+    }
+
+    /// The state to write to the log; `None` while records are missing or there is nothing.
+    #[must_use]
+    pub fn checkpoint(&self) -> Option<Checkpoint> {
+        let state = self.state();
+        let known = !state.fold.gapped() && state.fold.version() > Version(0);
+        known.then(|| state.fold.checkpoint().clone())
+    }
+
+    /// Whether records are missing.
+    #[must_use]
+    pub fn gapped(&self) -> bool {
+        self.state().fold.gapped()
+    }
+
+    /// Time since a checkpoint was read from the log.
+    #[must_use]
+    pub fn checkpoint_age(&self) -> Duration {
+        self.state().checkpoint_seen.elapsed()
+    }
+
+    /// Verdict on an edit, while it is remembered.
+    #[must_use]
+    pub fn verdict(&self, id: &EditId) -> Option<Verdict> {
+        self.state().fold.verdict(id).cloned()
+    }
+
+    /// Notes that all records before `first` have expired.
+    pub fn expire(&self, first: Offset) {
+        self.state().fold.expire(first);
+    }
+
+    /// Folds records of the log that were read from offset `from` on.
+    pub fn fold(&self, from: Offset, records: &[Stored]) {
+        let mut state = self.state();
+        // Guards against a page that was asked for before a checkpoint took the fold back: it
+        // would look as if the records in between had expired.
+        if from > state.fold.next() {
+            return;
+        }
+        for stored in records {
+            let verdict = state.apply(stored);
+            match &verdict {
+                Verdict::Accepted { version } => {
+                    info!(self.board.logger, "edit accepted"; "version" => version.0);
+                }
+                Verdict::Restored => {
+                    info!(self.board.logger, "restored from checkpoint";
+                        "version" => state.fold.version().0, "next" => state.fold.next().0);
+                    // Folding goes on from the checkpoint's own place; what follows in this page
+                    // is read again from there.
+                    break;
+                }
+                _ => {}
+            }
+        }
+        self.publish(&mut state);
+    }
+
+    /// Takes an update from a peer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Delta`] when it starts from a version that is not in force here, or does not lead
+    /// to what it promises; [`Error::Faults`] when its document contradicts itself.
+    pub fn accept(&self, update: Update) -> Result<Digest> {
+        let mut state = self.state();
+        let (version, document) = match update {
+            Update::Delta(delta) if delta.version <= state.fold.version() => {
+                return Ok(self.board.digest());
+            }
+            Update::Delta(delta) if delta.base == state.fold.version() => {
+                (delta.version, delta.apply(state.fold.document())?)
+            }
+            Update::Delta(delta) => return Err(Error::Delta { base: delta.base }),
+            Update::Whole { version, document } => (version, document),
+        };
+        // Guards against a peer that sends a document no fold accepted: every daemon checks the
+        // whole of it again, and holds on to what it has when a fault turns up.
+        let faults = check::document(&document);
+        if !faults.is_empty() {
+            warn!(self.board.logger, "refused a faulty document from a peer";
+                "version" => version.0, "faults" => faults.len());
+            return Err(Error::Faults { faults });
+        }
+        state.fold.adopt(version, Arc::new(document));
+        self.publish(&mut state);
+        Ok(self.board.digest())
+    }
+
+    /// Content that leads a peer from `have` to what is in force.
+    #[must_use]
+    pub fn content(&self, have: Version) -> Content {
+        let mut state = self.state();
+        if let Some(done) = state.encoded.iter().find(|encoded| encoded.base == have) {
+            return Content {
+                reply: done.reply.clone(),
+                whole: done.whole,
+            };
+        }
+        let update = state.update(have, self.board.settings.delivery);
+        let whole = matches!(update, Update::Whole { .. });
+        let reply = wire::encode(&Reply::Update(update));
+        state.encoded.push(Encoded {
+            base: have,
+            reply: reply.clone(),
+            whole,
+        });
+        Content { reply, whole }
+    }
+
+    /// The version in force before the current one: what peers most likely hold.
+    #[must_use]
+    pub fn previous(&self) -> Version {
+        let state = self.state();
+        let index = state.history.len().checked_sub(2);
+        index.map_or(Version(0), |index| state.history[index].version)
+    }
+
+    fn publish(&self, state: &mut State) {
+        let version = state.fold.version();
+        if version <= self.board.digest().version {
+            return;
+        }
+        let document = Arc::clone(state.fold.document());
+        state.encoded.clear();
+        state.history.push(Past {
+            version,
+            document: Arc::clone(&document),
+        });
+        if state.history.len() > HISTORY {
+            state.history.remove(0);
+        }
+        if self.board.install(Snapshot::compile(version, document)) {
+            info!(self.board.logger, "configuration in force"; "version" => version.0);
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn apply(&mut self, stored: &Stored) -> Verdict {
+        match serde_json::from_str::<Record>(&stored.value) {
+            Ok(record) => {
+                if matches!(record, Record::Checkpoint(_)) {
+                    self.checkpoint_seen = Instant::now();
+                }
+                self.fold.apply(stored.offset, &record)
+            }
+            // Something foreign on the stream: it takes an offset and changes nothing, in every
+            // fold alike.
+            Err(_) => self.fold.pass(stored.offset),
+        }
+    }
+
+    fn update(&self, have: Version, delivery: Delivery) -> Update {
+        let version = self.fold.version();
+        let document = self.fold.document();
+        let known = self
+            .history
+            .binary_search_by_key(&have, |past| past.version);
+        match known {
+            Ok(index) if delivery == Delivery::Delta => {
+                let old = &self.history[index].document;
+                Update::Delta(Delta::between((have, old), (version, document)))
+            }
+            _ => Update::Whole {
+                version,
+                document: Document::clone(document),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/ctl.rs
@@ -0,0 +1,502 @@
+//! The operator's command, `jackdawctl`.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use clap::{Parser, Subcommand};
+use futures_util::StreamExt;
+use futures_util::stream;
+use http::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use crate::delta::Delta;
+use crate::document::Document;
+use crate::error::{DocumentSnafu, Error, FileSnafu, Result};
+use crate::fold::Edit;
+use crate::http_client::Client;
+use crate::member::{Member, Stage};
+use crate::operator::{InForce, Published};
+use crate::state::Brief;
+use crate::units::{DataCentre, EditId, Millis, Version};
+
+/// Exit status when everything asked for was done.
+pub const EXIT_DONE: u8 = 0;
+/// Exit status when something was not done.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit status for wrong arguments.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit status when another edit was accepted first.
+pub const EXIT_CONFLICT: u8 = 3;
+/// Exit status when the document has faults.
+pub const EXIT_INVALID: u8 = 4;
+/// Exit status when the fate of an edit is unknown.
+pub const EXIT_UNKNOWN: u8 = 5;
+
+/// Time for one answer.
+const PATIENCE: Duration = Duration::from_secs(12);
+/// Time for one daemon's health.
+const HEALTH_PATIENCE: Duration = Duration::from_secs(2);
+/// Daemons asked at the same time.
+const PARALLEL: usize = 32;
+/// Pause between two looks of `status --watch`.
+const LOOK: Duration = Duration::from_millis(200);
+/// Tries to publish one edit.
+const TRIES: usize = 3;
+
+/// Arguments of `jackdawctl`.
+#[derive(Debug, Parser)]
+#[command(
+    name = "jackdawctl",
+    version,
+    about = "Publishes and shows the configuration of a mesh"
+)]
+struct Args {
+    /// Operator address of any daemon
+    #[arg(
+        long,
+        env = "JACKDAW_DAEMON",
+        default_value = "127.0.0.1:7004",
+        global = true
+    )]
+    daemon: SocketAddr,
+    /// Print JSON
+    #[arg(long, global = true)]
+    json: bool,
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Debug, Subcommand)]
+enum Verb {
+    /// Check a document; needs no daemon
+    Check {
+        /// File with the document
+        file: String,
+    },
+    /// Publish a document and wait for the verdict
+    Apply {
+        /// File with the document
+        file: String,
+        /// Version that the document was made on; the one in force when left out
+        #[arg(long)]
+        base: Option<Version>,
+        /// Identifier of the edit; asking again under the same one is safe
+        #[arg(long)]
+        id: Option<EditId>,
+        /// Replace whatever is in force
+        #[arg(long, conflicts_with = "base")]
+        force: bool,
+    },
+    /// Show the configuration in force
+    Show,
+    /// Compare a document with the configuration in force
+    Diff {
+        /// File with the document
+        file: String,
+    },
+    /// Show daemons and versions of each data centre
+    Status {
+        /// Wait until this version is in force on every daemon
+        #[arg(long)]
+        watch: Option<Version>,
+        /// Longest wait, in milliseconds
+        #[arg(long, default_value_t = Millis(30_000))]
+        patience_ms: Millis,
+    },
+    /// Dump the state of one daemon
+    State {
+        /// Its operator address; the one of --daemon when left out
+        address: Option<SocketAddr>,
+    },
+    /// Ask one daemon to end its calls and stop
+    Drain {
+        /// Its operator address
+        address: SocketAddr,
+    },
+}
+
+/// One data centre, as `status` shows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Its name.
+    pub data_centre: DataCentre,
+    /// Daemons in the view.
+    pub daemons: usize,
+    /// Daemons that serve.
+    pub ready: usize,
+    /// Lowest version in force.
+    pub lowest: Version,
+    /// Highest version in force.
+    pub highest: Version,
+    /// Daemons that are behind, or do not answer.
+    pub laggards: Vec<SocketAddr>,
+}
+
+/// Runs the program `jackdawctl` with the arguments of this process.
+///
+/// Returns the exit status.
+#[must_use]
+pub fn main() -> u8 {
+    main_from(std::env::args_os())
+}
+
+/// Runs the program with the given arguments, the program's name first.
+///
+/// Returns the exit status.
+#[must_use]
+pub fn main_from(args: impl Iterator<Item = std::ffi::OsString>) -> u8 {
+    let args = match Args::try_parse_from(args) {
+        Ok(args) => args,
+        Err(error) => {
+            let _ = error.print();
+            return if error.use_stderr() {
+                EXIT_USAGE
+            } else {
+                EXIT_DONE
+            };
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("can't start: {error}");
+            return EXIT_FAILED;
+        }
+    };
+    match runtime.block_on(run(&args)) {
+        Ok(()) => EXIT_DONE,
+        Err(error) => {
+            report(&args, &error);
+            status_of(&error)
+        }
+    }
+}
+
+fn report(args: &Args, error: &Error) {
+    if args.json {
+        println!("{}", serde_json::json!({ "error": error.to_string() }));
+    }
+    eprintln!("{error}");
+    if let Error::Faults { faults } = error {
+        for fault in faults {
+            eprintln!("  {fault}");
+        }
+    }
+}
+
+const fn status_of(error: &Error) -> u8 {
+    match error {
+        Error::Conflict { .. } => EXIT_CONFLICT,
+        Error::Faults { .. } | Error::Document { .. } => EXIT_INVALID,
+        Error::Undecided { .. } => EXIT_UNKNOWN,
+        _ => EXIT_FAILED,
+    }
+}
+
+async fn run(args: &Args) -> Result<()> {
+    let ctl = Ctl {
+        client: Client::new(),
+        daemon: args.daemon,
+        json: args.json,
+    };
+    match &args.verb {
+        Verb::Check { file } => ctl.check(file),
+        Verb::Apply {
+            file,
+            base,
+            id,
+            force,
+        } => ctl.apply(file, *base, id.as_ref(), *force).await,
+        Verb::Show => ctl.show().await,
+        Verb::Diff { file } => ctl.diff(file).await,
+        Verb::Status { watch, patience_ms } => ctl.status(*watch, patience_ms.duration()).await,
+        Verb::State { address } => ctl.dump(address.unwrap_or(args.daemon)).await,
+        Verb::Drain { address } => ctl.drain(*address).await,
+    }
+}
+
+struct Ctl {
+    client: Client,
+    daemon: SocketAddr,
+    json: bool,
+}
+
+impl Ctl {
+    fn check(&self, file: &str) -> Result<()> {
+        let document = read(file)?;
+        let hash = format!("{:016x}", document.hash());
+        let (routes, groups) = (document.routes.len(), document.groups.len());
+        self.say(
+            &serde_json::json!({ "valid": true, "routes": routes, "groups": groups, "hash": hash }),
+            || format!("valid: {routes} routes, {groups} groups, hash {hash}"),
+        );
+        Ok(())
+    }
+
+    async fn apply(
+        &self,
+        file: &str,
+        base: Option<Version>,
+        id: Option<&EditId>,
+        force: bool,
+    ) -> Result<()> {
+        let document = read(file)?;
+        let base = match (force, base) {
+            (true, _) => None,
+            (false, Some(base)) => Some(base),
+            (false, None) => Some(self.in_force().await?.version),
+        };
+        let id = id
+            .cloned()
+            .unwrap_or_else(|| EditId(format!("ctl-{:016x}", rand::random::<u64>())));
+        let version = self
+            .publish(&Edit {
+                id: id.clone(),
+                base,
+                document,
+            })
+            .await?;
+        self.say(
+            &serde_json::json!({ "outcome": "accepted", "version": version, "id": id }),
+            || format!("accepted as version {version}"),
+        );
+        Ok(())
+    }
+
+    /// Publishes an edit; asks again under the same identifier while its fate is unknown.
+    async fn publish(&self, edit: &Edit) -> Result<Version> {
+        let body = serde_json::to_vec(edit).context(DocumentSnafu)?;
+        for _ in 0..TRIES {
+            let sent = self
+                .exchange(self.daemon, Method::POST, "/config", body.clone())
+                .await;
+            let published = sent
+                .ok()
+                .and_then(|(_, body)| serde_json::from_slice(&body).ok());
+            match published {
+                Some(Published::Accepted { version }) => return Ok(version),
+                Some(Published::Conflict { current, .. }) => {
+                    return Err(Error::Conflict { current });
+                }
+                Some(Published::Invalid { faults, .. }) => return Err(Error::Faults { faults }),
+                Some(Published::Unknown { message, .. }) if !self.json => eprintln!("{message}"),
+                Some(Published::Unknown { .. }) | None => {}
+            }
+        }
+        Err(Error::Undecided {
+            id: edit.id.clone(),
+        })
+    }
+
+    async fn show(&self) -> Result<()> {
+        let in_force = self.in_force().await?;
+        let text = serde_json::to_string_pretty(&in_force).context(DocumentSnafu)?;
+        println!("{text}");
+        Ok(())
+    }
+
+    async fn diff(&self, file: &str) -> Result<()> {
+        let document = read(file)?;
+        let in_force = self.in_force().await?;
+        let old = (in_force.version, in_force.document.as_ref());
+        let delta = Delta::between(old, (in_force.version, &document));
+        let changes = delta.summary();
+        self.say(
+            &serde_json::json!({ "against": in_force.version, "changes": changes }),
+            || {
+                if changes.is_empty() {
+                    format!("no difference to version {}", in_force.version)
+                } else {
+                    changes.join("\n")
+                }
+            },
+        );
+        Ok(())
+    }
+
+    async fn status(&self, watch: Option<Version>, patience: Duration) -> Result<()> {
+        let deadline = Instant::now() + patience;
+        loop {
+            let summaries = self.survey(watch).await?;
+            let behind = summaries
+                .iter()
+                .map(|summary| summary.laggards.len())
+                .sum::<usize>();
+            self.say(&serde_json::json!(summaries), || table(&summaries));
+            if watch.is_none() || behind == 0 {
+                return Ok(());
+            }
+            if Instant::now() >= deadline {
+                let body = format!("{behind} daemon(s) are behind; look at their state");
+                return Err(Error::Refused {
+                    daemon: self.daemon,
+                    status: 0,
+                    body,
+                });
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Asks every member for its version.
+    async fn survey(&self, wanted: Option<Version>) -> Result<Vec<Summary>> {
+        let members: Vec<Member> = self.get(self.daemon, "/members").await?;
+        let asked = members.into_iter().map(|member| async move {
+            let path = "/health/ready";
+            let sent = self
+                .client
+                .exchange(
+                    member.operator,
+                    Method::GET,
+                    path,
+                    Vec::new(),
+                    HEALTH_PATIENCE,
+                )
+                .await;
+            let brief = sent
+                .ok()
+                .and_then(|(_, body)| serde_json::from_slice::<Brief>(&body).ok());
+            (member, brief)
+        });
+        let answers: Vec<_> = stream::iter(asked)
+            .buffer_unordered(PARALLEL)
+            .collect()
+            .await;
+        let versions = answers.iter().filter_map(|(_, brief)| brief.as_ref());
+        let newest = versions
+            .map(|brief| brief.version)
+            .max()
+            .unwrap_or_default();
+        Ok(summarise(&answers, wanted.unwrap_or(newest)))
+    }
+
+    async fn dump(&self, address: SocketAddr) -> Result<()> {
+        let state: serde_json::Value = self.get(address, "/state").await?;
+        let text = serde_json::to_string_pretty(&state).context(DocumentSnafu)?;
+        println!("{text}");
+        Ok(())
+    }
+
+    async fn drain(&self, address: SocketAddr) -> Result<()> {
+        let (status, body) = self
+            .exchange(address, Method::POST, "/drain", Vec::new())
+            .await?;
+        let brief: Brief = parse(address, status, &body)?;
+        if brief.stage != Stage::Draining {
+            let body = format!("it is {}", brief.stage);
+            return Err(Error::Refused {
+                daemon: address,
+                status: status.as_u16(),
+                body,
+            });
+        }
+        self.say(&serde_json::json!(brief), || {
+            format!("{address} is draining")
+        });
+        Ok(())
+    }
+
+    async fn in_force(&self) -> Result<InForce> {
+        self.get(self.daemon, "/config").await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, daemon: SocketAddr, path: &str) -> Result<T> {
+        let (status, body) = self.exchange(daemon, Method::GET, path, Vec::new()).await?;
+        parse(daemon, status, &body)
+    }
+
+    async fn exchange(
+        &self,
+        daemon: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Vec<u8>)> {
+        let sent = self
+            .client
+            .exchange(daemon, method, path, body, PATIENCE)
+            .await;
+        sent.map_err(|reason| Error::Unreachable {
+            peer: daemon,
+            reason,
+        })
+    }
+
+    fn say(&self, value: &serde_json::Value, text: impl FnOnce() -> String) {
+        if self.json {
+            println!("{value}");
+        } else {
+            println!("{}", text());
+        }
+    }
+}
+
+fn read(file: &str) -> Result<Document> {
+    let text = std::fs::read(file).context(FileSnafu { path: file })?;
+    Document::parse(&text)
+}
+
+fn parse<T: DeserializeOwned>(daemon: SocketAddr, status: StatusCode, body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|_| Error::Refused {
+        daemon,
+        status: status.as_u16(),
+        body: String::from_utf8_lossy(body).into_owned(),
+    })
+}
+
+fn summarise(answers: &[(Member, Option<Brief>)], wanted: Version) -> Vec<Summary> {
+    let mut summaries: Vec<Summary> = Vec::new();
+    for (member, brief) in answers {
+        let place = summaries.binary_search_by(|s| s.data_centre.cmp(&member.data_centre));
+        let index = place.unwrap_or_else(|index| {
+            let summary = Summary {
+                data_centre: member.data_centre.clone(),
+                daemons: 0,
+                ready: 0,
+                lowest: Version(u64::MAX),
+                highest: Version(0),
+                laggards: Vec::new(),
+            };
+            summaries.insert(index, summary);
+            index
+        });
+        let summary = &mut summaries[index];
+        summary.daemons += 1;
+        if let Some(brief) = brief {
+            summary.ready += usize::from(brief.ready);
+            summary.lowest = summary.lowest.min(brief.version);
+            summary.highest = summary.highest.max(brief.version);
+        }
+        if brief.as_ref().is_none_or(|brief| brief.version < wanted) {
+            summary.laggards.push(member.operator);
+        }
+    }
+    summaries
+}
+
+fn table(summaries: &[Summary]) -> String {
+    let head = format!(
+        "{:<24}{:>9}{:>7}{:>9}{:>9}{:>8}",
+        "data centre", "daemons", "ready", "lowest", "highest", "behind"
+    );
+    let rows = summaries.iter().map(|s| {
+        format!(
+            "{:<24}{:>9}{:>7}{:>9}{:>9}{:>8}",
+            s.data_centre.as_str(),
+            s.daemons,
+            s.ready,
+            s.lowest.0,
+            s.highest.0,
+            s.laggards.len()
+        )
+    });
+    std::iter::once(head)
+        .chain(rows)
+        .collect::<Vec<_>>()
+        .join("\n")
+}
--- /dev/null
+++ b/src/delta.rs
@@ -0,0 +1,159 @@
+//! The difference between two documents, by named resource.
+//!
+//! A delta carries the upserts and removals that lead from a base to a version, and the hash of
+//! the result. [`Delta::apply`] yields the new document whole or not at all.
+//!
+//! ```
+//! use jackdawpulley::delta::Delta;
+//! use jackdawpulley::document::{Document, Retry};
+//! use jackdawpulley::units::{Millis, Percent, Version};
+//!
+//! let old = Document::default();
+//! let rule = Retry {
+//!     name: "none".into(),
+//!     attempts: 1,
+//!     budget: Percent(0),
+//!     backoff_ms: Millis(0),
+//! };
+//! let new = Document { retries: vec![rule], ..Document::default() };
+//! let delta = Delta::between((Version(1), &old), (Version(2), &new));
+//! assert_eq!(delta.apply(&old).unwrap(), new);
+//! ```
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::{Document, Group, Retry, Route};
+use crate::error::{DeltaSnafu, Result};
+use crate::units::Version;
+
+/// Changes that lead from one version to a later one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Version it starts from.
+    pub base: Version,
+    /// Version it leads to.
+    pub version: Version,
+    /// Hash of the resulting document.
+    pub hash: u64,
+    routes: Edits<Route>,
+    groups: Edits<Group>,
+    retries: Edits<Retry>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Edits<T> {
+    upserts: Vec<T>,
+    removals: Vec<String>,
+}
+
+trait Named: Clone + PartialEq {
+    fn name(&self) -> &str;
+}
+
+impl Named for Route {
+    fn name(&self) -> &str {
+        &self.name
+    }
+}
+
+impl Named for Group {
+    fn name(&self) -> &str {
+        &self.name
+    }
+}
+
+impl Named for Retry {
+    fn name(&self) -> &str {
+        &self.name
+    }
+}
+
+impl Delta {
+    /// The changes from `old` to `new`, both sorted.
+    #[must_use]
+    pub fn between(old: (Version, &Document), new: (Version, &Document)) -> Self {
+        Self {
+            base: old.0,
+            version: new.0,
+            hash: new.1.hash(),
+            routes: Edits::between(&old.1.routes, &new.1.routes),
+            groups: Edits::between(&old.1.groups, &new.1.groups),
+            retries: Edits::between(&old.1.retries, &new.1.retries),
+        }
+    }
+
+    /// One line for each change, for a person.
+    #[must_use]
+    pub fn summary(&self) -> Vec<String> {
+        let kinds = [
+            self.routes.summary("route"),
+            self.groups.summary("group"),
+            self.retries.summary("retry rule"),
+        ];
+        kinds.concat()
+    }
+
+    /// The document that results from applying this to `base`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Delta`](crate::Error::Delta) when the result has another hash than promised.
+    pub fn apply(&self, base: &Document) -> Result<Document> {
+        let document = Document {
+            routes: self.routes.apply(&base.routes),
+            groups: self.groups.apply(&base.groups),
+            retries: self.retries.apply(&base.retries),
+        };
+        // Guards against a base that only seems to be the same: the receiver would run a mix of
+        // two documents. The hash covers the whole result, so a mix never passes.
+        if document.hash() == self.hash {
+            Ok(document)
+        } else {
+            DeltaSnafu { base: self.base }.fail()
+        }
+    }
+}
+
+impl<T: Named> Edits<T> {
+    fn between(old: &[T], new: &[T]) -> Self {
+        let upserts = new
+            .iter()
+            .filter(|item| find(old, item.name()) != Some(*item));
+        let removals = old.iter().filter(|item| find(new, item.name()).is_none());
+        Self {
+            upserts: upserts.cloned().collect(),
+            removals: removals.map(|item| item.name().to_owned()).collect(),
+        }
+    }
+
+    fn summary(&self, kind: &str) -> Vec<String> {
+        let upserts = self
+            .upserts
+            .iter()
+            .map(|item| format!("set {kind} {}", item.name()));
+        let removals = self
+            .removals
+            .iter()
+            .map(|name| format!("remove {kind} {name}"));
+        upserts.chain(removals).collect()
+    }
+
+    fn apply(&self, base: &[T]) -> Vec<T> {
+        let gone = |name: &str| {
+            self.removals
+                .binary_search_by(|r| r.as_str().cmp(name))
+                .is_ok()
+        };
+        let kept = base
+            .iter()
+            .filter(|item| !gone(item.name()) && find(&self.upserts, item.name()).is_none());
+        let mut items: Vec<T> = kept.chain(&self.upserts).cloned().collect();
+        items.sort_by(|a, b| a.name().cmp(b.name()));
+        items
+    }
+}
+
+fn find<'a, T: Named>(items: &'a [T], name: &str) -> Option<&'a T> {
+    let index = items.binary_search_by(|item| item.name().cmp(name)).ok()?;
+    items.get(index)
+}
--- /dev/null
+++ b/src/document.rs
@@ -0,0 +1,248 @@
+//! The document that operators publish.
+//!
+//! A document is a set of named resources: routes, upstream groups and retry rules. Its JSON form
+//! refuses unknown fields; everything with a sensible default may be left out. Inside the system
+//! resources are sorted by name, and [`Document::hash`] is taken over that order.
+
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+use strum::{Display, EnumString, VariantNames};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::check;
+use crate::error::{DocumentSnafu, Error, Result};
+use crate::units::{Millis, Percent, Service, Slots};
+use crate::wire;
+
+/// Everything that is in force at one version.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// How requests find a group.
+    #[serde(default)]
+    pub routes: Vec<Route>,
+    /// Where requests may go.
+    #[serde(default)]
+    pub groups: Vec<Group>,
+    /// How failed requests are tried again.
+    #[serde(default)]
+    pub retries: Vec<Retry>,
+}
+
+/// A rule that sends matching requests to a group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Unique name.
+    pub name: String,
+    /// Value of the `Host` header, without port; any when left out.
+    #[serde(default)]
+    pub host: Option<String>,
+    /// HTTP method; any when left out.
+    #[serde(default)]
+    pub method: Option<String>,
+    /// Path prefix, matched by whole segments; the longest wins.
+    pub path: String,
+    /// Name of the upstream group.
+    pub group: String,
+    /// Name of the retry rule.
+    pub retry: String,
+    /// Time until the answer's head must have come.
+    #[serde(default = "default_timeout")]
+    pub timeout_ms: Millis,
+    /// Who goes first when there is too much to do.
+    #[serde(default)]
+    pub class: Class,
+    /// Whether running a request twice does no harm (it is idempotent).
+    #[serde(default)]
+    pub repeatable: bool,
+    /// What keeps a repeated `Idempotency-Key` from running twice.
+    #[serde(default)]
+    pub guard: Guard,
+}
+
+/// A set of upstreams that offer one service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    /// Unique name.
+    pub name: String,
+    /// Service whose targets belong to the group.
+    pub service: Service,
+    /// Upper bound on a target's slots; its own word when left out.
+    #[serde(default)]
+    pub slots: Option<Slots>,
+    /// Requests that may wait at a target for a slot.
+    #[serde(default = "default_queue")]
+    pub queue: u32,
+    /// Time over which a new target is brought up to its full share.
+    #[serde(default = "default_slow_start")]
+    pub slow_start_ms: Millis,
+    /// When to leave a failing target alone for a while.
+    #[serde(default)]
+    pub ejection: Ejection,
+}
+
+/// When to leave a failing target alone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ejection {
+    /// Failures in a row that eject.
+    pub failures: u32,
+    /// First time out; doubled at each ejection that follows.
+    pub base_ms: Millis,
+    /// Largest part of a group that may be out at once.
+    pub max_share: Percent,
+}
+
+/// How often and how soon a request is tried again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retry {
+    /// Unique name.
+    pub name: String,
+    /// Attempts in all, the first included.
+    pub attempts: u32,
+    /// Retries allowed as a share of requests.
+    #[serde(default = "default_budget")]
+    pub budget: Percent,
+    /// Upper bound of the random wait before a retry.
+    #[serde(default = "default_backoff")]
+    pub backoff_ms: Millis,
+}
+
+/// Priority of a request, highest first.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    VariantNames,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Class {
+    /// Somebody waits for the answer.
+    #[default]
+    Interactive,
+    /// May be done a little later.
+    Deferrable,
+    /// Feeds other services.
+    Background,
+}
+
+/// What keeps a repeated key from running twice.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    VariantNames,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Guard {
+    /// The memory of the gates; free, lost with them.
+    #[default]
+    Memory,
+    /// A claim on the platform log before the request runs.
+    Claim,
+}
+
+impl Default for Ejection {
+    fn default() -> Self {
+        Self {
+            failures: 5,
+            base_ms: Millis(2_000),
+            max_share: Percent(50),
+        }
+    }
+}
+
+const fn default_timeout() -> Millis {
+    Millis(2_000)
+}
+
+const fn default_queue() -> u32 {
+    16
+}
+
+const fn default_slow_start() -> Millis {
+    Millis(5_000)
+}
+
+const fn default_budget() -> Percent {
+    Percent(20)
+}
+
+const fn default_backoff() -> Millis {
+    Millis(25)
+}
+
+impl Document {
+    /// Reads and checks a document, and sorts its resources.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Document`] when the text has another shape, [`Error::Faults`] with every fault at
+    /// once when the document contradicts itself.
+    pub fn parse(text: &[u8]) -> Result<Self> {
+        let document: Self = serde_json::from_slice(text).context(DocumentSnafu)?;
+        let faults = check::document(&document);
+        if faults.is_empty() {
+            Ok(document.sorted())
+        } else {
+            Err(Error::Faults { faults })
+        }
+    }
+
+    /// The same resources, sorted by name.
+    #[must_use]
+    pub fn sorted(mut self) -> Self {
+        self.routes.sort_by(|a, b| a.name.cmp(&b.name));
+        self.groups.sort_by(|a, b| a.name.cmp(&b.name));
+        self.retries.sort_by(|a, b| a.name.cmp(&b.name));
+        self
+    }
+
+    /// Hash over the encoded content; equal documents have equal hashes on every daemon.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        xxh3_64(&wire::encode(self))
+    }
+
+    /// Finds a group in a sorted document.
+    #[must_use]
+    pub fn group(&self, name: &str) -> Option<&Group> {
+        let index = self
+            .groups
+            .binary_search_by(|g| g.name.as_str().cmp(name))
+            .ok()?;
+        self.groups.get(index)
+    }
+
+    /// Finds a retry rule in a sorted document.
+    #[must_use]
+    pub fn retry(&self, name: &str) -> Option<&Retry> {
+        let index = self
+            .retries
+            .binary_search_by(|r| r.name.as_str().cmp(name))
+            .ok()?;
+        self.retries.get(index)
+    }
+}
--- /dev/null
+++ b/src/fold.rs
@@ -0,0 +1,288 @@
+//! The fold of the log that decides which edits are accepted.
+//!
+//! Every daemon that folds the same records reaches the same version and document: an edit is
+//! accepted when it is based on the version in force and its document checks out. Two racing edits
+//! name the same base, so exactly one is accepted. The version is the offset after the accepted
+//! record: totally ordered and never reused.
+//!
+//! ```
+//! use jackdawpulley::document::Document;
+//! use jackdawpulley::fold::{Edit, Fold, Record, Verdict};
+//! use jackdawpulley::units::{Offset, Version};
+//!
+//! let mut fold = Fold::new();
+//! let edit = Edit { id: "e1".into(), base: Some(Version(0)), document: Document::default() };
+//! let verdict = fold.apply(Offset(0), &Record::Edit(edit));
+//! assert_eq!(verdict, Verdict::Accepted { version: Version(1) });
+//! ```
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::check::{self, Fault};
+use crate::document::Document;
+use crate::units::{EditId, Offset, Version};
+
+/// Verdicts that a fold remembers, to answer a publisher who asks again.
+pub const RECENT_EDITS: usize = 256;
+
+/// One record of the `config` stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Record {
+    /// Somebody's wish to replace the document.
+    Edit(Edit),
+    /// The state of a fold, kept inside the retention of the log.
+    Checkpoint(Checkpoint),
+}
+
+/// A wish to replace the document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Edit {
+    /// Chosen by the publisher; the same for every try.
+    pub id: EditId,
+    /// Version that the edit was made on; when left out the edit replaces whatever is in force.
+    pub base: Option<Version>,
+    /// The whole new document.
+    pub document: Document,
+}
+
+/// The state of a fold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Checkpoint {
+    /// Version in force.
+    pub version: Version,
+    /// First offset that is not part of the state.
+    pub next: Offset,
+    /// Document in force.
+    pub document: Arc<Document>,
+    /// Verdicts on the latest edits, oldest first.
+    pub recent: Vec<Decision>,
+}
+
+/// A remembered verdict.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decision {
+    /// Edit it is about.
+    pub id: EditId,
+    /// What became of it.
+    pub verdict: Verdict,
+}
+
+/// What a fold makes of a record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+pub enum Verdict {
+    /// The edit is in force as this version.
+    Accepted {
+        /// Version it got.
+        version: Version,
+    },
+    /// Another edit came first.
+    Conflict {
+        /// Version that was current.
+        current: Version,
+    },
+    /// The document contradicts itself.
+    Invalid {
+        /// Every fault.
+        faults: Vec<Fault>,
+    },
+    /// The record is folded already, or is a checkpoint that adds nothing.
+    Skipped,
+    /// Records before this one are missing; a checkpoint or a peer has to close the gap.
+    Gap,
+    /// A checkpoint closed the gap; folding goes on from the fold's next offset.
+    Restored,
+}
+
+/// The state reached so far.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fold {
+    state: Checkpoint,
+    /// First offset that was still there when records were found missing.
+    gap: Option<Offset>,
+}
+
+impl Default for Fold {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Fold {
+    /// A fold that has seen nothing and starts at offset zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let state = Checkpoint {
+            version: Version(0),
+            next: Offset(0),
+            document: Arc::default(),
+            recent: Vec::new(),
+        };
+        Self { state, gap: None }
+    }
+
+    /// A fold that goes on from a checkpoint.
+    #[must_use]
+    pub const fn restore(checkpoint: Checkpoint) -> Self {
+        Self {
+            state: checkpoint,
+            gap: None,
+        }
+    }
+
+    /// The state, to be written or handed on.
+    #[must_use]
+    pub const fn checkpoint(&self) -> &Checkpoint {
+        &self.state
+    }
+
+    /// Version in force.
+    #[must_use]
+    pub const fn version(&self) -> Version {
+        self.state.version
+    }
+
+    /// First offset not folded yet.
+    #[must_use]
+    pub const fn next(&self) -> Offset {
+        self.state.next
+    }
+
+    /// Document in force.
+    #[must_use]
+    pub const fn document(&self) -> &Arc<Document> {
+        &self.state.document
+    }
+
+    /// Whether records are missing before the next one.
+    #[must_use]
+    pub const fn gapped(&self) -> bool {
+        self.gap.is_some()
+    }
+
+    /// Verdict on an edit, while it is remembered.
+    #[must_use]
+    pub fn verdict(&self, id: &EditId) -> Option<&Verdict> {
+        self.state
+            .recent
+            .iter()
+            .rev()
+            .find(|d| d.id == *id)
+            .map(|d| &d.verdict)
+    }
+
+    /// Folds the record at `offset`.
+    pub fn apply(&mut self, offset: Offset, record: &Record) -> Verdict {
+        if offset < self.state.next {
+            return Verdict::Skipped;
+        }
+        self.expire(offset);
+        match record {
+            Record::Checkpoint(checkpoint) => self.checkpointed(offset, checkpoint),
+            // Guards against expired records: an edit accepted among them may have moved the
+            // version, so judging a later edit by the old one could accept what every full reader
+            // refused. A gapped fold judges no edit that depends on a version.
+            Record::Edit(edit) if self.gapped() && edit.base.is_some() => {
+                self.state.next = offset.next();
+                Verdict::Gap
+            }
+            Record::Edit(edit) => {
+                self.state.next = offset.next();
+                self.judge(offset, edit)
+            }
+        }
+    }
+
+    /// Passes over the record at `offset`, which is not one of ours.
+    pub fn pass(&mut self, offset: Offset) -> Verdict {
+        if offset >= self.state.next {
+            self.expire(offset);
+            self.state.next = offset.next();
+        }
+        Verdict::Skipped
+    }
+
+    /// Notes that all records before `first` have expired.
+    pub fn expire(&mut self, first: Offset) {
+        if first > self.state.next {
+            self.gap = Some(first);
+            self.state.next = first;
+        }
+    }
+
+    /// Takes over a version that a peer has in force; `false` when it is not newer.
+    pub fn adopt(&mut self, version: Version, document: Arc<Document>) -> bool {
+        if version <= self.state.version {
+            return false;
+        }
+        self.state.version = version;
+        self.state.document = document;
+        match self.gap {
+            // The records after the version are still there: fold them again, ungapped.
+            Some(first) if version.end() >= first => {
+                self.state.next = version.end();
+                self.gap = None;
+            }
+            Some(_) => {}
+            None => self.state.next = self.state.next.max(version.end()),
+        }
+        true
+    }
+
+    fn checkpointed(&mut self, offset: Offset, checkpoint: &Checkpoint) -> Verdict {
+        self.state.next = offset.next();
+        let Some(first) = self.gap else {
+            return Verdict::Skipped;
+        };
+        // Guards against a paused writer's stale checkpoint: the edits after its state may have
+        // expired, or it may lead back. Only a checkpoint whose following records are all still
+        // there is taken, and those are folded again, also the ones before its own offset.
+        if checkpoint.next < first || checkpoint.version < self.state.version {
+            return Verdict::Skipped;
+        }
+        self.state = checkpoint.clone();
+        self.gap = None;
+        Verdict::Restored
+    }
+
+    fn judge(&mut self, offset: Offset, edit: &Edit) -> Verdict {
+        // Guards against a repeated append: a publisher whose answer was lost appends the edit
+        // again. The second record must be a no-op and give the first one's verdict.
+        if let Some(known) = self.verdict(&edit.id) {
+            return known.clone();
+        }
+        let verdict = self.decide(offset, edit);
+        if let Verdict::Accepted { version } = verdict {
+            self.state.version = version;
+            self.state.document = Arc::new(edit.document.clone().sorted());
+            self.gap = None;
+        }
+        if self.state.recent.len() == RECENT_EDITS {
+            self.state.recent.remove(0);
+        }
+        self.state.recent.push(Decision {
+            id: edit.id.clone(),
+            verdict: verdict.clone(),
+        });
+        verdict
+    }
+
+    fn decide(&self, offset: Offset, edit: &Edit) -> Verdict {
+        if edit.base.is_some_and(|base| base != self.state.version) {
+            return Verdict::Conflict {
+                current: self.state.version,
+            };
+        }
+        let faults = check::document(&edit.document);
+        if faults.is_empty() {
+            Verdict::Accepted {
+                version: Version::of(offset),
+            }
+        } else {
+            Verdict::Invalid { faults }
+        }
+    }
+}
--- /dev/null
+++ b/src/http_client.rs
@@ -0,0 +1,88 @@
+//! A small HTTP client for whole requests and answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use volo_http::body::BodyConversion;
+
+/// Time to open a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Time after which an idle connection is not used again.
+const IDLE: Duration = Duration::from_secs(2);
+
+/// A client with pooled connections.
+#[derive(Clone)]
+pub struct Client {
+    inner: volo_http::client::Client,
+}
+
+impl std::fmt::Debug for Client {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Client").finish_non_exhaustive()
+    }
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Client {
+    /// A client without connections.
+    ///
+    /// # Panics
+    ///
+    /// Never: building it reads only constants.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut builder = volo_http::client::Client::builder();
+        builder.set_connect_timeout(CONNECT);
+        builder.set_pool_idle_timeout(IDLE);
+        Self {
+            inner: builder.build().expect("constants make a client"),
+        }
+    }
+
+    /// Sends a request and collects its whole answer within `patience`.
+    ///
+    /// # Errors
+    ///
+    /// A text when no whole answer came; the request may have been seen all the same.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        patience: Duration,
+    ) -> Result<(StatusCode, Vec<u8>), String> {
+        let exchange = async {
+            let request = self
+                .inner
+                .request(method, format!("http://{address}{path}"));
+            let sent = request.data(body).send::<volo_http::body::Body>().await;
+            let response = sent.map_err(|error| chain(&error))?;
+            let status = response.status();
+            let body = response.into_body().into_vec().await;
+            Ok((status, body.map_err(|error| chain(&error))?))
+        };
+        match tokio::time::timeout(patience, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => Err(format!("no answer within {} ms", patience.as_millis())),
+        }
+    }
+}
+
+/// An error with all its sources, as one line.
+#[must_use]
+pub fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/src/join.rs
@@ -0,0 +1,244 @@
+//! Starting: find contacts, join, and reach a floor for the configuration.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+
+use crate::board::Board;
+use crate::config::Store;
+use crate::floor::Floor;
+use crate::guard::Keys;
+use crate::log::{Log, Stream};
+use crate::member::Stage;
+use crate::peer::Links;
+use crate::probe::Membership;
+use crate::reader::Reader;
+use crate::relay::{Relay, jitter, order};
+use crate::server::JOIN;
+use crate::units::{DataCentre, Millis, Offset};
+use crate::wire::{Join, Welcome};
+
+/// Records of the contacts stream that a joiner looks at.
+const CONTACTS_READ: u64 = 32;
+/// Peers that a joiner joins through.
+const GREETERS: usize = 4;
+/// Pause between two rounds while no floor has been reached.
+const ROUND: Duration = Duration::from_millis(200);
+/// Time between two renewals of a contact, on average.
+const RENEWAL: Duration = Duration::from_mins(2);
+/// Daemons of a data centre that keep a contact.
+const CONTACTS_KEPT: usize = 2;
+
+/// One record of the `contacts` stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Address to join through.
+    pub peer: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+}
+
+/// Brings a daemon from its start to serving, and keeps contacts fresh.
+#[derive(Debug)]
+pub struct Joiner {
+    /// The blackboard.
+    pub board: Arc<Board>,
+    /// What is in force.
+    pub store: Arc<Store>,
+    /// Connections to peers.
+    pub links: Arc<Links>,
+    /// The membership view.
+    pub membership: Arc<Membership>,
+    /// Fetches content.
+    pub relay: Arc<Relay>,
+    /// Reads the log.
+    pub reader: Arc<Reader>,
+    /// Remembers keys.
+    pub keys: Arc<Keys>,
+    /// The platform log.
+    pub log: Log,
+}
+
+impl Joiner {
+    /// Joins, waits for the floor, then serves and keeps contacts for as long as the daemon runs.
+    pub async fn run(self) {
+        // A whole data centre that comes back must not ask in the same instant.
+        tokio::time::sleep(jitter(ROUND)).await;
+        self.reach_floor().await;
+        if self.board.stage() == Stage::Starting {
+            self.board.advance(Stage::Serving);
+            self.membership.reflect().await;
+            info!(self.board.logger, "serving"; "version" => self.board.digest().version.0);
+        }
+        self.keep_contacts().await;
+    }
+
+    async fn reach_floor(&self) {
+        let began = Instant::now();
+        let mut floor = Floor::default();
+        let mut warned = false;
+        while self.board.stage() == Stage::Starting {
+            self.greet(&mut floor).await;
+            let log_read = self.read_log(&mut floor).await;
+            let have = self.board.digest().version;
+            if log_read && floor.met_by_log(have, self.store.next()) {
+                return;
+            }
+            let patient = began.elapsed() < self.board.settings.log_patience_ms.duration();
+            if !log_read && !patient && floor.met_by_peers(have, self.data_centres()) {
+                warn!(self.board.logger, "the log is away, peers decide"; "version" => have.0);
+                return;
+            }
+            if !patient && !warned {
+                warned = true;
+                warn!(
+                    self.board.logger,
+                    "no floor yet: neither the log nor enough peers answer"
+                );
+            }
+            tokio::time::sleep(ROUND + jitter(ROUND)).await;
+        }
+    }
+
+    /// Joins through a few contacts and fetches what they have in force.
+    async fn greet(&self, floor: &mut Floor) {
+        let join = Join {
+            member: self.membership.me(),
+        };
+        for peer in self.contacts().await {
+            let Ok(welcome) = self.links.send::<_, Welcome>(peer, JOIN, &join).await else {
+                continue;
+            };
+            let greeter = welcome.members.first();
+            let greeter = greeter.map(|m| m.data_centre.clone()).unwrap_or_default();
+            floor.heard(&greeter, welcome.digest.version, welcome.ran);
+            if welcome.lived {
+                self.keys.set_lived();
+            }
+            self.membership.learn(&welcome.members);
+            if welcome.digest.version > self.board.digest().version {
+                let _ = self.relay.pull(peer).await;
+            }
+        }
+    }
+
+    /// Reads the log to its head; `false` while it is away.
+    async fn read_log(&self, floor: &mut Floor) -> bool {
+        loop {
+            let Ok(head) = self.reader.turn(Millis(0)).await else {
+                return false;
+            };
+            floor.read_head(head);
+            if self.store.next() >= head {
+                return true;
+            }
+        }
+    }
+
+    /// A few addresses to join through: known members, settings, then the log's contacts.
+    async fn contacts(&self) -> Vec<SocketAddr> {
+        let me = self.board.settings.identity();
+        let roster = self.board.roster();
+        let known = roster.members.iter().map(|member| member.peer);
+        let mut contacts: Vec<SocketAddr> =
+            known.chain(self.board.settings.contacts.clone()).collect();
+        if self.board.settings.contacts.is_empty() {
+            contacts.extend(
+                self.log_contacts()
+                    .await
+                    .into_iter()
+                    .map(|contact| contact.peer),
+            );
+        }
+        contacts.sort_unstable();
+        contacts.dedup();
+        contacts.retain(|peer| *peer != me);
+        spread(&mut contacts);
+        contacts.truncate(GREETERS);
+        contacts
+    }
+
+    /// The latest contacts of the log.
+    async fn log_contacts(&self) -> Vec<Contact> {
+        let Ok(bounds) = self.log.bounds(Stream::Contacts).await else {
+            return Vec::new();
+        };
+        let from = bounds
+            .first
+            .0
+            .max(bounds.head.0.saturating_sub(CONTACTS_READ));
+        let page = self
+            .log
+            .read(Stream::Contacts, Offset(from), Millis(0))
+            .await;
+        let records = page.map(|page| page.records).unwrap_or_default();
+        records
+            .iter()
+            .filter_map(|stored| serde_json::from_str(&stored.value).ok())
+            .collect()
+    }
+
+    fn data_centres(&self) -> usize {
+        let roster = self.board.roster();
+        let mut names: Vec<&DataCentre> = roster.members.iter().map(|m| &m.data_centre).collect();
+        names.sort_unstable();
+        names.dedup();
+        names.len()
+    }
+
+    /// Keeps a bounded number of contacts of each data centre fresh on the log.
+    async fn keep_contacts(&self) {
+        let settings = &self.board.settings;
+        loop {
+            let order = order(&self.board.roster().members, &settings.data_centre);
+            let mine = order
+                .iter()
+                .take(CONTACTS_KEPT)
+                .any(|peer| *peer == settings.identity());
+            let contact = Contact {
+                peer: settings.identity(),
+                data_centre: settings.data_centre.clone(),
+            };
+            if mine && !self.listed(&contact).await {
+                let _ = self.log.append(Stream::Contacts, &contact).await;
+            }
+            self.meet_strangers().await;
+            tokio::time::sleep(RENEWAL / 2 + jitter(RENEWAL)).await;
+        }
+    }
+
+    async fn listed(&self, contact: &Contact) -> bool {
+        self.log_contacts().await.contains(contact)
+    }
+
+    /// Heals a split that outlived the memory of gone members: joins contacts it does not know.
+    async fn meet_strangers(&self) {
+        let roster = self.board.roster();
+        let join = Join {
+            member: self.membership.me(),
+        };
+        for contact in self.log_contacts().await {
+            if roster.member(contact.peer).is_some() || contact.peer == join.member.peer {
+                continue;
+            }
+            if let Ok(welcome) = self
+                .links
+                .send::<_, Welcome>(contact.peer, JOIN, &join)
+                .await
+            {
+                self.membership.learn(&welcome.members);
+            }
+        }
+    }
+}
+
+fn spread(contacts: &mut [SocketAddr]) {
+    let mut rng = rand::rng();
+    for index in (1..contacts.len()).rev() {
+        contacts.swap(index, rng.random_range(0..=index));
+    }
+}
--- /dev/null
+++ b/src/keys.rs
@@ -0,0 +1,231 @@
+//! Idempotency keys: who may run one, and what became of it.
+//!
+//! A key belongs to the first gate of its service in rendezvous order. That gate, the holder,
+//! has another gate note the key before it runs it, and remembers the outcome for a while. When
+//! the holder is lost, its notes are with a survivor; whoever follows asks all survivors. A gate
+//! that cannot prove that nobody else ran the key does not run it.
+//!
+//! [`Memory`] and [`ownership`] are pure; [`Keys`](crate::guard::Keys) carries them out.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::units::CallKey;
+
+/// Losses among the gates of a service that its notes survive.
+const LOSSES_SURVIVED: usize = 1;
+
+/// An answer that can be given again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// What is remembered of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum State {
+    /// It runs here now, or is about to.
+    Running,
+    /// It ran here, with this answer.
+    Done(Arc<Answer>),
+    /// It may have run here.
+    Doubt,
+    /// Another gate was about to run it.
+    Noted(SocketAddr),
+}
+
+#[derive(Debug)]
+struct Remembered {
+    key: CallKey,
+    state: State,
+    until: Instant,
+}
+
+/// Keys that ran, or may have, in the recent past.
+#[derive(Debug)]
+pub struct Memory {
+    span: Duration,
+    /// Sorted by key.
+    keys: Vec<Remembered>,
+    next_sweep: Option<Instant>,
+}
+
+impl Memory {
+    /// A memory that keeps each key for `span` after its last change.
+    #[must_use]
+    pub const fn new(span: Duration) -> Self {
+        Self {
+            span,
+            keys: Vec::new(),
+            next_sweep: None,
+        }
+    }
+
+    /// Keys that are remembered.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Whether nothing is remembered.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// What is remembered of `key`.
+    #[must_use]
+    pub fn recall(&self, now: Instant, key: &CallKey) -> Option<&State> {
+        let index = self.find(key).ok()?;
+        let found = &self.keys[index];
+        (found.until > now || found.state == State::Running).then_some(&found.state)
+    }
+
+    /// Remembers `state` for `key`, in place of anything earlier.
+    pub fn remember(&mut self, now: Instant, key: &CallKey, state: State) {
+        self.sweep(now);
+        let until = now + self.span;
+        match self.find(key) {
+            Ok(index) => {
+                self.keys[index].state = state;
+                self.keys[index].until = until;
+            }
+            Err(index) => {
+                self.keys.insert(
+                    index,
+                    Remembered {
+                        key: key.clone(),
+                        state,
+                        until,
+                    },
+                );
+            }
+        }
+    }
+
+    /// Forgets `key`: it has provably not run.
+    pub fn forget(&mut self, key: &CallKey) {
+        if let Ok(index) = self.find(key) {
+            self.keys.remove(index);
+        }
+    }
+
+    /// Notes that `holder` is about to run `key`; `true` when it may have run elsewhere.
+    pub fn note(&mut self, now: Instant, key: &CallKey, holder: SocketAddr) -> bool {
+        match self.recall(now, key) {
+            None => {}
+            Some(State::Noted(other)) if *other == holder => {}
+            Some(_) => return true,
+        }
+        self.remember(now, key, State::Noted(holder));
+        false
+    }
+
+    fn find(&self, key: &CallKey) -> Result<usize, usize> {
+        self.keys
+            .binary_search_by(|remembered| remembered.key.cmp(key))
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        if self.next_sweep.is_none_or(|due| due <= now) {
+            self.next_sweep = Some(now + self.span / 4);
+            self.keys
+                .retain(|kept| kept.until > now || kept.state == State::Running);
+        }
+    }
+}
+
+/// Another gate of the service, as the view has it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Peer {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Time since it went, when it is gone.
+    pub gone: Option<Duration>,
+}
+
+/// What a gate knows of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Own {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Time for which it has remembered keys.
+    pub age: Duration,
+    /// Whether its address belonged to a daemon before.
+    pub lived: bool,
+}
+
+/// What a gate may do with a key that it does not remember.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ownership {
+    /// Run it once one of these, in this order, has noted it; alone when there is none.
+    Run(Vec<SocketAddr>),
+    /// Run it once all of these have noted it, and it or one of them remembers the whole span.
+    RunIfUnknown(Vec<SocketAddr>),
+    /// It belongs to another gate.
+    Moved,
+    /// No gate may be left that would know.
+    Doubt,
+    /// Others have just been lost and none is left to note it.
+    Alone,
+}
+
+/// Decides what a gate may do with `key`, when keys are remembered for `span`.
+#[must_use]
+pub fn ownership(key: &CallKey, own: Own, peers: &[Peer], span: Duration) -> Ownership {
+    let mine = rank(key, own.address);
+    let above = |peer: &&Peer| rank(key, peer.address) > mine;
+    if peers.iter().filter(above).any(|peer| peer.gone.is_none()) {
+        return Ownership::Moved;
+    }
+    let lost = |peer: &&Peer| peer.gone.is_some_and(|ago| ago < span);
+    let young = own.age < span;
+    let earlier_life = usize::from(young && own.lived);
+    let losses = peers.iter().filter(lost).count() + earlier_life;
+    let mut live: Vec<SocketAddr> = peers
+        .iter()
+        .filter(|peer| peer.gone.is_none())
+        .map(|peer| peer.address)
+        .collect();
+    live.sort_by_key(|peer| std::cmp::Reverse(rank(key, *peer)));
+    let inherited = young
+        || peers
+            .iter()
+            .filter(lost)
+            .any(|peer| rank(key, peer.address) > mine);
+    if !inherited {
+        // It was this gate's for the whole span, so its own memory is proof. Running it without
+        // a note is safe only while nobody could later be missed: a cut looks like losses.
+        let alone = live.is_empty() && losses > 0;
+        return if alone {
+            Ownership::Alone
+        } else {
+            Ownership::Run(live)
+        };
+    }
+    // Guards against running a lost gate's key again: its note is with one other gate. With one
+    // loss that other gate is among the survivors; with two it may be the second one lost.
+    if losses > LOSSES_SURVIVED {
+        return Ownership::Doubt;
+    }
+    if losses > 0 && live.is_empty() {
+        return Ownership::Doubt;
+    }
+    Ownership::RunIfUnknown(live)
+}
+
+/// Rendezvous rank of a gate for a key; the highest holds it.
+#[must_use]
+pub fn rank(key: &CallKey, peer: SocketAddr) -> u64 {
+    xxh3_64(format!("{key}@{peer}").as_bytes())
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,86 @@
+//! Configuration delivery and call routing for a service mesh of long-lived sessions.
+//!
+//! One small daemon runs beside each target. Operators publish a [`document`] of routes, upstream
+//! groups and retry rules to an append-only [`log`]; the [`fold`] of the log decides, alike on
+//! every daemon, which edits are accepted. A few daemons of each data centre read the log and
+//! relay versions to the others as [`delta`]s. Daemons find each other by the [`member`]ship
+//! protocol, without a list.
+//!
+//! A caller reaches any daemon, the *entry*. It [`route`]s the request, [`pick`]s an upstream and
+//! hands the request to the daemon beside that target, the *gate*, which [`limit`]s the work,
+//! guards idempotency [`keys`] and dispatches. Only the entry may [`retry`], and the caller is
+//! told the [`outcome`]: answered, provably not run, or unknown.
+//!
+//! The decisions are plain state machines that get time, randomness and messages as arguments, so
+//! that others can embed them:
+//!
+//! ```
+//! use jackdawpulley::document::Document;
+//! use jackdawpulley::fold::{Edit, Fold, Record, Verdict};
+//! use jackdawpulley::units::{Offset, Version};
+//!
+//! let text = br#"{
+//!     "routes": [{ "name": "titles", "path": "/titles", "group": "shelf", "retry": "reads" }],
+//!     "groups": [{ "name": "shelf", "service": "shelf" }],
+//!     "retries": [{ "name": "reads", "attempts": 3 }]
+//! }"#;
+//! let document = Document::parse(text)?;
+//!
+//! // Two operators race; both edits are based on version 0, and exactly one is accepted.
+//! let edit = |id: &str| Record::Edit(Edit {
+//!     id: id.into(),
+//!     base: Some(Version(0)),
+//!     document: document.clone(),
+//! });
+//! let mut fold = Fold::new();
+//! assert_eq!(fold.apply(Offset(0), &edit("a")), Verdict::Accepted { version: Version(1) });
+//! assert_eq!(fold.apply(Offset(1), &edit("b")), Verdict::Conflict { current: Version(1) });
+//! # Ok::<(), jackdawpulley::Error>(())
+//! ```
+//!
+//! [`daemon`] and [`ctl`] are the two programs; `src/bin/` only calls them.
+
+pub mod announce;
+pub mod board;
+pub mod check;
+pub mod ctl;
+pub mod daemon;
+pub mod delta;
+pub mod document;
+pub mod floor;
+pub mod fold;
+pub mod keys;
+pub mod limit;
+pub mod log;
+pub mod member;
+pub mod outcome;
+pub mod pick;
+pub mod retry;
+pub mod route;
+pub mod settings;
+pub mod telemetry;
+pub mod units;
+pub mod wire;
+
+mod accept;
+mod call;
+mod config;
+mod dispatch;
+mod error;
+mod gate;
+mod guard;
+mod http_client;
+mod join;
+mod operator;
+mod peer;
+mod probe;
+mod publish;
+mod reader;
+mod relay;
+mod roster;
+mod server;
+mod state;
+mod stream;
+
+pub use document::Document;
+pub use error::{Error, Result};
--- /dev/null
+++ b/src/limit.rs
@@ -0,0 +1,126 @@
+//! The gate's limit: slots, and a short queue by priority.
+//!
+//! A [`Limit`] decides which request runs, waits or is shed. It is a plain state machine over
+//! ticket numbers; the gate wakes the tickets that it names.
+//!
+//! ```
+//! use jackdawpulley::document::Class;
+//! use jackdawpulley::limit::{Admission, Limit};
+//!
+//! let mut limit = Limit::new(1, 1);
+//! assert_eq!(limit.enter(1, Class::Interactive), Admission::Run);
+//! assert_eq!(limit.enter(2, Class::Background), Admission::Wait { shed: None });
+//! assert_eq!(limit.enter(3, Class::Interactive), Admission::Wait { shed: Some(2) });
+//! assert_eq!(limit.leave(), Some(3));
+//! ```
+
+use crate::document::Class;
+
+/// Number of a request at its gate.
+pub type Ticket = u64;
+
+/// What becomes of a request that asks for a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It has a slot.
+    Run,
+    /// It waits; the request of lower priority that it displaced is shed.
+    Wait {
+        /// Ticket that lost its place.
+        shed: Option<Ticket>,
+    },
+    /// It is shed itself.
+    Shed,
+}
+
+/// Slots in use and requests that wait.
+#[derive(Debug)]
+pub struct Limit {
+    slots: u32,
+    queue: u32,
+    running: u32,
+    /// Sorted by class, then by ticket: the first is the next to run.
+    waiting: Vec<(Class, Ticket)>,
+}
+
+impl Limit {
+    /// A limit with `slots` to run and `queue` places to wait.
+    #[must_use]
+    pub const fn new(slots: u32, queue: u32) -> Self {
+        Self {
+            slots,
+            queue,
+            running: 0,
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Requests that run.
+    #[must_use]
+    pub const fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub const fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Changes the sizes; returns the tickets that may run now.
+    pub fn resize(&mut self, slots: u32, queue: u32) -> Vec<Ticket> {
+        self.slots = slots;
+        self.queue = queue;
+        std::iter::from_fn(|| self.promote()).collect()
+    }
+
+    /// Asks for a slot.
+    pub fn enter(&mut self, ticket: Ticket, class: Class) -> Admission {
+        if self.running < self.slots && self.waiting.is_empty() {
+            self.running += 1;
+            return Admission::Run;
+        }
+        if self.waiting.len() < self.queue as usize {
+            self.insert(class, ticket);
+            return Admission::Wait { shed: None };
+        }
+        match self.waiting.last() {
+            Some(&(lowest, loser)) if class < lowest => {
+                self.waiting.pop();
+                self.insert(class, ticket);
+                Admission::Wait { shed: Some(loser) }
+            }
+            _ => Admission::Shed,
+        }
+    }
+
+    /// Gives a waiting request up; `false` when it does not wait any more.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let place = self
+            .waiting
+            .iter()
+            .position(|&(_, waiting)| waiting == ticket);
+        place.map(|index| self.waiting.remove(index)).is_some()
+    }
+
+    /// Gives a slot back; the ticket that gets it runs now.
+    pub fn leave(&mut self) -> Option<Ticket> {
+        self.running = self.running.saturating_sub(1);
+        self.promote()
+    }
+
+    fn promote(&mut self) -> Option<Ticket> {
+        if self.running >= self.slots || self.waiting.is_empty() {
+            return None;
+        }
+        self.running += 1;
+        Some(self.waiting.remove(0).1)
+    }
+
+    fn insert(&mut self, class: Class, ticket: Ticket) {
+        let place = self
+            .waiting
+            .partition_point(|&waiting| waiting < (class, ticket));
+        self.waiting.insert(place, (class, ticket));
+    }
+}
--- /dev/null
+++ b/src/log.rs
@@ -0,0 +1,159 @@
+//! The client of the platform's append-only log.
+//!
+//! The log speaks HTTP: `POST /streams/{stream}` appends the body as a record and answers with its
+//! offset; `GET /streams/{stream}?from=N&limit=L&wait_ms=W` reads records from an offset on, waiting
+//! for the first one if there is none yet. Records before the first retained one answer 410.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString, VariantNames};
+
+use crate::error::{Error, Result};
+use crate::http_client;
+use crate::telemetry::Meter;
+use crate::units::{Millis, Offset};
+
+/// Time for an answer, beside the time that a read may wait.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Most records in one page.
+const PAGE: usize = 64;
+/// Estimate for the heads of a request and its answer, in bytes.
+const HEADS: usize = 260;
+
+/// Streams that the system keeps on the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString, VariantNames)]
+#[strum(serialize_all = "snake_case")]
+pub enum Stream {
+    /// Edits and checkpoints.
+    Config,
+    /// Daemons to join through.
+    Contacts,
+    /// Claims of idempotency keys.
+    Claims,
+}
+
+/// A run of records.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Page {
+    /// First offset that is still there.
+    pub first: Offset,
+    /// Offset that the next append will get.
+    pub head: Offset,
+    /// Records from the offset that was asked for.
+    pub records: Vec<Stored>,
+}
+
+/// A record with its place.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Stored {
+    /// Its place.
+    pub offset: Offset,
+    /// Its text.
+    pub value: String,
+}
+
+/// Answer to an append.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Appended {
+    /// Place of the new record.
+    pub offset: Offset,
+}
+
+/// A connection to the platform log.
+#[derive(Debug, Clone)]
+pub struct Log {
+    address: SocketAddr,
+    http: http_client::Client,
+    meter: Arc<Meter>,
+}
+
+impl Log {
+    /// A client of the log at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr, meter: Arc<Meter>) -> Self {
+        Self {
+            address,
+            http: http_client::Client::new(),
+            meter,
+        }
+    }
+
+    /// Appends a record.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Log`] when no answer came: the record may or may not be there.
+    pub async fn append<T: Serialize>(&self, stream: Stream, record: &T) -> Result<Offset> {
+        let text = serde_json::to_vec(record).map_err(|e| self.failed(&e.to_string()))?;
+        let path = format!("/streams/{stream}");
+        let (status, body) = self.exchange(Method::POST, &path, text, PATIENCE).await?;
+        if status != StatusCode::CREATED {
+            return Err(self.failed(&format!("append answered {status}")));
+        }
+        let appended: Appended = self.parse(&body)?;
+        Ok(appended.offset)
+    }
+
+    /// Reads a page; waits up to `wait` for the first record.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Expired`] when `from` is no longer there, [`Error::Log`] when no answer came.
+    pub async fn read(&self, stream: Stream, from: Offset, wait: Millis) -> Result<Page> {
+        let path = format!("/streams/{stream}?from={from}&limit={PAGE}&wait_ms={wait}");
+        let patience = PATIENCE + wait.duration();
+        let (status, body) = self
+            .exchange(Method::GET, &path, Vec::new(), patience)
+            .await?;
+        match status {
+            StatusCode::OK => self.parse(&body),
+            StatusCode::GONE => {
+                let page: Page = self.parse(&body)?;
+                Err(Error::Expired { first: page.first })
+            }
+            other => Err(self.failed(&format!("read answered {other}"))),
+        }
+    }
+
+    /// Reads only where the stream begins and ends.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Log`] when no answer came.
+    pub async fn bounds(&self, stream: Stream) -> Result<Page> {
+        self.read(stream, Offset(u64::MAX), Millis(0)).await
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        patience: Duration,
+    ) -> Result<(StatusCode, Vec<u8>)> {
+        self.meter.log(HEADS + body.len());
+        let answer = self
+            .http
+            .exchange(self.address, method, path, body, patience)
+            .await;
+        let (status, body) = answer.map_err(|reason| self.failed(&reason))?;
+        self.meter.log(body.len());
+        Ok((status, body))
+    }
+
+    fn parse<T: DeserializeOwned>(&self, body: &[u8]) -> Result<T> {
+        serde_json::from_slice(body).map_err(|e| self.failed(&e.to_string()))
+    }
+
+    fn failed(&self, reason: &str) -> Error {
+        Error::Log {
+            log: self.address,
+            reason: reason.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,386 @@
+//! Connections between daemons: h2 over TCP.
+//!
+//! A [`Link`] is one daemon's connection to another. Control messages are single POSTs with
+//! bincode bodies; calls are ordinary requests with a [`Handover`](crate::wire::Handover) in a
+//! header. Links for calls and links for control are separate connections, so that control bytes
+//! can be counted where they are sent.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwapOption;
+use bytes::{Bytes, BytesMut};
+use h2::client::SendRequest;
+use h2::{Reason, RecvStream};
+use http::{Method, Request, Response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpSocket, TcpStream};
+use volo_http::body::Body;
+
+use crate::error::{Error, Result};
+use crate::stream;
+use crate::telemetry::Meter;
+use crate::wire;
+
+/// Time to open a connection.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Time for the answer to a control message.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Time after which an idle control link is closed.
+const IDLE: Duration = Duration::from_mins(1);
+
+/// Why a call has no answer from its gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// The gate provably did not process it.
+    Unsent,
+    /// The gate may have processed it.
+    Broken,
+}
+
+/// One daemon's connection to another, opened when first needed.
+#[derive(Debug)]
+pub struct Link {
+    peer: SocketAddr,
+    home: IpAddr,
+    sender: ArcSwapOption<SendRequest<Bytes>>,
+    /// Held by callers of this link alone, while one of them connects.
+    opening: tokio::sync::Mutex<()>,
+}
+
+impl Link {
+    /// A link from the address `home` that is not open yet.
+    #[must_use]
+    pub fn new(peer: SocketAddr, home: IpAddr) -> Self {
+        Self {
+            peer,
+            home,
+            sender: ArcSwapOption::empty(),
+            opening: tokio::sync::Mutex::new(()),
+        }
+    }
+
+    /// Sends a call to the gate and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] that tells whether the gate may have processed it.
+    pub async fn call(
+        &self,
+        request: Request<()>,
+        body: Body,
+    ) -> std::result::Result<Response<RecvStream>, Failure> {
+        let mut sender = self.sender(None).await.map_err(|_| Failure::Unsent)?;
+        let empty = http_body::Body::is_end_stream(&body);
+        // An error here means that no stream was opened, so nothing has left this process.
+        let sent = sender.send_request(request, empty);
+        let (response, stream) = sent.map_err(|_| Failure::Unsent)?;
+        if !empty {
+            tokio::spawn(stream::pump(body, stream));
+        }
+        response.await.map_err(|error| {
+            self.sender.store(None);
+            classify(&error)
+        })
+    }
+
+    /// Sends a control message and decodes its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] before it was sent, [`Error::Peer`] or [`Error::Frame`] after.
+    pub async fn exchange<T: DeserializeOwned>(
+        &self,
+        meter: &Arc<Meter>,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T> {
+        let exchange = async {
+            let mut sender = self.sender(Some(meter)).await?;
+            let uri = format!("http://{}{path}", self.peer);
+            let request = Request::builder().method(Method::POST).uri(uri).body(());
+            let request = request.map_err(|e| self.unreachable(&e.to_string()))?;
+            let sent = sender.send_request(request, false);
+            let (response, mut stream) = sent.map_err(|e| self.unreachable(&e.to_string()))?;
+            stream::send_whole(&mut stream, body)
+                .await
+                .map_err(|e| self.failed(&e.to_string()))?;
+            let response = response.await.map_err(|e| self.failed(&e.to_string()))?;
+            let body = collect(response.into_body()).await;
+            wire::decode(&body.map_err(|e| self.failed(&e.to_string()))?)
+        };
+        let answer = match tokio::time::timeout(PATIENCE, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => Err(self.failed("no answer in time")),
+        };
+        if answer.is_err() {
+            self.sender.store(None);
+        }
+        answer
+    }
+
+    /// A sender with room for one more request, over a connection that is open.
+    async fn sender(&self, meter: Option<&Arc<Meter>>) -> Result<SendRequest<Bytes>> {
+        if let Some(sender) = self.ready().await {
+            return Ok(sender);
+        }
+        let _opening = self.opening.lock().await;
+        if let Some(sender) = self.ready().await {
+            return Ok(sender);
+        }
+        let sender = self.open(meter).await?;
+        self.sender.store(Some(Arc::new(sender.clone())));
+        Ok(sender)
+    }
+
+    async fn ready(&self) -> Option<SendRequest<Bytes>> {
+        let sender = SendRequest::clone(self.sender.load_full()?.as_ref());
+        sender.ready().await.ok()
+    }
+
+    async fn open(&self, meter: Option<&Arc<Meter>>) -> Result<SendRequest<Bytes>> {
+        let connecting = tokio::time::timeout(CONNECT, self.connect()).await;
+        let stream = match connecting {
+            Ok(stream) => stream.map_err(|e| self.unreachable(&e.to_string()))?,
+            Err(_) => return Err(self.unreachable("no connection in time")),
+        };
+        stream
+            .set_nodelay(true)
+            .map_err(|e| self.unreachable(&e.to_string()))?;
+        let counted = Counted::new(stream, meter.cloned());
+        let handshake = h2::client::Builder::new()
+            .initial_window_size(WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .handshake(counted);
+        let (sender, connection) = match tokio::time::timeout(CONNECT, handshake).await {
+            Ok(pair) => pair.map_err(|e| self.unreachable(&e.to_string()))?,
+            Err(_) => return Err(self.unreachable("no handshake in time")),
+        };
+        tokio::spawn(connection);
+        sender
+            .ready()
+            .await
+            .map_err(|e| self.unreachable(&e.to_string()))
+    }
+
+    /// Connects from this daemon's own address, so that peers on hosts with several addresses
+    /// see the one they know.
+    async fn connect(&self) -> io::Result<TcpStream> {
+        let (socket, any) = match self.home {
+            IpAddr::V4(_) => (TcpSocket::new_v4()?, self.home.is_unspecified()),
+            IpAddr::V6(_) => (TcpSocket::new_v6()?, self.home.is_unspecified()),
+        };
+        if !any && self.home.is_ipv4() == self.peer.is_ipv4() {
+            socket.bind(SocketAddr::new(self.home, 0))?;
+        }
+        socket.connect(self.peer).await
+    }
+
+    fn unreachable(&self, reason: &str) -> Error {
+        Error::Unreachable {
+            peer: self.peer,
+            reason: reason.to_owned(),
+        }
+    }
+
+    fn failed(&self, reason: &str) -> Error {
+        Error::Peer {
+            peer: self.peer,
+            reason: reason.to_owned(),
+        }
+    }
+}
+
+/// Flow-control window of a stream, in bytes.
+pub const WINDOW: u32 = 64 << 10;
+/// Flow-control window of a connection, in bytes.
+pub const CONNECTION_WINDOW: u32 = 1 << 20;
+
+/// Tells whether the gate may have processed a call that failed.
+///
+/// Only a stream that was refused as such is proof: any other reset and every broken connection
+/// may come after the gate has dispatched the call.
+fn classify(error: &h2::Error) -> Failure {
+    let refused = error.is_reset() && error.is_remote();
+    if refused && error.reason() == Some(Reason::REFUSED_STREAM) {
+        Failure::Unsent
+    } else {
+        Failure::Broken
+    }
+}
+
+/// Collects a control body, bounded by the largest frame.
+///
+/// # Errors
+///
+/// What broke, or that the frame is too large.
+pub async fn collect(mut stream: RecvStream) -> std::result::Result<Bytes, stream::BoxError> {
+    let mut body = BytesMut::new();
+    while let Some(data) = stream.data().await {
+        let data = data?;
+        if body.len() + data.len() > wire::MAX_FRAME {
+            return Err("the frame is too large".into());
+        }
+        body.extend_from_slice(&data);
+        stream.flow_control().release_capacity(data.len())?;
+    }
+    Ok(body.freeze())
+}
+
+/// Links for control messages, closed when idle.
+#[derive(Debug)]
+pub struct Links {
+    home: IpAddr,
+    meter: Arc<Meter>,
+    /// Sorted by peer; never held while a message is on its way.
+    open: Mutex<Vec<Opened>>,
+}
+
+#[derive(Debug)]
+struct Opened {
+    peer: SocketAddr,
+    link: Arc<Link>,
+    used: Instant,
+}
+
+impl Links {
+    /// No links yet; they will leave from the address `home`.
+    #[must_use]
+    pub const fn new(home: IpAddr, meter: Arc<Meter>) -> Self {
+        Self {
+            home,
+            meter,
+            open: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Sends a control message and decodes its answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Link::exchange`].
+    pub async fn exchange<T: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T> {
+        let link = self.link(peer);
+        link.exchange(&self.meter, path, body).await
+    }
+
+    /// Encodes a message, sends it and decodes its answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Link::exchange`].
+    pub async fn send<M: Serialize, T: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        message: &M,
+    ) -> Result<T> {
+        self.exchange(peer, path, wire::encode(message)).await
+    }
+
+    fn link(&self, peer: SocketAddr) -> Arc<Link> {
+        let now = Instant::now();
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.retain(|opened| opened.peer == peer || now.duration_since(opened.used) < IDLE);
+        match open.binary_search_by_key(&peer, |opened| opened.peer) {
+            Ok(index) => {
+                open[index].used = now;
+                Arc::clone(&open[index].link)
+            }
+            Err(index) => {
+                let link = Arc::new(Link::new(peer, self.home));
+                open.insert(
+                    index,
+                    Opened {
+                        peer,
+                        link: Arc::clone(&link),
+                        used: now,
+                    },
+                );
+                link
+            }
+        }
+    }
+}
+
+/// A connection whose control bytes are counted.
+#[derive(Debug)]
+pub struct Counted {
+    stream: TcpStream,
+    meter: Option<Arc<Meter>>,
+    /// Set once the connection turns out to carry calls, which are not control.
+    calls: Arc<AtomicBool>,
+}
+
+impl Counted {
+    /// Counts with `meter`, when there is one.
+    #[must_use]
+    pub fn new(stream: TcpStream, meter: Option<Arc<Meter>>) -> Self {
+        Self {
+            stream,
+            meter,
+            calls: Arc::default(),
+        }
+    }
+
+    /// A switch that ends the counting.
+    #[must_use]
+    pub fn calls(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.calls)
+    }
+
+    fn counting(&self) -> Option<&Meter> {
+        self.meter
+            .as_deref()
+            .filter(|_| !self.calls.load(Ordering::Relaxed))
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if let Some(meter) = self.counting() {
+            meter.received(buf.filled().len() - before);
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let (Poll::Ready(Ok(written)), Some(meter)) = (&polled, self.counting()) {
+            meter.peer(*written);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/src/probe.rs
@@ -0,0 +1,297 @@
+//! The membership controller: the view, its datagrams and the roster made from it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slog::{debug, info};
+use tokio::net::UdpSocket;
+
+use crate::board::Board;
+use crate::error::{ListenSnafu, Result};
+use crate::member::{Effects, Entry, Health, Member, Send, Stage, Timing, View};
+use crate::relay::Relay;
+use crate::roster::{Departed, Home, Roster};
+use crate::settings::{Delivery, Settings};
+use crate::units::{Incarnation, Millis};
+use crate::wire::{self, Datagram, Join, Welcome};
+use snafu::ResultExt;
+
+/// Ticks of the view in one probe period.
+const TICKS: u64 = 5;
+
+/// Keeps the membership view.
+#[derive(Debug)]
+pub struct Membership {
+    board: Arc<Board>,
+    relay: Arc<Relay>,
+    socket: UdpSocket,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    view: View,
+    rng: SmallRng,
+}
+
+impl Membership {
+    /// Opens the socket for datagrams.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`](crate::Error::Listen) when the address can't be had.
+    pub async fn open(board: Arc<Board>, relay: Arc<Relay>) -> Result<Self> {
+        let settings = &board.settings;
+        let address = settings.peer_addr;
+        let socket = UdpSocket::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let view = View::new(newborn(settings), timing(settings));
+        let rng = SmallRng::from_rng(&mut rand::rng());
+        let state = Mutex::new(State { view, rng });
+        let membership = Self {
+            board,
+            relay,
+            socket,
+            state,
+        };
+        membership.rebuild(&membership.state());
+        Ok(membership)
+    }
+
+    /// Probes and answers for as long as the daemon runs.
+    pub async fn run(self: Arc<Self>) {
+        let receiver = Arc::clone(&self);
+        tokio::spawn(async move { receiver.receive().await });
+        let period = self.board.settings.probe_period_ms;
+        let mut ticks = tokio::time::interval(Millis((period.0 / TICKS).max(1)).duration());
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.reflect().await;
+            let effects = {
+                let mut guard = self.state();
+                let State { view, rng } = &mut *guard;
+                view.set_digest(self.board.digest());
+                let effects = view.tick(Instant::now(), rng);
+                self.settle(&guard, &effects);
+                effects
+            };
+            self.carry_out(effects).await;
+        }
+    }
+
+    /// Shows the others what the board says of this daemon and its target.
+    pub async fn reflect(&self) {
+        let stage = self.board.stage();
+        let now = Instant::now();
+        let target = self
+            .board
+            .target()
+            .filter(|target| now < target.lease_until);
+        let offer = target.map(|target| target.offer());
+        let sends = {
+            let mut guard = self.state();
+            let State { view, rng } = &mut *guard;
+            let sends = view.update(stage, offer, rng);
+            if !sends.is_empty() || view.me().incarnation != self.published(view) {
+                self.rebuild(&guard);
+            }
+            sends
+        };
+        self.send(sends).await;
+    }
+
+    /// Says good-bye to the others.
+    pub async fn leave(&self) {
+        let sends = {
+            let mut guard = self.state();
+            let State { view, rng } = &mut *guard;
+            view.leave(rng)
+        };
+        self.send(sends).await;
+    }
+
+    /// Lets a joiner in.
+    #[must_use]
+    pub fn welcome(&self, join: &Join) -> Welcome {
+        let mut guard = self.state();
+        let ran = guard.view.ran(join.member.peer);
+        let known = guard
+            .view
+            .entries()
+            .iter()
+            .find(|e| e.member.peer == join.member.peer);
+        let lived = known.is_some_and(|e| e.member.incarnation != join.member.incarnation);
+        // The view goes out as it was before the join, so that the joiner sees what is said of
+        // its own address and can refute it.
+        let members = guard.view.members();
+        if guard.view.merge(Instant::now(), &join.member) {
+            self.rebuild(&guard);
+        }
+        Welcome {
+            members,
+            digest: self.board.digest(),
+            ran,
+            lived,
+        }
+    }
+
+    /// Takes over the view of a peer.
+    pub fn learn(&self, members: &[Member]) {
+        let now = Instant::now();
+        let mut guard = self.state();
+        for member in members {
+            guard.view.merge(now, member);
+        }
+        self.rebuild(&guard);
+    }
+
+    /// This daemon's own entry.
+    #[must_use]
+    pub fn me(&self) -> Member {
+        self.state().view.me().clone()
+    }
+
+    /// All other entries, for the state dump.
+    #[must_use]
+    pub fn entries(&self) -> Vec<Entry> {
+        self.state().view.entries().to_vec()
+    }
+
+    async fn receive(&self) {
+        let mut buffer = vec![0; 2 * wire::MAX_DATAGRAM];
+        loop {
+            let Ok((length, sender)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            self.board.meter.received(length);
+            match wire::decode::<Datagram>(&buffer[..length]) {
+                Ok(datagram) if datagram.release == wire::RELEASE => {
+                    self.take(&datagram).await;
+                }
+                Ok(_) => {
+                    debug!(self.board.logger, "datagram of another release"; "from" => %sender);
+                }
+                Err(error) => {
+                    metrics::counter!("jackdaw_bad_datagrams_total").increment(1);
+                    debug!(self.board.logger, "bad datagram"; "from" => %sender, "error" => %error);
+                }
+            }
+        }
+    }
+
+    async fn take(&self, datagram: &Datagram) {
+        let effects = {
+            let mut guard = self.state();
+            guard.view.set_digest(self.board.digest());
+            let effects = guard.view.receive(Instant::now(), datagram);
+            self.settle(&guard, &effects);
+            effects
+        };
+        self.carry_out(effects).await;
+    }
+
+    fn settle(&self, state: &State, effects: &Effects) {
+        if effects.changed {
+            self.rebuild(state);
+        }
+    }
+
+    async fn carry_out(&self, effects: Effects) {
+        if let Some(peer) = effects.ahead {
+            self.catch_up(peer);
+        }
+        self.send(effects.sends).await;
+    }
+
+    /// Repairs what the tree lost: fetches from a peer that is ahead.
+    fn catch_up(&self, peer: SocketAddr) {
+        if self.board.settings.delivery == Delivery::Poll {
+            return;
+        }
+        let relay = Arc::clone(&self.relay);
+        tokio::spawn(async move { relay.pull(peer).await });
+    }
+
+    async fn send(&self, sends: Vec<Send>) {
+        for send in sends {
+            let bytes = wire::encode(&send.datagram);
+            self.board.meter.probe(bytes.len());
+            let _ = self.socket.send_to(&bytes, send.to).await;
+        }
+    }
+
+    fn published(&self, view: &View) -> Incarnation {
+        let roster = self.board.roster();
+        roster
+            .member(view.me().peer)
+            .map_or(Incarnation(0), |me| me.incarnation)
+    }
+
+    fn rebuild(&self, state: &State) {
+        let now = Instant::now();
+        let old = self.board.roster();
+        let settings = &self.board.settings;
+        let address = settings.peer_addr.ip();
+        let home = Home {
+            data_centre: settings.data_centre.clone(),
+            address,
+        };
+        let entries = state.view.entries();
+        let gone = entries
+            .iter()
+            .filter(|entry| entry.member.health == Health::Gone);
+        let gone = gone
+            .map(|e| Departed {
+                member: e.member.clone(),
+                since: e.since,
+            })
+            .collect();
+        let live = state
+            .view
+            .live()
+            .cloned()
+            .chain([state.view.me().clone()])
+            .collect();
+        let roster = Roster::build(live, gone, &home, &old, now);
+        if roster.members.len() != old.members.len() {
+            info!(self.board.logger, "members"; "live" => roster.members.len());
+        }
+        self.board.set_roster(roster);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The entry of a daemon that starts now.
+fn newborn(settings: &Settings) -> Member {
+    // A restarted daemon has to win over what is said of its earlier life: the clock mostly does
+    // that at once, and the welcome of any peer does it when the clock was set back.
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Member {
+        peer: settings.identity(),
+        operator: settings.operator_addr,
+        data_centre: settings.data_centre.clone(),
+        incarnation: Incarnation(Millis::from(since_epoch).0),
+        health: Health::Alive,
+        stage: Stage::Starting,
+        offer: None,
+    }
+}
+
+fn timing(settings: &Settings) -> Timing {
+    Timing {
+        period: settings.probe_period_ms.duration(),
+        patience: settings.probe_timeout_ms.duration(),
+        suspicion: settings.suspicion_ms.duration(),
+        memory: settings.gone_memory_ms.duration(),
+    }
+}
--- /dev/null
+++ b/src/reader.rs
@@ -0,0 +1,126 @@
+//! Reading the log on behalf of a data centre.
+//!
+//! The first few daemons in rendezvous order read; the next one steps in when the view drops one.
+//! The duty is advisory: two readers too many cost bytes, never safety, since everyone folds alike.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{debug, info, warn};
+
+use crate::board::Board;
+use crate::config::Store;
+use crate::error::{Error, Result};
+use crate::fold::Record;
+use crate::log::{Log, Stream};
+use crate::member::Stage;
+use crate::relay::{jitter, order};
+use crate::settings::Delivery;
+use crate::units::{Millis, Offset};
+
+/// Time that a read waits at the log for the first record.
+const WAIT: Millis = Millis(5_000);
+/// Longest pause after a failed read.
+const BACKOFF: Duration = Duration::from_secs(1);
+/// Time between two looks at the duty.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Rank of `me` among the daemons of a data centre; readers have the lowest.
+#[must_use]
+pub fn rank(order: &[SocketAddr], me: SocketAddr) -> Option<usize> {
+    order.iter().position(|peer| *peer == me)
+}
+
+/// Reads the log while it is this daemon's duty.
+#[derive(Debug)]
+pub struct Reader {
+    board: Arc<Board>,
+    store: Arc<Store>,
+    log: Log,
+}
+
+impl Reader {
+    /// A reader of `log` into `store`.
+    #[must_use]
+    pub const fn new(board: Arc<Board>, store: Arc<Store>, log: Log) -> Self {
+        Self { board, store, log }
+    }
+
+    /// Reads for as long as the daemon runs.
+    pub async fn run(self: Arc<Self>) {
+        let mut rosters = self.board.rosters();
+        loop {
+            if self.duty().is_none() {
+                let _ = tokio::time::timeout(LOOK, rosters.changed()).await;
+                continue;
+            }
+            if let Err(error) = self.turn(WAIT).await {
+                debug!(self.board.logger, "reading the log failed"; "error" => %error);
+                tokio::time::sleep(jitter(BACKOFF)).await;
+                continue;
+            }
+            self.write_checkpoint().await;
+        }
+    }
+
+    /// Reads and folds one page; waits up to `wait` for its first record. Returns the log's head.
+    ///
+    /// # Errors
+    ///
+    /// As [`Log::read`], but for expired records, which the fold takes note of.
+    pub async fn turn(&self, wait: Millis) -> Result<Offset> {
+        let from = self.store.next();
+        match self.log.read(Stream::Config, from, wait).await {
+            Ok(page) => {
+                self.store.fold(from, &page.records);
+                Ok(page.head)
+            }
+            Err(Error::Expired { first }) => {
+                warn!(self.board.logger, "records have expired unread"; "first" => first.0);
+                self.store.expire(first);
+                Ok(first)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Rank among the readers; `None` while it is not this daemon's duty.
+    fn duty(&self) -> Option<usize> {
+        let settings = &self.board.settings;
+        if self.board.stage() == Stage::Draining {
+            return None;
+        }
+        if settings.delivery == Delivery::Poll {
+            return Some(0);
+        }
+        let order = order(&self.board.roster().members, &settings.data_centre);
+        rank(&order, settings.identity()).filter(|rank| *rank < settings.readers)
+    }
+
+    /// Keeps the accepted state inside the retention of the log.
+    async fn write_checkpoint(&self) {
+        let Some(rank) = self.duty() else {
+            return;
+        };
+        let interval = self.board.settings.checkpoint_ms.duration();
+        // Later ranks and other data centres wait longer, so that mostly one of them writes.
+        let patience = interval.mul_f64(1.0 + 0.2 * f64::from(u32::try_from(rank).unwrap_or(1)));
+        if self.store.checkpoint_age() < patience + jitter(interval / 4) {
+            return;
+        }
+        if let Some(checkpoint) = self.store.checkpoint() {
+            let version = checkpoint.version.0;
+            let record = Record::Checkpoint(checkpoint);
+            match self.log.append(Stream::Config, &record).await {
+                Ok(offset) => {
+                    info!(self.board.logger, "checkpoint written";
+                        "version" => version, "offset" => offset.0);
+                }
+                Err(error) => {
+                    debug!(self.board.logger, "checkpoint failed"; "error" => %error);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/relay.rs
@@ -0,0 +1,215 @@
+//! Relaying versions between daemons.
+//!
+//! Within a data centre the daemons form a tree by rendezvous rank. A daemon that gets a newer
+//! version sends it to its children; a daemon that pulled it, outside the tree, also sends it to
+//! the root. The digest on every probe and answer repairs whatever the tree lost.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::RngExt;
+use slog::debug;
+use tokio::sync::Semaphore;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::board::Board;
+use crate::config::Store;
+use crate::error::Result;
+use crate::member::{Health, Member};
+use crate::peer::Links;
+use crate::settings::Delivery;
+use crate::units::{DataCentre, Millis, Version};
+use crate::wire::{self, Digest, Pull, Reply};
+
+/// Path of a pushed update.
+pub const PUSH: &str = "/control/push";
+/// Path of a request for content.
+pub const PULL: &str = "/control/pull";
+
+/// Longest time that a daemon is told to wait before it asks again.
+const COME_BACK_MS: u64 = 250;
+/// Times that a busy peer is asked.
+const PULL_TRIES: usize = 5;
+
+/// The daemons of one data centre in rendezvous order: the same on every daemon with the same view.
+#[must_use]
+pub fn order(members: &[Member], home: &DataCentre) -> Vec<SocketAddr> {
+    let here = members
+        .iter()
+        .filter(|m| m.data_centre == *home && m.health == Health::Alive);
+    let mut ranked: Vec<(u64, SocketAddr)> = here
+        .map(|m| (xxh3_64(m.peer.to_string().as_bytes()), m.peer))
+        .collect();
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, peer)| peer).collect()
+}
+
+/// Children of `me` in the tree over `order`, where each daemon has up to `fanout`.
+#[must_use]
+pub fn children(order: &[SocketAddr], me: SocketAddr, fanout: usize) -> Vec<SocketAddr> {
+    let Some(place) = order.iter().position(|peer| *peer == me) else {
+        return Vec::new();
+    };
+    let first = place * fanout + 1;
+    order.iter().skip(first).take(fanout).copied().collect()
+}
+
+/// Sends and fetches content.
+#[derive(Debug)]
+pub struct Relay {
+    board: Arc<Board>,
+    store: Arc<Store>,
+    links: Arc<Links>,
+    transfers: Semaphore,
+    pulling: AtomicBool,
+    /// Whether the version in force came by a pull, outside the tree.
+    pulled: AtomicBool,
+}
+
+impl Relay {
+    /// A relay between `store` and the peers behind `links`.
+    #[must_use]
+    pub fn new(board: Arc<Board>, store: Arc<Store>, links: Arc<Links>) -> Self {
+        let transfers = Semaphore::new(board.settings.transfers);
+        Self {
+            board,
+            store,
+            links,
+            transfers,
+            pulling: AtomicBool::new(false),
+            pulled: AtomicBool::new(false),
+        }
+    }
+
+    /// Pushes each newer version on, for as long as the daemon runs.
+    pub async fn run(self: Arc<Self>) {
+        let mut versions = self.board.versions();
+        while versions.changed().await.is_ok() {
+            versions.borrow_and_update();
+            if self.board.settings.delivery != Delivery::Poll {
+                self.push_all();
+            }
+        }
+    }
+
+    /// Takes a pushed update.
+    #[must_use]
+    pub fn take(&self, reply: Reply) -> Reply {
+        let Reply::Update(update) = reply else {
+            return Reply::Have(self.board.digest());
+        };
+        match self.store.accept(update) {
+            Ok(digest) => Reply::Have(digest),
+            Err(_) => Reply::Need(self.board.digest()),
+        }
+    }
+
+    /// Answers a request for content; whole documents only a few at a time.
+    pub async fn serve(&self, pull: &Pull) -> Bytes {
+        let digest = self.board.digest();
+        if digest.version <= pull.have {
+            return wire::encode(&Reply::Have(digest));
+        }
+        let content = self.store.content(pull.have);
+        if !content.whole {
+            return content.reply;
+        }
+        // Guards against a storm: after a data centre's power cut, hundreds of daemons ask at
+        // once, and sending to all would take the sender's processor and links from its calls.
+        let Ok(_transfer) = self.transfers.try_acquire() else {
+            let wait = rand::rng().random_range(COME_BACK_MS / 5..=COME_BACK_MS);
+            return wire::encode(&Reply::Busy(Millis(wait)));
+        };
+        tokio::task::yield_now().await;
+        content.reply
+    }
+
+    /// Fetches what `peer` has in force, unless a fetch is under way.
+    ///
+    /// # Errors
+    ///
+    /// As [`Links::send`], or what is wrong with the content.
+    pub async fn pull(&self, peer: SocketAddr) -> Result<Digest> {
+        if self.pulling.swap(true, Ordering::AcqRel) {
+            return Ok(self.board.digest());
+        }
+        let result = self.fetch(peer).await;
+        self.pulling.store(false, Ordering::Release);
+        result
+    }
+
+    async fn fetch(&self, peer: SocketAddr) -> Result<Digest> {
+        let mut have = self.board.digest().version;
+        for _ in 0..PULL_TRIES {
+            match self.links.send(peer, PULL, &Pull { have }).await? {
+                Reply::Update(update) => match self.store.accept(update) {
+                    Ok(digest) => {
+                        self.pulled.store(true, Ordering::Release);
+                        return Ok(digest);
+                    }
+                    // The base has moved meanwhile or is not what it seemed: ask for the whole.
+                    Err(_) => have = Version(0),
+                },
+                Reply::Busy(wait) => tokio::time::sleep(wait.duration()).await,
+                Reply::Have(_) | Reply::Need(_) => break,
+            }
+        }
+        Ok(self.board.digest())
+    }
+
+    fn push_all(self: &Arc<Self>) {
+        let settings = &self.board.settings;
+        let roster = self.board.roster();
+        let order = order(&roster.members, &settings.data_centre);
+        let mut receivers = children(&order, settings.identity(), settings.fanout);
+        let outside = self.pulled.swap(false, Ordering::AcqRel);
+        let root = order
+            .first()
+            .filter(|root| outside && **root != settings.identity());
+        receivers.extend(root);
+        let content = self.store.content(self.store.previous());
+        for peer in receivers {
+            let relay = Arc::clone(self);
+            let (reply, order) = (content.reply.clone(), order.clone());
+            tokio::spawn(async move { relay.push(peer, reply, &order).await });
+        }
+    }
+
+    async fn push(&self, peer: SocketAddr, reply: Bytes, order: &[SocketAddr]) {
+        let mut waiting = vec![(peer, reply)];
+        while let Some((peer, reply)) = waiting.pop() {
+            if self.deliver(peer, reply.clone()).await.is_ok() {
+                continue;
+            }
+            // Guards against a dead parent: until the view drops it, its whole branch would wait
+            // for a probe. Its children are served in its place.
+            debug!(self.board.logger, "push failed"; "peer" => %peer);
+            let orphans = children(order, peer, self.board.settings.fanout);
+            waiting.extend(orphans.into_iter().map(|orphan| (orphan, reply.clone())));
+        }
+    }
+
+    async fn deliver(&self, peer: SocketAddr, reply: Bytes) -> Result<()> {
+        let answer: Reply = self.links.exchange(peer, PUSH, reply).await?;
+        if let Reply::Need(digest) = answer
+            && digest.version < self.board.digest().version
+        {
+            let content = self.store.content(digest.version);
+            let answer: Reply = self.links.exchange(peer, PUSH, content.reply).await?;
+            if let Reply::Need(_) = answer {
+                let whole = self.store.content(Version(0));
+                let _: Reply = self.links.exchange(peer, PUSH, whole.reply).await?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A random part of `span`: full jitter, so that a herd does not stay one.
+#[must_use]
+pub fn jitter(span: Duration) -> Duration {
+    span.mul_f64(rand::rng().random_range(0.0..1.0))
+}
--- /dev/null
+++ b/src/roster.rs
@@ -0,0 +1,251 @@
+//! The members, arranged for the path of a request.
+//!
+//! A [`Roster`] is rebuilt whenever the membership view changes. An [`Upstream`] outlives its
+//! roster, so that what was learnt about a target is kept.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::document::{Ejection, Group};
+use crate::member::{Health, Member, Stage};
+use crate::peer::Link;
+use crate::pick::{self, Candidate, Evidence};
+use crate::units::{DataCentre, Service};
+
+/// All members, sorted by address, and the upstreams of each service.
+#[derive(Debug, Default)]
+pub struct Roster {
+    /// Members that are not gone, this daemon included.
+    pub members: Vec<Member>,
+    /// Members that are thought to be gone and not yet forgotten.
+    pub gone: Vec<Departed>,
+    pools: Vec<Pool>,
+}
+
+/// A member that is thought to be gone.
+#[derive(Debug, Clone)]
+pub struct Departed {
+    /// Its last entry.
+    pub member: Member,
+    /// When it went.
+    pub since: Instant,
+}
+
+/// Where this daemon is.
+#[derive(Debug, Clone)]
+pub struct Home {
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Address that its connections leave from.
+    pub address: IpAddr,
+}
+
+/// Upstreams of one service.
+#[derive(Debug)]
+struct Pool {
+    service: Service,
+    upstreams: Vec<Arc<Upstream>>,
+}
+
+/// A target that takes calls, reached through its daemon.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Address of its daemon.
+    pub peer: SocketAddr,
+    /// Whether it is in this daemon's data centre.
+    pub local: bool,
+    /// Connection for calls.
+    pub link: Link,
+    slots: AtomicU32,
+    came: Instant,
+    suspect: AtomicBool,
+    own: AtomicU32,
+    reported: AtomicU32,
+    /// Held for a few instructions, by the path of a request alone.
+    evidence: Mutex<Evidence>,
+}
+
+impl Roster {
+    /// Arranges `members`, keeping the upstreams of the `old` roster.
+    #[must_use]
+    pub fn build(
+        mut members: Vec<Member>,
+        gone: Vec<Departed>,
+        home: &Home,
+        old: &Self,
+        now: Instant,
+    ) -> Self {
+        members.sort_by_key(|member| member.peer);
+        let mut pools: Vec<Pool> = Vec::new();
+        for member in &members {
+            let Some(offer) = member
+                .offer
+                .as_ref()
+                .filter(|_| member.stage == Stage::Serving)
+            else {
+                continue;
+            };
+            let kept = old.upstream(&offer.service, member.peer);
+            let upstream = kept.unwrap_or_else(|| Arc::new(Upstream::new(member, home, now)));
+            upstream.slots.store(offer.slots.0, Ordering::Relaxed);
+            upstream
+                .suspect
+                .store(member.health == Health::Suspect, Ordering::Relaxed);
+            match pools.binary_search_by(|pool| pool.service.cmp(&offer.service)) {
+                Ok(index) => pools[index].upstreams.push(upstream),
+                Err(index) => {
+                    let service = offer.service.clone();
+                    pools.insert(
+                        index,
+                        Pool {
+                            service,
+                            upstreams: vec![upstream],
+                        },
+                    );
+                }
+            }
+        }
+        Self {
+            members,
+            gone,
+            pools,
+        }
+    }
+
+    /// Upstreams of a service, sorted by address.
+    #[must_use]
+    pub fn upstreams(&self, service: &Service) -> &[Arc<Upstream>] {
+        match self
+            .pools
+            .binary_search_by(|pool| pool.service.cmp(service))
+        {
+            Ok(index) => &self.pools[index].upstreams,
+            Err(_) => &[],
+        }
+    }
+
+    /// All upstreams with their services.
+    pub fn all(&self) -> impl Iterator<Item = (&Service, &Arc<Upstream>)> {
+        self.pools
+            .iter()
+            .flat_map(|pool| pool.upstreams.iter().map(|u| (&pool.service, u)))
+    }
+
+    /// A member that is not gone.
+    #[must_use]
+    pub fn member(&self, peer: SocketAddr) -> Option<&Member> {
+        let index = self
+            .members
+            .binary_search_by_key(&peer, |member| member.peer)
+            .ok()?;
+        self.members.get(index)
+    }
+
+    fn upstream(&self, service: &Service, peer: SocketAddr) -> Option<Arc<Upstream>> {
+        let pool = self.upstreams(service);
+        let index = pool
+            .binary_search_by_key(&peer, |upstream| upstream.peer)
+            .ok()?;
+        pool.get(index).cloned()
+    }
+}
+
+impl Upstream {
+    fn new(member: &Member, home: &Home, now: Instant) -> Self {
+        Self {
+            peer: member.peer,
+            local: member.data_centre == home.data_centre,
+            link: Link::new(member.peer, home.address),
+            slots: AtomicU32::new(0),
+            came: now,
+            suspect: AtomicBool::new(false),
+            own: AtomicU32::new(0),
+            reported: AtomicU32::new(0),
+            evidence: Mutex::default(),
+        }
+    }
+
+    /// What a choice needs to know at `now`.
+    #[must_use]
+    pub fn candidate(&self, group: &Group, now: Instant) -> Candidate {
+        let age = now.saturating_duration_since(self.came);
+        let slots = self.slots.load(Ordering::Relaxed);
+        let own = self.own.load(Ordering::Relaxed);
+        Candidate {
+            local: self.local,
+            load: own.max(self.reported.load(Ordering::Relaxed)),
+            slots: group.slots.map_or(slots, |bound| slots.min(bound.0)),
+            share: pick::share(age, group.slow_start_ms.duration()),
+            ejected: self.suspect.load(Ordering::Relaxed) || self.ejected(now),
+        }
+    }
+
+    /// Whether own evidence keeps it out at `now`.
+    #[must_use]
+    pub fn ejected(&self, now: Instant) -> bool {
+        self.evidence().ejected(now)
+    }
+
+    /// A copy of the evidence, for the state dump.
+    #[must_use]
+    pub fn evidence(&self) -> Evidence {
+        *self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes what its gate reported as in flight.
+    pub fn report(&self, load: u32) {
+        self.reported.store(load, Ordering::Relaxed);
+    }
+
+    /// Load as known here: own requests and the gate's report.
+    #[must_use]
+    pub fn load(&self) -> (u32, u32) {
+        (
+            self.own.load(Ordering::Relaxed),
+            self.reported.load(Ordering::Relaxed),
+        )
+    }
+
+    /// Notes a success.
+    pub fn succeeded(&self) {
+        self.evidence
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .succeeded();
+    }
+
+    /// Notes a failure; `out` of `total` upstreams of its group are ejected.
+    pub fn failed(&self, now: Instant, rule: &Ejection, out: usize, total: usize) {
+        let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
+        evidence.failed(now, rule, out, total);
+    }
+
+    /// Counts an own request until the returned value is dropped.
+    #[must_use]
+    pub fn begin(self: &Arc<Self>) -> Own {
+        self.own.fetch_add(1, Ordering::Relaxed);
+        Own {
+            upstream: Arc::clone(self),
+        }
+    }
+
+    /// Time since it came.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.came)
+    }
+}
+
+/// Counts one own request while it exists.
+#[derive(Debug)]
+pub struct Own {
+    upstream: Arc<Upstream>,
+}
+
+impl Drop for Own {
+    fn drop(&mut self) {
+        self.upstream.own.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/route.rs
@@ -0,0 +1,99 @@
+//! Finding the route of a request.
+//!
+//! A [`Table`] is compiled once for each version. The longest path prefix wins, by whole segments;
+//! among routes with the same prefix one that names the host goes before one that does not, and
+//! then one that names the method.
+
+use std::sync::Arc;
+
+use crate::document::{Document, Group, Retry, Route};
+
+/// A route with the group and rule that it names, all of one version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// The route.
+    pub route: Route,
+    /// Its group.
+    pub group: Group,
+    /// Its retry rule.
+    pub retry: Retry,
+}
+
+/// Routes in the order in which they are tried.
+#[derive(Debug, Default)]
+pub struct Table {
+    /// Sorted by path, then by how much else a route names, most first.
+    plans: Vec<Arc<Plan>>,
+}
+
+impl Table {
+    /// Compiles a checked and sorted document.
+    ///
+    /// A route whose group or rule is missing is left out, so that no call can meet it; a checked
+    /// document has none.
+    #[must_use]
+    pub fn compile(document: &Document) -> Self {
+        let plan = |route: &Route| {
+            let group = document.group(&route.group)?.clone();
+            let retry = document.retry(&route.retry)?.clone();
+            Some(Arc::new(Plan {
+                route: route.clone(),
+                group,
+                retry,
+            }))
+        };
+        let mut plans: Vec<Arc<Plan>> = document.routes.iter().filter_map(plan).collect();
+        plans.sort_by(|a, b| {
+            let names = |plan: &Plan| (plan.route.host.is_some(), plan.route.method.is_some());
+            let path = stem(&a.route.path).cmp(stem(&b.route.path));
+            path.then_with(|| names(b).cmp(&names(a)))
+        });
+        Self { plans }
+    }
+
+    /// Routes in the table.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.plans.len()
+    }
+
+    /// Whether the table has no route.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.plans.is_empty()
+    }
+
+    /// Finds the plan for a request; `host` may carry a port.
+    #[must_use]
+    pub fn find(&self, method: &str, host: Option<&str>, path: &str) -> Option<&Arc<Plan>> {
+        let host = host.map(|host| host.split(':').next().unwrap_or(host));
+        let fits = |route: &Route| {
+            route
+                .method
+                .as_deref()
+                .is_none_or(|wanted| wanted == method)
+                && route
+                    .host
+                    .as_deref()
+                    .is_none_or(|wanted| Some(wanted) == host)
+        };
+        let mut prefix = stem(path);
+        loop {
+            let start = self
+                .plans
+                .partition_point(|plan| stem(&plan.route.path) < prefix);
+            let same = self.plans[start..]
+                .iter()
+                .take_while(|plan| stem(&plan.route.path) == prefix);
+            if let Some(plan) = same.into_iter().find(|plan| fits(&plan.route)) {
+                return Some(plan);
+            }
+            prefix = &prefix[..prefix.rfind('/')?];
+        }
+    }
+}
+
+/// A path without its last slash, so that `/a/` and `/a` are one prefix.
+fn stem(path: &str) -> &str {
+    path.strip_suffix('/').unwrap_or(path)
+}
--- /dev/null
+++ b/src/server.rs
@@ -0,0 +1,171 @@
+//! The server for other daemons: control messages and calls handed over.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use h2::server::SendResponse;
+use h2::{Reason as H2Reason, RecvStream};
+use http::{Request, Response};
+use slog::debug;
+use snafu::ResultExt;
+use tokio::net::{TcpListener, TcpStream};
+use volo_http::body::Body;
+
+use crate::board::Board;
+use crate::call::HANDOVER;
+use crate::error::{FrameSnafu, ListenSnafu, Result};
+use crate::gate::Gate;
+use crate::guard::{Keys, NOTE};
+use crate::peer::{CONNECTION_WINDOW, Counted, WINDOW, collect};
+use crate::probe::Membership;
+use crate::relay::{PULL, PUSH, Relay};
+use crate::stream::{self, Incoming};
+use crate::wire::{self, Handover, Join, Note, Pull, Reply};
+
+/// Path of a [`Join`].
+pub const JOIN: &str = "/control/join";
+/// Requests that one connection may have open.
+const MAX_STREAMS: u32 = 1_024;
+/// Largest head of a request, in bytes.
+const MAX_HEAD: u32 = 64 << 10;
+
+/// Everything that peers can ask for.
+#[derive(Debug)]
+pub struct Server {
+    /// The blackboard.
+    pub board: Arc<Board>,
+    /// Takes calls.
+    pub gate: Arc<Gate>,
+    /// Takes notes of keys.
+    pub keys: Arc<Keys>,
+    /// Takes and serves content.
+    pub relay: Arc<Relay>,
+    /// Lets joiners in.
+    pub membership: Arc<Membership>,
+}
+
+impl Server {
+    /// Opens the listener.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`](crate::Error::Listen) when the address can't be had.
+    pub async fn listen(&self) -> Result<TcpListener> {
+        let address = self.board.settings.peer_addr;
+        TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })
+    }
+
+    /// Accepts connections for as long as the daemon runs.
+    pub async fn run(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            // An error here is one connection's or a lack of descriptors; the listener is kept.
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::task::yield_now().await;
+                continue;
+            };
+            let server = Arc::clone(&self);
+            tokio::spawn(async move {
+                if let Err(error) = server.connection(stream).await {
+                    debug!(server.board.logger, "connection ended"; "error" => %error);
+                }
+            });
+        }
+    }
+
+    async fn connection(self: &Arc<Self>, stream: TcpStream) -> Result<(), h2::Error> {
+        let _ = stream.set_nodelay(true);
+        let counted = Counted::new(stream, Some(Arc::clone(&self.board.meter)));
+        let calls = counted.calls();
+        let mut connection = h2::server::Builder::new()
+            .initial_window_size(WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .max_concurrent_streams(MAX_STREAMS)
+            .max_header_list_size(MAX_HEAD)
+            .handshake(counted)
+            .await?;
+        while let Some(accepted) = connection.accept().await {
+            let (request, respond) = accepted?;
+            let server = Arc::clone(self);
+            if request.headers().contains_key(HANDOVER) {
+                calls.store(true, Ordering::Relaxed);
+                tokio::spawn(async move { server.call(request, respond).await });
+            } else {
+                tokio::spawn(async move { server.control(request, respond).await });
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers one control message; a faulty one is reset, and the connection goes on.
+    async fn control(&self, request: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
+        let path = request.uri().path().to_owned();
+        let answer = match collect(request.into_body()).await {
+            Ok(body) => self.answer(&path, &body).await,
+            Err(error) => FrameSnafu {
+                reason: error.to_string(),
+            }
+            .fail(),
+        };
+        match answer {
+            Ok(answer) => {
+                if let Ok(mut stream) = respond.send_response(Response::new(()), false) {
+                    let _ = stream::send_whole(&mut stream, answer).await;
+                }
+            }
+            Err(error) => {
+                metrics::counter!("jackdaw_bad_frames_total").increment(1);
+                debug!(self.board.logger, "bad frame"; "path" => path, "error" => %error);
+                respond.send_reset(H2Reason::PROTOCOL_ERROR);
+            }
+        }
+    }
+
+    async fn answer(&self, path: &str, body: &[u8]) -> Result<Bytes> {
+        match path {
+            PUSH => Ok(wire::encode(&self.relay.take(wire::decode::<Reply>(body)?))),
+            PULL => Ok(self.relay.serve(&wire::decode::<Pull>(body)?).await),
+            JOIN => Ok(wire::encode(
+                &self.membership.welcome(&wire::decode::<Join>(body)?),
+            )),
+            NOTE => Ok(wire::encode(&self.keys.note(&wire::decode::<Note>(body)?))),
+            _ => FrameSnafu {
+                reason: format!("nothing is served at {path}"),
+            }
+            .fail(),
+        }
+    }
+
+    /// Runs one call that an entry handed over.
+    async fn call(&self, request: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
+        let (mut parts, stream) = request.into_parts();
+        let handover = parts.headers.remove(HANDOVER);
+        let handover = handover.as_ref().and_then(|value| value.to_str().ok());
+        let Some(handover) = handover.and_then(|text| wire::from_header::<Handover>(text).ok())
+        else {
+            metrics::counter!("jackdaw_bad_frames_total").increment(1);
+            respond.send_reset(H2Reason::REFUSED_STREAM);
+            return;
+        };
+        let request = Request::from_parts(parts, Incoming::new(stream).into_body());
+        let response = tokio::select! {
+            response = self.gate.run(handover, request) => response,
+            // The entry has given up: dropping the run closes its connection to the target.
+            _ = std::future::poll_fn(|cx| respond.poll_reset(cx)) => return,
+        };
+        send(response, respond).await;
+    }
+}
+
+async fn send(response: Response<Body>, mut respond: SendResponse<Bytes>) {
+    let (parts, body) = response.into_parts();
+    let empty = http_body::Body::is_end_stream(&body);
+    // On an error the entry has gone, and there is nobody to tell.
+    if let Ok(stream) = respond.send_response(Response::from_parts(parts, ()), empty)
+        && !empty
+    {
+        let _ = stream::pump(body, stream).await;
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,167 @@
+//! The dump of a daemon's state, for a person who asks what it is doing.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::board::{Board, Target};
+use crate::gate::Gate;
+use crate::guard::Keys;
+use crate::member::{Health, Member, Stage};
+use crate::roster::Upstream;
+use crate::settings::Settings;
+use crate::telemetry::Reading;
+use crate::units::{DataCentre, Millis, Service, Version};
+
+/// Most members and upstreams that a dump names.
+const MOST: usize = 500;
+
+/// Everything that a daemon says of itself.
+#[derive(Debug, Serialize)]
+pub struct Dump {
+    /// Settings in use.
+    pub settings: Settings,
+    /// Where it is in its life.
+    pub stage: Stage,
+    /// Version in force.
+    pub version: Version,
+    /// Hash of the document, in hexadecimal.
+    pub hash: String,
+    /// Routes in force.
+    pub routes: usize,
+    /// The co-located target.
+    pub target: Option<Target>,
+    /// Time until the target's lease lapses.
+    pub lease_left_ms: Option<Millis>,
+    /// Calls in flight here.
+    pub in_flight: u64,
+    /// Requests that run at the target.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: usize,
+    /// Idempotency keys that are remembered.
+    pub keys: usize,
+    /// Control bytes.
+    pub control: Reading,
+    /// Members that are not gone.
+    pub live: usize,
+    /// Members that are gone and not forgotten.
+    pub gone: usize,
+    /// Members, the first few hundred.
+    pub members: Vec<Member>,
+    /// Upstreams and the evidence on them, the first few hundred.
+    pub upstreams: Vec<UpstreamDump>,
+}
+
+/// What is known of one upstream.
+#[derive(Debug, Serialize)]
+pub struct UpstreamDump {
+    /// Service it belongs to.
+    pub service: Service,
+    /// Address of its daemon.
+    pub peer: SocketAddr,
+    /// Whether it is in this data centre.
+    pub local: bool,
+    /// Requests that this daemon has in flight there.
+    pub own: u32,
+    /// Requests in flight there as its gate last reported.
+    pub reported: u32,
+    /// Failures since the last success.
+    pub failures: u32,
+    /// Whether it is ejected.
+    pub ejected: bool,
+    /// Time since it came.
+    pub age_ms: Millis,
+}
+
+/// The little that health checks and `jackdawctl status` need.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Brief {
+    /// Whether it serves.
+    pub ready: bool,
+    /// Where it is in its life.
+    pub stage: Stage,
+    /// Version in force.
+    pub version: Version,
+    /// Hash of the document, in hexadecimal.
+    pub hash: String,
+    /// Data centre.
+    pub data_centre: DataCentre,
+    /// Control bytes.
+    pub control: Reading,
+}
+
+impl Brief {
+    /// Reads a board.
+    #[must_use]
+    pub fn of(board: &Board) -> Self {
+        let digest = board.digest();
+        Self {
+            ready: board.stage() == Stage::Serving,
+            stage: board.stage(),
+            version: digest.version,
+            hash: format!("{:016x}", digest.hash),
+            data_centre: board.settings.data_centre.clone(),
+            control: board.meter.read(),
+        }
+    }
+}
+
+impl Dump {
+    /// Reads a daemon.
+    #[must_use]
+    pub fn of(board: &Board, gate: &Gate, keys: &Keys) -> Self {
+        let now = Instant::now();
+        let config = board.config();
+        let roster = board.roster();
+        let (running, waiting) = gate.load();
+        let target = board.target();
+        let left = |until: Instant| until.saturating_duration_since(now);
+        Self {
+            settings: board.settings.clone(),
+            stage: board.stage(),
+            version: config.digest.version,
+            hash: format!("{:016x}", config.digest.hash),
+            routes: config.table.len(),
+            lease_left_ms: target
+                .as_ref()
+                .map(|target| left(target.lease_until).into()),
+            target: target.as_deref().cloned(),
+            in_flight: board.in_flight(),
+            running,
+            waiting,
+            keys: keys.len(),
+            control: board.meter.read(),
+            live: roster
+                .members
+                .iter()
+                .filter(|m| m.health != Health::Gone)
+                .count(),
+            gone: roster.gone.len(),
+            members: roster.members.iter().take(MOST).cloned().collect(),
+            upstreams: roster
+                .all()
+                .take(MOST)
+                .map(|(s, u)| UpstreamDump::of(s, u, now))
+                .collect(),
+        }
+    }
+}
+
+impl UpstreamDump {
+    fn of(service: &Service, upstream: &Upstream, now: Instant) -> Self {
+        let (own, reported) = upstream.load();
+        let age: Duration = upstream.age(now);
+        Self {
+            service: service.clone(),
+            peer: upstream.peer,
+            local: upstream.local,
+            own,
+            reported,
+            failures: upstream.evidence().failures,
+            ejected: upstream.ejected(now),
+            age_ms: age.into(),
+        }
+    }
+}
--- /dev/null
+++ b/src/stream.rs
@@ -0,0 +1,173 @@
+//! Bodies that cross between h2 streams and HTTP/1.
+//!
+//! Both directions keep back-pressure: a frame is read only when the other side has room. A body
+//! that breaks off on one side is aborted on the other, never ended cleanly.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use h2::{Reason, RecvStream, SendStream};
+use http::header::{self, HeaderMap, HeaderName};
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+use volo_http::body::Body;
+
+/// Error of a body.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Removes what belongs to one connection only.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove(header::EXPECT);
+}
+
+/// The receiving half of an h2 stream as a body.
+#[derive(Debug)]
+pub struct Incoming {
+    stream: RecvStream,
+}
+
+impl Incoming {
+    /// Wraps a stream whose headers have been read.
+    #[must_use]
+    pub const fn new(stream: RecvStream) -> Self {
+        Self { stream }
+    }
+
+    /// The stream as a [`Body`].
+    #[must_use]
+    pub fn into_body(self) -> Body {
+        if self.stream.is_end_stream() {
+            Body::empty()
+        } else {
+            Body::from_body(self)
+        }
+    }
+}
+
+impl http_body::Body for Incoming {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        match ready!(self.stream.poll_data(cx)) {
+            Some(Ok(data)) => {
+                let released = self.stream.flow_control().release_capacity(data.len());
+                Poll::Ready(Some(
+                    released.map(|()| Frame::data(data)).map_err(Into::into),
+                ))
+            }
+            Some(Err(error)) => Poll::Ready(Some(Err(error.into()))),
+            None => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.stream.is_end_stream()
+    }
+}
+
+/// A body that keeps a value, such as a slot, until it ends or is dropped.
+#[derive(Debug)]
+pub struct Held<T> {
+    body: Body,
+    _value: T,
+}
+
+impl<T: Send + Sync + Unpin + 'static> Held<T> {
+    /// A body that keeps `value`.
+    #[must_use]
+    pub fn wrap(body: Body, value: T) -> Body {
+        Body::from_body(Self {
+            body,
+            _value: value,
+        })
+    }
+}
+
+impl<T: Unpin> http_body::Body for Held<T> {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Sends a whole body over an h2 stream, at the receiver's pace.
+///
+/// # Errors
+///
+/// What broke; the stream is reset, so that the receiver sees a body cut short.
+pub async fn pump(mut body: Body, mut stream: SendStream<Bytes>) -> Result<(), BoxError> {
+    while let Some(frame) = body.frame().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(error) => {
+                // Guards against a half answer that looks whole: ending the stream here would be
+                // a clean end for the receiver.
+                stream.send_reset(Reason::INTERNAL_ERROR);
+                return Err(error);
+            }
+        };
+        if let Ok(data) = frame.into_data() {
+            send(&mut stream, data).await?;
+        }
+    }
+    Ok(stream.send_data(Bytes::new(), true)?)
+}
+
+/// Sends a whole message and ends the stream.
+///
+/// # Errors
+///
+/// What broke.
+pub async fn send_whole(stream: &mut SendStream<Bytes>, data: Bytes) -> Result<(), BoxError> {
+    send(stream, data).await?;
+    Ok(stream.send_data(Bytes::new(), true)?)
+}
+
+async fn send(stream: &mut SendStream<Bytes>, mut data: Bytes) -> Result<(), BoxError> {
+    while !data.is_empty() {
+        stream.reserve_capacity(data.len());
+        let room = std::future::poll_fn(|cx| stream.poll_capacity(cx)).await;
+        match room {
+            Some(Ok(room)) => {
+                let chunk = data.split_to(room.min(data.len()));
+                stream.send_data(chunk, false)?;
+            }
+            Some(Err(error)) => return Err(error.into()),
+            None => return Err("the receiver closed the stream".into()),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,238 @@
+//! Messages between daemons and their encoding.
+//!
+//! Every message is bincode: probes travel as single UDP datagrams, the rest as bodies of h2
+//! requests. [`decode`] bounds what a hostile length prefix can allocate.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::delta::Delta;
+use crate::document::{Class, Document, Guard};
+use crate::error::{FrameSnafu, Result};
+use crate::member::Member;
+use crate::units::{CallKey, Millis, Service, Version};
+
+/// Release of the protocol; a frame of another release is refused.
+pub const RELEASE: u8 = 1;
+/// Largest frame, in bytes.
+pub const MAX_FRAME: usize = 8 << 20;
+/// Largest datagram, in bytes.
+pub const MAX_DATAGRAM: usize = 1_400;
+
+/// What a daemon has in force, in the fewest bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Version in force.
+    pub version: Version,
+    /// Hash of its document.
+    pub hash: u64,
+}
+
+/// A membership datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// Release of the protocol.
+    pub release: u8,
+    /// Sender's own entry.
+    pub from: Member,
+    /// What the sender has in force.
+    pub digest: Digest,
+    /// What it is about.
+    pub probe: Probe,
+    /// News about other members.
+    pub news: Vec<Member>,
+}
+
+/// Purpose of a datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Probe {
+    /// Asks for a [`Probe::Pong`] with the same number.
+    Ping {
+        /// Number of the probe.
+        seq: u64,
+    },
+    /// Answers a ping.
+    Pong {
+        /// Number of the probe.
+        seq: u64,
+    },
+    /// Asks a third daemon to probe `subject`.
+    Relay {
+        /// Number of the probe.
+        seq: u64,
+        /// Whom to probe.
+        subject: SocketAddr,
+    },
+    /// Carries news only.
+    News,
+}
+
+/// Content on its way to a daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Update {
+    /// The changes from a version that the receiver is thought to hold.
+    Delta(Delta),
+    /// The whole document.
+    Whole {
+        /// Its version.
+        version: Version,
+        /// The document.
+        document: Document,
+    },
+}
+
+/// Asks a peer for what it has in force.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Pull {
+    /// Version that the asker holds.
+    pub have: Version,
+}
+
+/// Answer to a push or a pull.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Reply {
+    /// The receiver holds this now.
+    Have(Digest),
+    /// The receiver needs another base: what it holds is named.
+    Need(Digest),
+    /// The content that was asked for.
+    Update(Update),
+    /// Too many transfers at once; ask again after the given time.
+    Busy(Millis),
+}
+
+/// Asks to become a member.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Join {
+    /// The joiner's entry.
+    pub member: Member,
+}
+
+/// Answer to a [`Join`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Welcome {
+    /// The whole view.
+    pub members: Vec<Member>,
+    /// What the answerer has in force.
+    pub digest: Digest,
+    /// Highest version that the joiner's address is known to have run.
+    pub ran: Version,
+    /// Whether a daemon with this address, but of another incarnation, was known.
+    pub lived: bool,
+}
+
+/// Asks a gate to note that a key is about to run elsewhere.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
+    /// The key, with its service.
+    pub key: CallKey,
+    /// Gate that wants to run it.
+    pub holder: SocketAddr,
+}
+
+/// Answer to a [`Note`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Noted {
+    /// Whether the key may have run, here or at another gate.
+    pub known: bool,
+    /// Time for which the answerer has remembered keys.
+    pub age: Millis,
+}
+
+/// What a gate needs to know of a call, beside the HTTP request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// Identifier of the call.
+    pub id: String,
+    /// Service that is called.
+    pub service: Service,
+    /// Upstream group of the route.
+    pub group: String,
+    /// Priority.
+    pub class: Class,
+    /// Time left until the answer's head is due.
+    pub remaining: Millis,
+    /// Whether running it twice does no harm.
+    pub repeatable: bool,
+    /// The caller's idempotency key.
+    pub key: Option<CallKey>,
+    /// What keeps the key from running twice.
+    pub guard: Guard,
+}
+
+/// Encodes a message.
+///
+/// # Panics
+///
+/// Never for the types of this module: they hold nothing that bincode can't encode.
+#[must_use]
+pub fn encode<T: Serialize>(message: &T) -> Bytes {
+    let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard());
+    Bytes::from(bytes.expect("wire types always encode"))
+}
+
+/// Decodes a message and refuses trailing bytes.
+///
+/// # Errors
+///
+/// [`Error::Frame`](crate::Error::Frame) for anything that is not exactly one message.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    let config = bincode::config::standard().with_limit::<MAX_FRAME>();
+    let decoded = bincode::serde::decode_from_slice(bytes, config);
+    let (message, used) = decoded.map_err(|e| {
+        FrameSnafu {
+            reason: e.to_string(),
+        }
+        .build()
+    })?;
+    if used == bytes.len() {
+        Ok(message)
+    } else {
+        FrameSnafu {
+            reason: format!("{} bytes follow the message", bytes.len() - used),
+        }
+        .fail()
+    }
+}
+
+/// Encodes a message as text for a header value.
+#[must_use]
+pub fn to_header<T: Serialize>(message: &T) -> String {
+    use std::fmt::Write as _;
+    encode(message)
+        .iter()
+        .fold(String::new(), |mut text, byte| {
+            let _ = write!(text, "{byte:02x}");
+            text
+        })
+}
+
+/// Decodes a message from the text of a header value.
+///
+/// # Errors
+///
+/// [`Error::Frame`](crate::Error::Frame) for anything else.
+pub fn from_header<T: DeserializeOwned>(text: &str) -> Result<T> {
+    let digit = |byte: u8| {
+        char::from(byte)
+            .to_digit(16)
+            .and_then(|d| u8::try_from(d).ok())
+    };
+    let pairs = text.as_bytes().chunks(2);
+    let bytes: Option<Vec<u8>> = pairs
+        .map(|pair| match *pair {
+            [high, low] => Some((digit(high)? << 4) | digit(low)?),
+            _ => None,
+        })
+        .collect();
+    match bytes {
+        Some(bytes) => decode(&bytes),
+        None => FrameSnafu {
+            reason: "the header is not hexadecimal".to_owned(),
+        }
+        .fail(),
+    }
+}
--- /dev/null
+++ b/trial/src/fleet.rs
@@ -0,0 +1,459 @@
+//! Starting, injuring and asking real processes on loopback.
+
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use http::Method;
+use jackdawpulley::fold::Edit;
+use jackdawpulley::units::{EditId, Version};
+use rustix::process::{Pid, Signal, kill_process};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::deployment::Place;
+use crate::platform::{Faults, Stats};
+use crate::session::{self, Answer, Failure};
+use crate::target::Run;
+
+const PEER: u16 = 7001;
+const CALL: u16 = 7002;
+const TARGET: u16 = 7003;
+const OPERATOR: u16 = 7004;
+const WORK: u16 = 7005;
+const CONTROL: u16 = 7006;
+const LOG: u16 = 7000;
+/// Pause between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A process of a trial; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Its identifier.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Its exit status, once it has ended.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// One host: a daemon and, mostly, a target.
+#[derive(Debug)]
+pub struct Host {
+    /// Where it is and what it offers.
+    pub place: Place,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Its daemon, while it runs.
+    pub daemon: Option<Process>,
+    /// Its target, while it runs.
+    pub target: Option<Process>,
+}
+
+impl Host {
+    /// Address for other daemons.
+    #[must_use]
+    pub const fn peer(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, PEER)
+    }
+
+    /// Address for callers.
+    #[must_use]
+    pub const fn calls(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALL)
+    }
+
+    /// Address for operators.
+    #[must_use]
+    pub const fn operator(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, OPERATOR)
+    }
+
+    /// Address where the target takes calls.
+    #[must_use]
+    pub const fn work(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, WORK)
+    }
+}
+
+/// Everything that a trial runs.
+#[derive(Debug)]
+pub struct Fleet {
+    program: PathBuf,
+    network: u8,
+    logs: PathBuf,
+    options: Vec<String>,
+    /// The platform log.
+    pub log: Option<Process>,
+    /// The hosts.
+    pub hosts: Vec<Host>,
+}
+
+static NETWORKS: AtomicU32 = AtomicU32::new(0);
+
+impl Fleet {
+    /// Starts the log; `options` are passed to every daemon.
+    ///
+    /// # Panics
+    ///
+    /// When no part of the loopback network is free or the log does not come up.
+    pub async fn start(program: PathBuf, options: &[&str]) -> Self {
+        let network = free_network();
+        let logs =
+            std::env::temp_dir().join(format!("jackdaw-trial-{}-{network}", std::process::id()));
+        std::fs::create_dir_all(&logs).expect("the temporary folder can be written");
+        let options = options.iter().map(|&option| option.to_owned()).collect();
+        let mut fleet = Self {
+            program,
+            network,
+            logs,
+            options,
+            log: None,
+            hosts: Vec::new(),
+        };
+        fleet.start_log();
+        let log = fleet.log_address();
+        let up = || async move { session::once(log, Method::GET, "/stats", "").await.is_ok() };
+        assert!(
+            until(Duration::from_secs(10), up).await,
+            "the log did not come up"
+        );
+        fleet
+    }
+
+    /// Starts hosts and waits until all of them serve.
+    ///
+    /// # Panics
+    ///
+    /// When they do not within a minute.
+    pub async fn add(&mut self, places: &[Place]) {
+        let first = self.hosts.len();
+        for place in places {
+            let index = self.hosts.len();
+            let host = u8::try_from(index % 250 + 1).expect("below 251");
+            let rack = u8::try_from(index / 250 + 1).expect("few hosts");
+            let ip = IpAddr::V4(Ipv4Addr::new(127, self.network, rack, host));
+            self.hosts.push(Host {
+                place: place.clone(),
+                ip,
+                daemon: None,
+                target: None,
+            });
+            self.start_daemon(index);
+            self.start_target(index);
+        }
+        for index in first..self.hosts.len() {
+            assert!(
+                self.serves(index, Duration::from_mins(1)).await,
+                "host {index} is not ready"
+            );
+        }
+    }
+
+    /// Starts the platform log.
+    pub fn start_log(&mut self) {
+        let listen = self.log_address().to_string();
+        self.log = Some(self.spawn("log", &["log", "--listen", &listen]));
+    }
+
+    /// Starts the daemon of a host.
+    pub fn start_daemon(&mut self, index: usize) {
+        let host = &self.hosts[index];
+        let centre = host.place.data_centre.to_string();
+        let address = |port| SocketAddr::new(host.ip, port).to_string();
+        let log = self.log_address().to_string();
+        let (peer, call, target, operator) = (
+            address(PEER),
+            address(CALL),
+            address(TARGET),
+            address(OPERATOR),
+        );
+        let mut args = vec![
+            "daemon",
+            "--data-centre",
+            &centre,
+            "--peer-addr",
+            &peer,
+            "--call-addr",
+            &call,
+            "--target-addr",
+            &target,
+            "--operator-addr",
+            &operator,
+            "--log-addr",
+            &log,
+        ];
+        args.extend(self.options.iter().map(String::as_str));
+        let process = self.spawn(&format!("daemon-{index}"), &args);
+        self.hosts[index].daemon = Some(process);
+    }
+
+    /// Starts the target of a host, when it has a service.
+    pub fn start_target(&mut self, index: usize) {
+        let host = &self.hosts[index];
+        let Some(service) = host.place.service.as_ref().map(ToString::to_string) else {
+            return;
+        };
+        let address = |port| SocketAddr::new(host.ip, port).to_string();
+        let (listen, control, daemon) = (address(WORK), address(CONTROL), address(TARGET));
+        let args = [
+            "target",
+            "--listen",
+            &listen,
+            "--control",
+            &control,
+            "--daemon",
+            &daemon,
+            "--service",
+            &service,
+        ];
+        let process = self.spawn(&format!("target-{index}"), &args);
+        self.hosts[index].target = Some(process);
+    }
+
+    /// Address of the platform log.
+    #[must_use]
+    pub const fn log_address(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, self.network, 0, 1)), LOG)
+    }
+
+    /// Sets the switches of the log.
+    ///
+    /// # Panics
+    ///
+    /// When the log does not take them.
+    pub async fn fail_log(&self, faults: Faults) {
+        let body = serde_json::to_string(&faults).expect("plain data is JSON");
+        let answer = session::once(self.log_address(), Method::POST, "/faults", &body).await;
+        assert!(
+            answer.is_ok_and(|answer| answer.status.is_success()),
+            "the log takes faults"
+        );
+    }
+
+    /// What the log has done.
+    pub async fn log_stats(&self) -> Stats {
+        get(self.log_address(), "/stats").await.unwrap_or_default()
+    }
+
+    /// Whether a daemon serves before `patience` ends.
+    pub async fn serves(&self, index: usize, patience: Duration) -> bool {
+        let operator = self.hosts[index].operator();
+        until(patience, || async move {
+            let answer = session::once(operator, Method::GET, "/health/ready", "").await;
+            answer.is_ok_and(|answer| answer.status.is_success())
+        })
+        .await
+    }
+
+    /// Version in force on a daemon.
+    pub async fn version(&self, index: usize) -> Option<Version> {
+        let state: Value = get(self.hosts[index].operator(), "/health/ready").await?;
+        state["version"].as_u64().map(Version)
+    }
+
+    /// Hosts whose daemon runs.
+    #[must_use]
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.hosts.len())
+            .filter(|&index| self.hosts[index].daemon.is_some())
+            .collect()
+    }
+
+    /// Whether all running daemons have `version` or a later one before `patience` ends.
+    pub async fn converges(&self, version: Version, patience: Duration) -> bool {
+        let deadline = Instant::now() + patience;
+        for index in self.running() {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let there = until(left, || async move {
+                self.version(index)
+                    .await
+                    .is_some_and(|have| have >= version)
+            });
+            if !there.await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Whether all running daemons see `count` members before `patience` ends.
+    pub async fn meets(&self, count: usize, patience: Duration) -> bool {
+        let deadline = Instant::now() + patience;
+        for index in self.running() {
+            let operator = self.hosts[index].operator();
+            let left = deadline.saturating_duration_since(Instant::now());
+            let met = until(left, || async move {
+                let members: Option<Vec<Value>> = get(operator, "/members").await;
+                members.is_some_and(|members| members.len() == count)
+            });
+            if !met.await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Publishes an edit through a daemon; the status and the JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no whole answer.
+    ///
+    /// # Panics
+    ///
+    /// Never: an edit is plain data.
+    pub async fn publish(&self, index: usize, edit: &Edit) -> Result<(u16, Value), Failure> {
+        let body = serde_json::to_string(edit).expect("plain data is JSON");
+        let answer =
+            session::once(self.hosts[index].operator(), Method::POST, "/config", &body).await?;
+        let value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        Ok((answer.status.as_u16(), value))
+    }
+
+    /// Publishes a document on whatever is in force and returns its version.
+    ///
+    /// # Panics
+    ///
+    /// When it is not accepted.
+    pub async fn put(&self, index: usize, document: jackdawpulley::document::Document) -> Version {
+        let base = self.version(index).await;
+        let id = EditId(format!("trial-{:016x}", rand::random::<u64>()));
+        let edit = Edit { id, base, document };
+        let (status, answer) = self
+            .publish(index, &edit)
+            .await
+            .expect("the daemon answers");
+        assert_eq!(status, 200, "the edit is accepted: {answer}");
+        Version(
+            answer["version"]
+                .as_u64()
+                .expect("an accepted edit has a version"),
+        )
+    }
+
+    /// Runs `jackdawctl` and returns its exit status and standard output.
+    ///
+    /// # Panics
+    ///
+    /// When it can't be started.
+    pub async fn ctl(&self, index: usize, args: &[&str]) -> (Option<i32>, String) {
+        let daemon = self.hosts[index].operator().to_string();
+        let mut command = tokio::process::Command::new(&self.program);
+        command
+            .args(["ctl", "--json", "--daemon", &daemon])
+            .args(args)
+            .stderr(Stdio::null());
+        let output = command.output().await.expect("the program can be started");
+        (
+            output.status.code(),
+            String::from_utf8_lossy(&output.stdout).into_owned(),
+        )
+    }
+
+    /// What a host's target has run.
+    pub async fn runs(&self, index: usize) -> Vec<Run> {
+        get(SocketAddr::new(self.hosts[index].ip, CONTROL), "/runs")
+            .await
+            .unwrap_or_default()
+    }
+
+    /// Folder with what the processes wrote to standard error.
+    #[must_use]
+    pub const fn logs(&self) -> &PathBuf {
+        &self.logs
+    }
+
+    fn spawn(&self, name: &str, args: &[&str]) -> Process {
+        let path = self.logs.join(format!("{name}.log"));
+        let stderr = File::options().create(true).append(true).open(path);
+        let child = Command::new(&self.program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(stderr.map_or_else(|_| Stdio::null(), Stdio::from))
+            .spawn();
+        Process {
+            child: child.expect("the program can be started"),
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.hosts.clear();
+        self.log = None;
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.logs);
+        }
+    }
+}
+
+/// Fetches JSON.
+pub async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Option<T> {
+    let answer: Answer = session::once(address, Method::GET, path, "").await.ok()?;
+    serde_json::from_slice(&answer.body).ok()
+}
+
+/// Waits until `condition` holds; `false` when it does not before `patience` ends.
+pub async fn until<F, C>(patience: Duration, mut condition: C) -> bool
+where
+    F: Future<Output = bool>,
+    C: FnMut() -> F,
+{
+    let deadline = Instant::now() + patience;
+    loop {
+        if condition().await {
+            return true;
+        }
+        if Instant::now() >= deadline {
+            return false;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// A part of the loopback network that no other trial uses.
+fn free_network() -> u8 {
+    for _ in 0..200 {
+        let count = NETWORKS.fetch_add(1, Ordering::Relaxed);
+        let candidate = std::process::id().wrapping_mul(7).wrapping_add(count) % 200 + 20;
+        let network = u8::try_from(candidate).expect("below 220");
+        let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, network, 0, 1)), LOG);
+        if TcpListener::bind(address).is_ok() {
+            return network;
+        }
+    }
+    panic!("no part of the loopback network is free");
+}
--- /dev/null
+++ b/trial/src/lib.rs
@@ -0,0 +1,12 @@
+//! Stand-ins, fault trials and measurements for jackdawpulley.
+//!
+//! Everything runs as real processes on loopback: this one binary is the stand-in for the
+//! platform's log, the stand-in target, the daemon, the operator's command and the trial that
+//! starts and injures all of them.
+
+pub mod deployment;
+pub mod fleet;
+pub mod path;
+pub mod platform;
+pub mod session;
+pub mod target;
--- /dev/null
+++ b/trial/src/main.rs
@@ -0,0 +1,84 @@
+//! `jackdaw-trial`: starts real processes on loopback, injures them, and prints what it saw.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use jackdaw_trial::{path, platform, target};
+
+#[derive(Debug, Parser)]
+#[command(
+    name = "jackdaw-trial",
+    version,
+    about = "Trials and measurements with real processes"
+)]
+struct Args {
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Debug, Subcommand)]
+enum Verb {
+    /// The thin path, end to end
+    Path,
+    /// Be the stand-in for the platform's log
+    Log(platform::Args),
+    /// Be a stand-in target
+    Target(target::Args),
+    /// Be a daemon; takes its flags
+    #[command(disable_help_flag = true)]
+    Daemon {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<OsString>,
+    },
+    /// Be the operator's command; takes its flags
+    #[command(disable_help_flag = true)]
+    Ctl {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<OsString>,
+    },
+}
+
+fn main() -> ExitCode {
+    match Args::parse().verb {
+        Verb::Daemon { args } => {
+            let args = std::iter::once(OsString::from("jackdawpulley")).chain(args);
+            ExitCode::from(jackdawpulley::daemon::main_from(args))
+        }
+        Verb::Ctl { args } => {
+            let args = std::iter::once(OsString::from("jackdawctl")).chain(args);
+            ExitCode::from(jackdawpulley::ctl::main_from(args))
+        }
+        verb => {
+            let runtime = tokio::runtime::Runtime::new().expect("threads can be started");
+            runtime.block_on(run(verb))
+        }
+    }
+}
+
+async fn run(verb: Verb) -> ExitCode {
+    let program = std::env::current_exe().expect("the program has a path");
+    match verb {
+        Verb::Path => {
+            let report = path::run(program).await;
+            println!(
+                "{}",
+                serde_json::to_string(&report).expect("plain data is JSON")
+            );
+            if report.passed {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Verb::Log(args) => {
+            platform::run(args).await;
+            ExitCode::SUCCESS
+        }
+        Verb::Target(args) => {
+            target::run(args).await;
+            ExitCode::SUCCESS
+        }
+        Verb::Daemon { .. } | Verb::Ctl { .. } => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/trial/src/session.rs
@@ -0,0 +1,168 @@
+//! A caller's session: one HTTP/1.1 connection, kept for as long as the other side keeps it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// A header's text; empty when it is not there.
+    #[must_use]
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    }
+
+    /// Whether the other side ends the session after this answer.
+    #[must_use]
+    pub fn closes(&self) -> bool {
+        self.header(header::CONNECTION.as_str())
+            .eq_ignore_ascii_case("close")
+    }
+}
+
+/// Why there is no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection: nothing was sent.
+    Refused,
+    /// The connection broke, within an answer or before it.
+    Cut(String),
+    /// No answer in time.
+    Silent,
+}
+
+/// One connection, opened when first needed and again after it was closed.
+#[derive(Debug)]
+pub struct Session {
+    address: SocketAddr,
+    sender: Option<SendRequest<Full<Bytes>>>,
+    /// Connections opened so far.
+    pub connections: usize,
+}
+
+impl Session {
+    /// A session with `address`.
+    #[must_use]
+    pub const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            sender: None,
+            connections: 0,
+        }
+    }
+
+    /// Sends the next request to another address, over a new connection.
+    pub fn move_to(&mut self, address: SocketAddr) {
+        self.address = address;
+        self.sender = None;
+    }
+
+    /// A request to be sent.
+    ///
+    /// # Panics
+    ///
+    /// When the path or a header is not valid.
+    #[must_use]
+    pub fn request(
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Request<Full<Bytes>> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, "shop");
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        builder
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("trials write valid requests")
+    }
+
+    /// Sends a request and waits for its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        patience: Duration,
+    ) -> Result<Answer, Failure> {
+        let result = tokio::time::timeout(patience, self.exchange(request)).await;
+        let result = result.unwrap_or(Err(Failure::Silent));
+        match &result {
+            Ok(answer) if !answer.closes() => {}
+            _ => self.sender = None,
+        }
+        result
+    }
+
+    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Answer, Failure> {
+        // An idle connection that was closed meanwhile is opened anew, as any client does.
+        if self.sender.as_mut().is_none_or(|sender| sender.is_closed()) {
+            self.sender = Some(self.open().await?);
+            self.connections += 1;
+        }
+        let sender = self.sender.as_mut().ok_or(Failure::Refused)?;
+        let cut = |error: hyper::Error| Failure::Cut(format!("{error:?}"));
+        sender.ready().await.map_err(cut)?;
+        let response = sender.send_request(request).await.map_err(cut)?;
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.map_err(cut)?.to_bytes();
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    async fn open(&self) -> Result<SendRequest<Full<Bytes>>, Failure> {
+        let stream = TcpStream::connect(self.address)
+            .await
+            .map_err(|_| Failure::Refused)?;
+        let _ = stream.set_nodelay(true);
+        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| Failure::Refused)?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+}
+
+/// Sends one request over a connection of its own.
+///
+/// # Errors
+///
+/// Why there is no whole answer.
+pub async fn once(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: &str,
+) -> Result<Answer, Failure> {
+    let request = Session::request(method, path, &[], body);
+    Session::new(address)
+        .send(request, Duration::from_secs(15))
+        .await
+}
--- /dev/null
+++ b/trial/src/target.rs
@@ -0,0 +1,216 @@
+//! A stand-in target that records every run.
+//!
+//! A request's headers say how long it works (`x-work-ms`) and how large its answer is
+//! (`x-size`). The target announces itself to its daemon, renews, and leaves when it is stopped.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use clap::Parser;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use jackdawpulley::announce::Announcement;
+use jackdawpulley::outcome::REFUSED;
+use jackdawpulley::units::{Millis, Service, Slots};
+use serde::{Deserialize, Serialize};
+use tokio::signal::unix::{SignalKind, signal};
+use volo::net::Address;
+use volo_http::body::{Body, BodyConversion};
+use volo_http::server::route::get;
+use volo_http::server::{Router, Server};
+
+use crate::session;
+
+/// Arguments of the stand-in.
+#[derive(Debug, Clone, Parser)]
+pub struct Args {
+    /// Address to take calls on
+    #[arg(long)]
+    pub listen: SocketAddr,
+    /// Address that tells what was run
+    #[arg(long)]
+    pub control: SocketAddr,
+    /// Where to announce
+    #[arg(long)]
+    pub daemon: SocketAddr,
+    /// Service to offer
+    #[arg(long)]
+    pub service: Service,
+    /// Calls at the same time
+    #[arg(long, default_value_t = Slots(20))]
+    pub slots: Slots,
+    /// Lease of the announcement
+    #[arg(long, default_value_t = Millis(3_000))]
+    pub lease_ms: Millis,
+    /// Time for which every run takes twice as long, after the start
+    #[arg(long, default_value_t = Millis(0))]
+    pub cold_ms: Millis,
+}
+
+/// One run, as the target saw it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// The caller's name for the request, from `x-request`.
+    pub request: String,
+    /// When it began, in milliseconds since 1970.
+    pub began_ms: u64,
+}
+
+/// Body of an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The caller's name for the request.
+    pub request: String,
+    /// The target that ran it.
+    pub target: SocketAddr,
+    /// Bytes of the request's body.
+    pub received: usize,
+    /// As much padding as the request asked for.
+    pub padding: String,
+}
+
+#[derive(Debug)]
+struct Target {
+    args: Args,
+    began: std::time::Instant,
+    runs: Mutex<Vec<Run>>,
+    in_flight: AtomicU64,
+    leaving: AtomicBool,
+}
+
+/// Runs the stand-in until it is stopped.
+///
+/// # Panics
+///
+/// When an address can't be had.
+pub async fn run(args: Args) {
+    let target = Arc::new(Target {
+        args: args.clone(),
+        began: std::time::Instant::now(),
+        runs: Mutex::default(),
+        in_flight: AtomicU64::new(0),
+        leaving: AtomicBool::new(false),
+    });
+    let (worker, reporter) = (Arc::clone(&target), Arc::clone(&target));
+    let work = move |request: Request<Body>| {
+        let target = Arc::clone(&worker);
+        async move { target.work(request).await }
+    };
+    let report = move || {
+        let runs = reporter.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        std::future::ready(serde_json::to_string(&*runs).expect("plain data is JSON"))
+    };
+    let calls = Server::new(Router::new().fallback(work)).run(Address::from(args.listen));
+    let control = Router::new().route("/runs", get(report));
+    let control = Server::new(control).run(Address::from(args.control));
+    tokio::spawn(calls);
+    tokio::spawn(control);
+    let renewing = Arc::clone(&target);
+    tokio::spawn(async move { renewing.renew().await });
+    let mut terminate = signal(SignalKind::terminate()).expect("signals can be awaited");
+    terminate.recv().await;
+    target.leave().await;
+}
+
+impl Target {
+    async fn work(&self, request: Request<Body>) -> Response<Body> {
+        let (parts, body) = request.into_parts();
+        let running = self.in_flight.fetch_add(1, Ordering::AcqRel);
+        let response = if running >= u64::from(self.args.slots.0) {
+            shed()
+        } else {
+            self.answer(&parts.headers, body).await
+        };
+        self.in_flight.fetch_sub(1, Ordering::AcqRel);
+        response
+    }
+
+    async fn answer(&self, headers: &HeaderMap, body: Body) -> Response<Body> {
+        let text = |name: &str| {
+            headers
+                .get(name)
+                .and_then(|v| v.to_str().ok())
+                .unwrap_or_default()
+        };
+        let request = text("x-request").to_owned();
+        let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
+        let (work, size) = (number("x-work-ms"), number("x-size"));
+        let run = Run {
+            request: request.clone(),
+            began_ms: now_ms(),
+        };
+        self.runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(run);
+        let received = body.into_bytes().await.map_or(0, |body| body.len());
+        let cold = self.began.elapsed() < self.args.cold_ms.duration();
+        let work = if cold { 2 * work } else { work };
+        if work > 0 {
+            tokio::time::sleep(Duration::from_millis(work)).await;
+        }
+        let padding = "x".repeat(usize::try_from(size).unwrap_or(0));
+        let echo = Echo {
+            request,
+            target: self.args.listen,
+            received,
+            padding,
+        };
+        let body = serde_json::to_vec(&echo).expect("plain data is JSON");
+        let mut response = Response::new(Body::from_body(Full::new(Bytes::from(body))));
+        if self.leaving.load(Ordering::Acquire) {
+            let close = http::HeaderValue::from_static("close");
+            response
+                .headers_mut()
+                .insert(http::header::CONNECTION, close);
+        }
+        response
+    }
+
+    async fn renew(&self) {
+        let announcement = Announcement {
+            service: self.args.service.clone(),
+            address: self.args.listen,
+            slots: self.args.slots,
+            lease_ms: self.args.lease_ms,
+        };
+        let body = serde_json::to_string(&announcement).expect("plain data is JSON");
+        while !self.leaving.load(Ordering::Acquire) {
+            let sent = session::once(self.args.daemon, Method::POST, "/announce", &body).await;
+            let heard = sent.is_ok_and(|answer| answer.status == StatusCode::OK);
+            let pause = if heard { self.args.lease_ms.0 / 3 } else { 100 };
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    async fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+        let _ = session::once(self.args.daemon, Method::POST, "/leave", "").await;
+        while self.in_flight.load(Ordering::Acquire) > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        // The answers have been handed to the connections; give them time to be written.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+fn shed() -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+        .headers_mut()
+        .insert(REFUSED, http::HeaderValue::from_static("slots"));
+    response
+}
+
+/// Milliseconds since 1970.
+#[must_use]
+pub fn now_ms() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
