Prove the decision parts against oracles; mend what that found

Cause: three faults in decisions, each found by a stateful property test. 1. A forced edit (no base) whose answer was lost and which was appended again was accepted twice by a daemon that had taken the first version over from a peer, and so had never seen the edit's identifier. 2. A gate that ran a key, was killed and came back at its address met its own note at the witness, took it for its own next try, and ran the key again. 3. Two gates lost and both back: neither looked lost to the other, so a key whose run and note had been with just these two ran again.

Ruled out: carrying all recent edit identifiers with every update (bytes, and still bounded); forbidding a returned gate to run any key for the whole memory span (one key in n unknown after each planned restart).

Change: an edit is based on a version or on a head of the log, and either condition becomes false by the edit's own acceptance, so that a repetition is refused without its identifier. A note names the holder's life as well as its address. Answers to notes say whether the answerer was lost before, and count as losses.

--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -14,7 +14,7 @@
 use crate::delta::Delta;
 use crate::document::Document;
 use crate::error::{DocumentSnafu, Error, FileSnafu, Result};
-use crate::fold::Edit;
+use crate::fold::{Base, Edit};
 use crate::http_client::Client;
 use crate::member::{Member, Stage};
 use crate::operator::{InForce, Published};
@@ -85,7 +85,7 @@
         /// Identifier of the edit; asking again under the same one is safe
         #[arg(long)]
         id: Option<EditId>,
-        /// Replace whatever is in force
+        /// Replace whatever is in force, also when the log has lost records unread
         #[arg(long, conflicts_with = "base")]
         force: bool,
     },
@@ -247,9 +247,9 @@
     ) -> Result<()> {
         let document = read(file)?;
         let base = match (force, base) {
-            (true, _) => None,
-            (false, Some(base)) => Some(base),
-            (false, None) => Some(self.in_force().await?.version),
+            (true, _) => Base::Head(self.get(self.daemon, "/config/head").await?),
+            (false, Some(base)) => Base::Version(base),
+            (false, None) => Base::Version(self.in_force().await?.version),
         };
         let id = id
             .cloned()
--- a/src/fold.rs
+++ b/src/fold.rs
@@ -7,11 +7,11 @@
 //!
 //! ```
 //! use jackdawpulley::document::Document;
-//! use jackdawpulley::fold::{Edit, Fold, Record, Verdict};
+//! use jackdawpulley::fold::{Base, Edit, Fold, Record, Verdict};
 //! use jackdawpulley::units::{Offset, Version};
 //!
 //! let mut fold = Fold::new();
-//! let edit = Edit { id: "e1".into(), base: Some(Version(0)), document: Document::default() };
+//! let edit = Edit { id: "e1".into(), base: Base::Version(Version(0)), document: Document::default() };
 //! let verdict = fold.apply(Offset(0), &Record::Edit(edit));
 //! assert_eq!(verdict, Verdict::Accepted { version: Version(1) });
 //! ```
@@ -42,12 +42,22 @@
 pub struct Edit {
     /// Chosen by the publisher; the same for every try.
     pub id: EditId,
-    /// Version that the edit was made on; when left out the edit replaces whatever is in force.
-    pub base: Option<Version>,
+    /// What the edit was made on.
+    pub base: Base,
     /// The whole new document.
     pub document: Document,
 }
 
+/// What an edit was made on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Base {
+    /// This version: accepted while it is in force.
+    Version(Version),
+    /// The log up to this head: accepted over any version, if no edit was accepted since.
+    Head(Offset),
+}
+
 /// The state of a fold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Checkpoint {
@@ -103,6 +113,8 @@
     state: Checkpoint,
     /// First offset that was still there when records were found missing.
     gap: Option<Offset>,
+    /// End of the records that were missed, or could not be judged.
+    blind: Offset,
 }
 
 impl Default for Fold {
@@ -121,7 +133,11 @@
             document: Arc::default(),
             recent: Vec::new(),
         };
-        Self { state, gap: None }
+        Self {
+            state,
+            gap: None,
+            blind: Offset(0),
+        }
     }
 
     /// A fold that goes on from a checkpoint.
@@ -130,6 +146,7 @@
         Self {
             state: checkpoint,
             gap: None,
+            blind: Offset(0),
         }
     }
 
@@ -184,9 +201,10 @@
             Record::Checkpoint(checkpoint) => self.checkpointed(offset, checkpoint),
             // Guards against expired records: an edit accepted among them may have moved the
             // version, so judging a later edit by the old one could accept what every full reader
-            // refused. A gapped fold judges no edit that depends on a version.
-            Record::Edit(edit) if self.gapped() && edit.base.is_some() => {
+            // refused. A gapped fold judges only an edit over a head that it has seen all since.
+            Record::Edit(edit) if self.gapped() && !self.sees_since(edit.base) => {
                 self.state.next = offset.next();
+                self.blind = offset.next();
                 Verdict::Gap
             }
             Record::Edit(edit) => {
@@ -209,6 +227,7 @@
     pub fn expire(&mut self, first: Offset) {
         if first > self.state.next {
             self.gap = Some(first);
+            self.blind = first;
             self.state.next = first;
         }
     }
@@ -270,8 +289,18 @@
         verdict
     }
 
+    fn sees_since(&self, base: Base) -> bool {
+        matches!(base, Base::Head(head) if head >= self.blind)
+    }
+
     fn decide(&self, offset: Offset, edit: &Edit) -> Verdict {
-        if edit.base.is_some_and(|base| base != self.state.version) {
+        // Either way an accepted edit makes the condition false for its own repetition, so that
+        // a fold which has forgotten its identifier, or never saw it, refuses it all the same.
+        let fits = match edit.base {
+            Base::Version(base) => base == self.state.version,
+            Base::Head(head) => self.state.version.end() <= head && head <= offset,
+        };
+        if !fits {
             return Verdict::Conflict {
                 current: self.state.version,
             };
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -14,7 +14,7 @@
 
 use crate::board::Board;
 use crate::gate::{Gate, Received};
-use crate::keys::{Answer, Memory, Own, Ownership, Peer, State, ownership};
+use crate::keys::{Answer, Holder, Memory, Own, Ownership, Peer, State, ownership, proven};
 use crate::member::Stage;
 use crate::outcome::{Fate, Reason};
 use crate::peer::Links;
@@ -35,6 +35,7 @@
     /// Told whenever a run ends.
     ended: watch::Sender<u64>,
     born: Instant,
+    life: u64,
     lived: AtomicBool,
 }
 
@@ -49,6 +50,7 @@
             memory: Mutex::new(Memory::new(span)),
             ended: watch::Sender::new(0),
             born: Instant::now(),
+            life: rand::random(),
             lived: AtomicBool::new(false),
         }
     }
@@ -68,9 +70,11 @@
     #[must_use]
     pub fn note(&self, note: &Note) -> Noted {
         let known = self.memory().note(Instant::now(), &note.key, note.holder);
+        let lived = self.lived.load(Ordering::Acquire);
         Noted {
             known,
             age: Millis::from(self.born.elapsed()),
+            lived,
         }
     }
 
@@ -130,7 +134,7 @@
             Some(State::Done(answer)) => Ok(Begin::Repeat(Arc::clone(answer))),
             Some(State::Doubt) => Err(Reason::KeyInDoubt),
             Some(State::Noted(holder)) => {
-                let there = self.board.roster().member(*holder).is_some();
+                let there = self.board.roster().member(holder.gate).is_some();
                 Err(if there {
                     Reason::Moved
                 } else {
@@ -151,7 +155,10 @@
         let peers = self.peers(service);
         let note = Note {
             key: key.clone(),
-            holder: own.address,
+            holder: Holder {
+                gate: own.address,
+                life: self.life,
+            },
         };
         match ownership(key, own, &peers, span) {
             Ownership::Moved => Err(Reason::Moved),
@@ -159,15 +166,13 @@
             Ownership::Alone => Err(Reason::NoWitness),
             Ownership::Run(witnesses) if witnesses.is_empty() => Ok(()),
             Ownership::Run(witnesses) => self.tell_one(&witnesses, &note).await,
-            Ownership::RunIfUnknown(survivors) => {
-                let lost = peers.iter().any(|p| p.gone.is_some_and(|ago| ago < span)) || own.lived;
-                let whole = self.tell_all(&survivors, &note).await? || own.age >= span;
-                // Guards against a lost gate that was alone: nobody has its note. A gate that
-                // was there all the time proves that it was not.
-                if lost && !whole {
-                    Err(Reason::KeyInDoubt)
-                } else {
+            Ownership::Ask { survivors, losses } => {
+                let answers = self.tell_all(&survivors, &note).await?;
+                let first = proven(own, losses, &answers, span);
+                if first {
                     Ok(())
+                } else {
+                    Err(Reason::KeyInDoubt)
                 }
             }
         }
@@ -184,21 +189,12 @@
         Err(Reason::NoWitness)
     }
 
-    /// Tells all survivors; whether one of them remembers the whole span.
-    async fn tell_all(&self, survivors: &[SocketAddr], note: &Note) -> Result<bool, Reason> {
+    async fn tell_all(&self, survivors: &[SocketAddr], note: &Note) -> Result<Vec<Noted>, Reason> {
         let asking = survivors
             .iter()
             .map(|peer| self.links.send::<_, Noted>(*peer, NOTE, note));
-        let span = self.board.settings.key_memory_ms;
-        let mut whole = false;
-        for answer in join_all(asking).await {
-            let noted = answer.map_err(|_| Reason::KeyInDoubt)?;
-            if noted.known {
-                return Err(Reason::KeyInDoubt);
-            }
-            whole |= noted.age >= span;
-        }
-        Ok(whole)
+        let answers: crate::Result<Vec<Noted>> = join_all(asking).await.into_iter().collect();
+        answers.map_err(|_| Reason::KeyInDoubt)
     }
 
     /// The other gates of a service, those that went not long ago included.
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -13,9 +13,11 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::units::CallKey;
+use crate::units::{CallKey, Millis};
+use crate::wire::Noted;
 
 /// Losses among the gates of a service that its notes survive.
 const LOSSES_SURVIVED: usize = 1;
@@ -31,6 +33,15 @@
     pub body: Bytes,
 }
 
+/// A gate in one of its lives: a restarted daemon is another holder at the same address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Its address.
+    pub gate: SocketAddr,
+    /// Number drawn when its daemon started.
+    pub life: u64,
+}
+
 /// What is remembered of a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum State {
@@ -41,7 +52,7 @@
     /// It may have run here.
     Doubt,
     /// Another gate was about to run it.
-    Noted(SocketAddr),
+    Noted(Holder),
 }
 
 #[derive(Debug)]
@@ -121,7 +132,9 @@
     }
 
     /// Notes that `holder` is about to run `key`; `true` when it may have run elsewhere.
-    pub fn note(&mut self, now: Instant, key: &CallKey, holder: SocketAddr) -> bool {
+    pub fn note(&mut self, now: Instant, key: &CallKey, holder: Holder) -> bool {
+        // Guards against a holder that ran the key, was killed and came back at its address: to
+        // itself its note would look like its own next try. Its new life is another holder.
         match self.recall(now, key) {
             None => {}
             Some(State::Noted(other)) if *other == holder => {}
@@ -170,8 +183,13 @@
 pub enum Ownership {
     /// Run it once one of these, in this order, has noted it; alone when there is none.
     Run(Vec<SocketAddr>),
-    /// Run it once all of these have noted it, and it or one of them remembers the whole span.
-    RunIfUnknown(Vec<SocketAddr>),
+    /// Have all of these note it, then run it if that is [`proven`] to be the first time.
+    Ask {
+        /// Gates that are there.
+        survivors: Vec<SocketAddr>,
+        /// Memories known to be lost.
+        losses: usize,
+    },
     /// It belongs to another gate.
     Moved,
     /// No gate may be left that would know.
@@ -218,10 +236,27 @@
     if losses > LOSSES_SURVIVED {
         return Ownership::Doubt;
     }
-    if losses > 0 && live.is_empty() {
-        return Ownership::Doubt;
+    Ownership::Ask {
+        survivors: live,
+        losses,
     }
-    Ownership::RunIfUnknown(live)
+}
+
+/// Whether the answers of all survivors prove that nobody ran the key.
+#[must_use]
+pub fn proven(own: Own, losses: usize, answers: &[Noted], span: Duration) -> bool {
+    let old = |age: Millis| age.duration() >= span;
+    // A gate that was lost and came back answers like any other, but its notes are gone.
+    let returned = answers
+        .iter()
+        .filter(|noted| noted.lived && !old(noted.age))
+        .count();
+    let losses = losses + returned;
+    // Guards against a lost gate that was alone: nobody has its note. A gate that was there all
+    // the time proves that it was not.
+    let whole = own.age >= span || answers.iter().any(|noted| old(noted.age));
+    let unknown = answers.iter().all(|noted| !noted.known);
+    unknown && losses <= LOSSES_SURVIVED && (losses == 0 || whole)
 }
 
 /// Rendezvous rank of a gate for a key; the highest holds it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
 //!
 //! ```
 //! use jackdawpulley::document::Document;
-//! use jackdawpulley::fold::{Edit, Fold, Record, Verdict};
+//! use jackdawpulley::fold::{Base, Edit, Fold, Record, Verdict};
 //! use jackdawpulley::units::{Offset, Version};
 //!
 //! let text = br#"{
@@ -29,7 +29,7 @@
 //! // Two operators race; both edits are based on version 0, and exactly one is accepted.
 //! let edit = |id: &str| Record::Edit(Edit {
 //!     id: id.into(),
-//!     base: Some(Version(0)),
+//!     base: Base::Version(Version(0)),
 //!     document: document.clone(),
 //! });
 //! let mut fold = Fold::new();
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -103,6 +103,11 @@
             let operator = Arc::clone(&reader);
             async move { operator.look_up(&id) }
         };
+        let asked = Arc::clone(&self);
+        let head = move || {
+            let operator = Arc::clone(&asked);
+            async move { operator.head().await }
+        };
         Router::new()
             .route("/health/live", get(|| async { "live" }))
             .route("/health/ready", get(self.view(Self::ready)))
@@ -112,6 +117,7 @@
             .route("/drain", post(self.view(Self::drain)))
             .route("/config", get(self.view(Self::config)).post(publish))
             .route("/config/edits/{id}", get(look_up))
+            .route("/config/head", get(head))
     }
 
     /// A handler that answers at once.
@@ -190,6 +196,17 @@
         json(StatusCode::ACCEPTED, &Brief::of(&self.board))
     }
 
+    /// Where the log ends, for an edit that is to replace whatever is in force.
+    async fn head(&self) -> Answer {
+        match self.publisher.head().await {
+            Ok(head) => json(StatusCode::OK, &head),
+            Err(error) => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                ([("content-type", "text/plain")], error.to_string()),
+            ),
+        }
+    }
+
     fn look_up(&self, id: &str) -> Answer {
         let id = EditId::from(id);
         match self.publisher.known(&id) {
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -77,6 +77,15 @@
         Err(Error::Undecided { id })
     }
 
+    /// Where the log ends.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Log`] when it can't be reached.
+    pub async fn head(&self) -> Result<Offset> {
+        Ok(self.log.bounds(Stream::Config).await?.head)
+    }
+
     /// Verdict on an edit, when it is known.
     ///
     /// # Errors
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -12,6 +12,7 @@
 use crate::delta::Delta;
 use crate::document::{Class, Document, Guard};
 use crate::error::{FrameSnafu, Result};
+use crate::keys::Holder;
 use crate::member::Member;
 use crate::units::{CallKey, Millis, Service, Version};
 
@@ -130,7 +131,7 @@
     /// The key, with its service.
     pub key: CallKey,
     /// Gate that wants to run it.
-    pub holder: SocketAddr,
+    pub holder: Holder,
 }
 
 /// Answer to a [`Note`].
@@ -140,6 +141,8 @@
     pub known: bool,
     /// Time for which the answerer has remembered keys.
     pub age: Millis,
+    /// Whether its address belonged to a daemon before.
+    pub lived: bool,
 }
 
 /// What a gate needs to know of a call, beside the HTTP request.
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,64 @@
+//! What several tests need.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use jackdawpulley::document::{Class, Document, Ejection, Group, Guard, Retry, Route};
+use jackdawpulley::units::{Millis, Percent, Service};
+use proptest::test_runner::{Config, RngSeed};
+
+/// Property tests that try the same cases on every run.
+pub fn fixed(cases: u32) -> Config {
+    Config {
+        cases,
+        rng_seed: RngSeed::Fixed(0x6a61_636b),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+/// A document that differs from others by its number.
+pub fn numbered(number: u64) -> Document {
+    Document {
+        routes: vec![route("all", "/", "shelf")],
+        groups: vec![group("shelf")],
+        retries: vec![Retry {
+            name: "once".into(),
+            attempts: 1,
+            budget: Percent(0),
+            backoff_ms: Millis(number),
+        }],
+    }
+}
+
+/// A document whose route names a group that is not there.
+pub fn faulty() -> Document {
+    Document {
+        groups: Vec::new(),
+        ..numbered(0)
+    }
+}
+
+pub fn route(name: &str, path: &str, group: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: None,
+        method: None,
+        path: path.into(),
+        group: group.into(),
+        retry: "once".into(),
+        timeout_ms: Millis(1_000),
+        class: Class::Interactive,
+        repeatable: false,
+        guard: Guard::Memory,
+    }
+}
+
+pub fn group(name: &str) -> Group {
+    Group {
+        name: name.into(),
+        service: Service::from(name),
+        slots: None,
+        queue: 4,
+        slow_start_ms: Millis(0),
+        ejection: Ejection::default(),
+    }
+}
--- /dev/null
+++ b/tests/document.rs
@@ -0,0 +1,61 @@
+//! Reading and checking documents.
+
+mod common;
+
+use common::{group, numbered, route};
+use jackdawpulley::Error;
+use jackdawpulley::check;
+use jackdawpulley::document::Document;
+use jackdawpulley::units::{Millis, Percent, Slots};
+
+#[test]
+fn unknown_field_is_refused() {
+    let text = br#"{ "routes": [], "groupes": [] }"#;
+    let error = Document::parse(text).unwrap_err();
+    assert!(matches!(error, Error::Document { .. }));
+    assert!(error.to_string().contains("groupes"), "{error}");
+}
+
+#[test]
+fn every_fault_is_named_at_once() {
+    let mut document = numbered(1);
+    document.routes[0].path = "titles".into();
+    document.routes[0].timeout_ms = Millis(0);
+    document.routes.push(route("all", "/x", "nowhere"));
+    document.groups[0].slots = Some(Slots(0));
+    document.groups[0].ejection.max_share = Percent(101);
+    document.retries[0].attempts = 0;
+    let paths: Vec<String> = check::document(&document)
+        .into_iter()
+        .map(|fault| fault.path)
+        .collect();
+    let expected = [
+        "routes[1].name",
+        "routes[0].path",
+        "routes[0].timeout_ms",
+        "routes[1].group",
+        "groups[0].slots",
+        "groups[0].ejection.max_share",
+        "retries[0].attempts",
+    ];
+    assert_eq!(paths, expected);
+}
+
+#[test]
+fn twin_routes_are_a_fault() {
+    let mut document = numbered(1);
+    document.routes.push(route("again", "/", "shelf"));
+    let faults = check::document(&document);
+    assert_eq!(faults.len(), 1);
+    assert!(faults[0].to_string().contains("remove one of the two"));
+}
+
+#[test]
+fn order_does_not_change_the_hash() {
+    let mut one = numbered(1);
+    one.groups.push(group("till"));
+    let mut other = one.clone();
+    other.groups.reverse();
+    assert_eq!(one.sorted().hash(), other.sorted().hash());
+    assert_ne!(numbered(1).hash(), numbered(2).hash());
+}
--- /dev/null
+++ b/tests/keys.rs
@@ -0,0 +1,266 @@
+//! The guard of idempotency keys, against a count of what ran.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use common::fixed;
+use jackdawpulley::keys::{Holder, Memory, Own, Ownership, Peer, State, ownership, proven, rank};
+use jackdawpulley::units::{CallKey, Millis};
+use jackdawpulley::wire::Noted;
+use proptest::prelude::*;
+
+const SPAN: Duration = Duration::from_secs(120);
+const GATES: usize = 5;
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + u16::try_from(index).expect("small")))
+}
+
+/// One gate of the model: its memory, its birth, and whether its address lived before.
+struct Gate {
+    memory: Memory,
+    born: Instant,
+    life: u64,
+    lived: bool,
+    lost: Option<Instant>,
+}
+
+/// Gates whose views lag: `seen` is what they know of each other's loss.
+struct Mesh {
+    start: Instant,
+    now: Instant,
+    gates: Vec<Gate>,
+    /// Runs of each key.
+    runs: Vec<usize>,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// A caller, or its repeat, reaches a gate with a key; the holder may die while it runs.
+    Call {
+        gate: usize,
+        key: usize,
+        dies: bool,
+    },
+    Lose(usize),
+    Return(usize),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        12 => (0..GATES, 0_usize..6, prop::bool::weighted(0.1))
+            .prop_map(|(gate, key, dies)| Step::Call { gate, key, dies }),
+        1 => (0..GATES).prop_map(Step::Lose),
+        2 => (0..GATES).prop_map(Step::Return),
+        2 => (1_u64..30).prop_map(Step::Wait),
+    ]
+}
+
+impl Mesh {
+    /// Gates of which the first `old` have remembered keys for long, and the last `absent` are
+    /// still to come.
+    fn new(old: usize, absent: usize) -> Self {
+        let birth = Instant::now();
+        let start = birth + 2 * SPAN;
+        let gate = |index| Gate {
+            memory: Memory::new(SPAN),
+            born: if index < old { birth } else { start },
+            life: 0,
+            lived: false,
+            lost: (index + absent >= GATES).then_some(birth),
+        };
+        Self {
+            start,
+            now: start,
+            gates: (0..GATES).map(gate).collect(),
+            runs: vec![0; 6],
+        }
+    }
+
+    fn call(&mut self, gate: usize, number: usize, dies: bool) {
+        let key = CallKey(format!("key-{number}"));
+        if self.gates[gate].lost.is_some()
+            || self.gates[gate].memory.recall(self.now, &key).is_some()
+        {
+            return;
+        }
+        if !self.may_run(gate, &key) {
+            return;
+        }
+        self.gates[gate]
+            .memory
+            .remember(self.now, &key, State::Doubt);
+        self.runs[number] += 1;
+        if dies {
+            self.lose(gate);
+        }
+    }
+
+    fn may_run(&mut self, gate: usize, key: &CallKey) -> bool {
+        let me = &self.gates[gate];
+        let age = self.now - me.born;
+        let own = Own {
+            address: address(gate),
+            age,
+            lived: me.lived,
+        };
+        let peers: Vec<Peer> = (0..GATES)
+            .filter(|&index| index != gate)
+            .map(|index| Peer {
+                address: address(index),
+                gone: self.gates[index].lost.map(|lost| self.now - lost),
+            })
+            .collect();
+        let lost = peers.iter().any(|p| p.gone.is_some_and(|ago| ago < SPAN)) || own.lived;
+        match ownership(key, own, &peers, SPAN) {
+            Ownership::Run(witnesses) => witnesses
+                .first()
+                .is_none_or(|w| !self.note(*w, key, gate).known),
+            Ownership::Ask { survivors, losses } => {
+                let answers: Vec<Noted> = survivors
+                    .iter()
+                    .map(|peer| self.note(*peer, key, gate))
+                    .collect();
+                proven(own, losses, &answers, SPAN)
+            }
+            Ownership::Moved | Ownership::Doubt | Ownership::Alone => false,
+        }
+    }
+
+    /// Has a gate note the key.
+    fn note(&mut self, peer: SocketAddr, key: &CallKey, holder: usize) -> Noted {
+        let index = (0..GATES)
+            .find(|&index| address(index) == peer)
+            .expect("a gate");
+        let holder = Holder {
+            gate: address(holder),
+            life: self.gates[holder].life,
+        };
+        let now = self.now;
+        let gate = &mut self.gates[index];
+        let known = gate.memory.note(now, key, holder);
+        Noted {
+            known,
+            age: Millis::from(now - gate.born),
+            lived: gate.lived,
+        }
+    }
+
+    fn lose(&mut self, gate: usize) {
+        self.gates[gate].lost = Some(self.now);
+        self.gates[gate].memory = Memory::new(SPAN);
+    }
+
+    fn bring_back(&mut self, gate: usize) {
+        if let Some(lost) = self.gates[gate].lost.take() {
+            self.gates[gate].born = self.now;
+            self.gates[gate].lived = lost >= self.start;
+            self.gates[gate].life += 1;
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(6_000))]
+
+    /// A booking runs, its gate is killed before it answers, and the clerk repeats the key at
+    /// another host. Whatever gates are lost and come back in between, the booking runs once.
+    #[test]
+    fn key_runs_at_most_once(
+        old in 0..=GATES,
+        absent in 0..GATES,
+        steps in prop::collection::vec(step(), 1..60),
+    ) {
+        let mut mesh = Mesh::new(old, absent);
+        for step in steps {
+            match step {
+                Step::Call { gate, key, dies } => mesh.call(gate, key, dies),
+                Step::Lose(gate) if mesh.gates[gate].lost.is_none() => mesh.lose(gate),
+                Step::Lose(_) => {}
+                Step::Return(gate) => mesh.bring_back(gate),
+                Step::Wait(seconds) => mesh.now += Duration::from_secs(seconds),
+            }
+            // A key may run again only once its outcome is no longer remembered; the model keeps
+            // each judged history shorter than that.
+            if mesh.now - mesh.start < SPAN {
+                prop_assert!(mesh.runs.iter().all(|runs| *runs <= 1), "{:?}", mesh.runs);
+            }
+        }
+    }
+}
+
+#[test]
+fn highest_rank_holds_the_key() {
+    let key = CallKey("k".into());
+    let holder = (0..GATES)
+        .max_by_key(|&g| rank(&key, address(g)))
+        .expect("there are gates");
+    for gate in 0..GATES {
+        let own = Own {
+            address: address(gate),
+            age: 2 * SPAN,
+            lived: false,
+        };
+        let peers: Vec<Peer> = (0..GATES)
+            .filter(|&other| other != gate)
+            .map(|other| Peer {
+                address: address(other),
+                gone: None,
+            })
+            .collect();
+        let decision = ownership(&key, own, &peers, SPAN);
+        assert_eq!(matches!(decision, Ownership::Run(_)), gate == holder);
+    }
+}
+
+#[test]
+fn two_losses_leave_doubt() {
+    let key = CallKey("k".into());
+    let mut gates: Vec<usize> = (0..GATES).collect();
+    gates.sort_by_key(|&gate| std::cmp::Reverse(rank(&key, address(gate))));
+    let own = Own {
+        address: address(gates[2]),
+        age: 2 * SPAN,
+        lived: false,
+    };
+    let peer = |index: usize, gone| Peer {
+        address: address(gates[index]),
+        gone,
+    };
+    let lost = Some(Duration::from_secs(1));
+    let both = [peer(0, lost), peer(1, lost), peer(3, None)];
+    assert_eq!(ownership(&key, own, &both, SPAN), Ownership::Doubt);
+    let one = [peer(0, lost), peer(3, None)];
+    assert_eq!(
+        ownership(&key, own, &one, SPAN),
+        Ownership::Ask {
+            survivors: vec![address(gates[3])],
+            losses: 1
+        }
+    );
+}
+
+/// A gate is cut off from the others and sees them as gone, while they see it as gone. Callers
+/// reach both sides with the same key. The lone gate refuses, since nobody could note the key.
+#[test]
+fn lone_gate_after_losses_refuses() {
+    let key = CallKey("k".into());
+    let own = Own {
+        address: address(0),
+        age: 2 * SPAN,
+        lived: false,
+    };
+    let gone = |index, ago| Peer {
+        address: address(index),
+        gone: Some(ago),
+    };
+    let lower = (1..GATES).find(|&g| rank(&key, address(g)) < rank(&key, address(0)));
+    let lower = lower.expect("not the lowest of all");
+    let recent = [gone(lower, Duration::from_secs(5))];
+    assert_eq!(ownership(&key, own, &recent, SPAN), Ownership::Alone);
+    let old = [gone(lower, SPAN)];
+    assert_eq!(ownership(&key, own, &old, SPAN), Ownership::Run(vec![]));
+}
--- /dev/null
+++ b/tests/limit.rs
@@ -0,0 +1,102 @@
+//! The gate's limit against a list of what must hold.
+
+mod common;
+
+use common::fixed;
+use jackdawpulley::document::Class;
+use jackdawpulley::limit::{Admission, Limit, Ticket};
+use proptest::prelude::*;
+
+const SLOTS: u32 = 3;
+const QUEUE: u32 = 4;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Enter(Class),
+    Leave,
+    Cancel(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let class = prop_oneof![
+        Just(Class::Interactive),
+        Just(Class::Deferrable),
+        Just(Class::Background),
+    ];
+    prop_oneof![
+        4 => class.prop_map(Step::Enter),
+        3 => Just(Step::Leave),
+        1 => (0_usize..8).prop_map(Step::Cancel),
+    ]
+}
+
+/// A plain list of who runs and who waits.
+#[derive(Debug, Default)]
+struct Oracle {
+    running: u32,
+    waiting: Vec<(Class, Ticket)>,
+}
+
+impl Oracle {
+    fn enter(&mut self, ticket: Ticket, class: Class) -> Admission {
+        if self.running < SLOTS && self.waiting.is_empty() {
+            self.running += 1;
+            return Admission::Run;
+        }
+        self.waiting.push((class, ticket));
+        self.waiting.sort_unstable();
+        if self.waiting.len() <= QUEUE as usize {
+            return Admission::Wait { shed: None };
+        }
+        let (_, loser) = self.waiting.pop().expect("it is over-full");
+        if loser == ticket {
+            Admission::Shed
+        } else {
+            Admission::Wait { shed: Some(loser) }
+        }
+    }
+
+    fn leave(&mut self) -> Option<Ticket> {
+        self.running = self.running.saturating_sub(1);
+        if self.running >= SLOTS || self.waiting.is_empty() {
+            return None;
+        }
+        self.running += 1;
+        Some(self.waiting.remove(0).1)
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(300))]
+
+    #[test]
+    fn agrees_with_a_plain_list(steps in prop::collection::vec(step(), 1..80)) {
+        let mut limit = Limit::new(SLOTS, QUEUE);
+        let mut oracle = Oracle::default();
+        for (ticket, step) in (1..).zip(steps) {
+            match step {
+                Step::Enter(class) => {
+                    prop_assert_eq!(limit.enter(ticket, class), oracle.enter(ticket, class));
+                }
+                Step::Leave => prop_assert_eq!(limit.leave(), oracle.leave()),
+                Step::Cancel(place) => {
+                    let waiting = oracle.waiting.get(place).copied();
+                    let ticket = waiting.map_or(0, |waiting| waiting.1);
+                    prop_assert_eq!(limit.cancel(ticket), waiting.is_some());
+                    oracle.waiting.retain(|waiting| waiting.1 != ticket);
+                }
+            }
+            prop_assert!(limit.running() <= SLOTS);
+            prop_assert_eq!(limit.waiting(), oracle.waiting.len());
+        }
+    }
+}
+
+#[test]
+fn more_slots_wake_the_waiting() {
+    let mut limit = Limit::new(1, 4);
+    for ticket in 1..=4 {
+        limit.enter(ticket, Class::Interactive);
+    }
+    assert_eq!(limit.resize(3, 4), [2, 3]);
+}
--- /dev/null
+++ b/tests/pick.rs
@@ -0,0 +1,97 @@
+//! Choosing and ejecting upstreams.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::fixed;
+use jackdawpulley::document::Ejection;
+use jackdawpulley::pick::{Candidate, Evidence, Policy, choose, share};
+use jackdawpulley::units::{Millis, Percent};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn candidate() -> impl Strategy<Value = Candidate> {
+    (
+        any::<bool>(),
+        0_u32..30,
+        1_u32..30,
+        0.1_f64..1.0,
+        prop::bool::weighted(0.3),
+    )
+        .prop_map(|(local, load, slots, share, ejected)| Candidate {
+            local,
+            load,
+            slots,
+            share,
+            ejected,
+        })
+}
+
+proptest! {
+    #![proptest_config(fixed(500))]
+
+    #[test]
+    fn best_tier_is_kept_to(all in prop::collection::vec(candidate(), 1..12), seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let chosen = all[choose(Policy::TwoChoices, &all, &mut rng).expect("there is one")];
+        let room = |c: &Candidate| !c.ejected && c.load < c.slots;
+        if all.iter().any(|c| room(c) && c.local) {
+            prop_assert!(room(&chosen) && chosen.local);
+        } else if all.iter().any(room) {
+            prop_assert!(room(&chosen));
+        } else if all.iter().any(|c| !c.ejected) {
+            prop_assert!(!chosen.ejected);
+        }
+    }
+
+    /// A fault that is not the targets' makes every call fail. Without the ceiling each target is
+    /// ejected in turn and callers are refused by a group that is well.
+    #[test]
+    fn group_is_never_emptied(total in 1_usize..12, blamed in prop::collection::vec(0_usize..12, 0..200)) {
+        let rule = Ejection { failures: 2, base_ms: Millis(1_000), max_share: Percent(50) };
+        let now = Instant::now();
+        let mut all = vec![Evidence::default(); total];
+        for index in blamed {
+            let out = all.iter().filter(|evidence| evidence.ejected(now)).count();
+            all[index % total].failed(now, &rule, out, total);
+        }
+        let out = all.iter().filter(|evidence| evidence.ejected(now)).count();
+        prop_assert!(out * 2 <= total && out < total);
+    }
+}
+
+#[test]
+fn nobody_is_chosen_from_nobody() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    assert_eq!(choose(Policy::TwoChoices, &[], &mut rng), None);
+    assert_eq!(choose(Policy::Random, &[], &mut rng), None);
+}
+
+#[test]
+fn newcomer_gets_a_growing_share() {
+    let span = Duration::from_secs(10);
+    let shares: Vec<f64> = [0, 5, 10]
+        .map(|s| share(Duration::from_secs(s), span))
+        .to_vec();
+    assert!(shares[0] > 0.0 && shares[0] < shares[1] && shares[1] < shares[2]);
+    assert!((shares[2] - 1.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn ejection_ends_and_grows() {
+    let rule = Ejection {
+        failures: 1,
+        base_ms: Millis(100),
+        max_share: Percent(100),
+    };
+    let now = Instant::now();
+    let mut evidence = Evidence::default();
+    evidence.failed(now, &rule, 0, 4);
+    let first = evidence.out_until.expect("it is out") - now;
+    let later = now + first;
+    assert!(!evidence.ejected(later));
+    evidence.failed(later, &rule, 0, 4);
+    assert_eq!(evidence.out_until.expect("it is out") - later, 2 * first);
+}
--- /dev/null
+++ b/tests/retry.rs
@@ -0,0 +1,63 @@
+//! When a failed request is tried again.
+
+use std::time::Duration;
+
+use jackdawpulley::document::Retry;
+use jackdawpulley::outcome::{Fate, Reason};
+use jackdawpulley::retry::{Budget, again, backoff};
+use jackdawpulley::units::{Millis, Percent};
+
+const LEFT: Duration = Duration::from_secs(1);
+
+fn rule() -> Retry {
+    Retry {
+        name: "r".into(),
+        attempts: 3,
+        budget: Percent(20),
+        backoff_ms: Millis(1_000),
+    }
+}
+
+/// A rental is charged, the connection breaks before the answer, and the entry sends the request
+/// to another target: the viewer is charged twice. Only a proof that it did not run allows that.
+#[test]
+fn unknown_fate_is_final_unless_repeatable() {
+    assert!(!again(&rule(), 1, false, Fate::Unknown, LEFT));
+    assert!(again(&rule(), 1, true, Fate::Unknown, LEFT));
+    assert!(again(&rule(), 1, false, Fate::NotRun, LEFT));
+}
+
+#[test]
+fn attempts_and_deadline_bound_retries() {
+    assert!(!again(&rule(), 3, true, Fate::NotRun, LEFT));
+    assert!(!again(&rule(), 1, true, Fate::NotRun, Duration::ZERO));
+    assert!(!again(&rule(), 1, true, Fate::Answered, LEFT));
+    assert_eq!(backoff(&rule(), LEFT, 1.0), LEFT / 4);
+}
+
+#[test]
+fn budget_is_a_share_of_requests() {
+    let budget = Budget::default();
+    while budget.withdraw(Percent(20)) {}
+    for _ in 0..100 {
+        budget.deposit_share(Percent(20));
+    }
+    let granted = (0..100).filter(|_| budget.withdraw(Percent(20))).count();
+    assert_eq!(granted, 20);
+    assert!(!Budget::default().withdraw(Percent(0)));
+}
+
+#[test]
+fn only_proofs_are_called_not_run() {
+    for reason in [Reason::Broken, Reason::TimedOut, Reason::KeyInDoubt] {
+        assert_eq!(reason.fate(), Fate::Unknown, "{reason}");
+    }
+    for reason in [
+        Reason::Draining,
+        Reason::Shed,
+        Reason::Expired,
+        Reason::Unreachable,
+    ] {
+        assert_eq!(reason.fate(), Fate::NotRun, "{reason}");
+    }
+}
--- /dev/null
+++ b/tests/route.rs
@@ -0,0 +1,53 @@
+//! Finding routes.
+
+mod common;
+
+use common::{group, numbered, route};
+use jackdawpulley::document::Document;
+use jackdawpulley::route::Table;
+
+fn document() -> Document {
+    let mut document = numbered(1);
+    document.groups.push(group("till"));
+    document.routes.push(route("rentals", "/rentals", "till"));
+    let mut host = route("studio", "/rentals", "shelf");
+    host.host = Some("studio.example".into());
+    document.routes.push(host);
+    let mut method = route("post", "/rentals/", "shelf");
+    method.method = Some("POST".into());
+    document.routes.push(method);
+    document.sorted()
+}
+
+fn found(method: &str, host: Option<&str>, path: &str) -> String {
+    let table = Table::compile(&document());
+    table
+        .find(method, host, path)
+        .map(|plan| plan.route.name.clone())
+        .unwrap_or_default()
+}
+
+#[test]
+fn longest_prefix_wins_by_segments() {
+    assert_eq!(found("GET", None, "/rentals/7"), "rentals");
+    assert_eq!(found("GET", None, "/rentalsale"), "all");
+    assert_eq!(found("GET", None, "/"), "all");
+}
+
+#[test]
+fn named_host_goes_before_method() {
+    assert_eq!(
+        found("POST", Some("studio.example:80"), "/rentals"),
+        "studio"
+    );
+    assert_eq!(found("POST", Some("shop.example"), "/rentals"), "post");
+}
+
+#[test]
+fn route_without_its_group_is_left_out() {
+    let mut document = document();
+    document.groups.retain(|group| group.name != "till");
+    let table = Table::compile(&document);
+    let plan = table.find("GET", None, "/rentals/7").expect("the fallback");
+    assert_eq!(plan.route.name, "all");
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,78 @@
+//! Checks of the daemon's settings.
+
+use clap::{CommandFactory, Parser};
+use jackdawpulley::Error;
+use jackdawpulley::settings::Settings;
+
+/// Settings on free ports, with `extra` flags.
+fn settings(extra: &[&str]) -> Settings {
+    let args = [
+        "jackdawpulley",
+        "--data-centre",
+        "eros",
+        "--peer-addr",
+        "127.0.0.9:17001",
+        "--call-addr",
+        "127.0.0.9:17002",
+        "--target-addr",
+        "127.0.0.9:17003",
+        "--operator-addr",
+        "127.0.0.9:17004",
+        "--log-addr",
+        "127.0.0.9:17000",
+    ];
+    let args = args.iter().chain(extra);
+    Settings::try_parse_from(args).expect("the flags are known")
+}
+
+fn faults(settings: &Settings) -> Vec<String> {
+    match settings.check() {
+        Err(Error::Settings { faults }) => faults,
+        _ => Vec::new(),
+    }
+}
+
+#[test]
+fn all_faults_are_named_together() {
+    let mut wrong = settings(&["--readers", "0", "--probe-timeout-ms", "2000"]);
+    wrong.data_centre = " ".into();
+    wrong.call_addr = wrong.peer_addr;
+    wrong.target_addr = "192.0.2.1:1".parse().expect("an address");
+    let faults = faults(&wrong);
+    for part in [
+        "--readers",
+        "--probe-timeout-ms",
+        "--data-centre",
+        "--call-addr",
+        "loopback",
+    ] {
+        assert!(
+            faults.iter().any(|fault| fault.contains(part)),
+            "{part} in {faults:?}"
+        );
+    }
+}
+
+#[test]
+fn right_settings_pass() {
+    assert_eq!(faults(&settings(&[])), Vec::<String>::new());
+}
+
+#[test]
+fn every_flag_has_a_variable_and_is_documented() {
+    let page = include_str!("../docs/OPERATORS.md");
+    let command = Settings::command();
+    for arg in command.get_arguments() {
+        let Some(flag) = arg.get_long().filter(|flag| *flag != "check-settings") else {
+            continue;
+        };
+        assert!(
+            arg.get_env().is_some(),
+            "--{flag} has no environment variable"
+        );
+        assert!(
+            page.contains(&format!("`--{flag}`")),
+            "--{flag} is not in docs/OPERATORS.md"
+        );
+    }
+}
--- a/trial/src/fleet.rs
+++ b/trial/src/fleet.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
-use jackdawpulley::fold::Edit;
+use jackdawpulley::fold::{Base, Edit};
 use jackdawpulley::units::{EditId, Version};
 use rustix::process::{Pid, Signal, kill_process};
 use serde::de::DeserializeOwned;
@@ -348,7 +348,7 @@
     ///
     /// When it is not accepted.
     pub async fn put(&self, index: usize, document: jackdawpulley::document::Document) -> Version {
-        let base = self.version(index).await;
+        let base = Base::Version(self.version(index).await.unwrap_or_default());
         let id = EditId(format!("trial-{:016x}", rand::random::<u64>()));
         let edit = Edit { id, base, document };
         let (status, answer) = self
