Prove the configuration under failure with real processes

Ruled out: cutting links with the host's packet filter (no such tools here); instead daemons may advertise another address than they listen on, connect from their own, and a stand-in forwarder between the two drops what crosses a cut.

Change: a watcher that follows what every daemon serves (never older, never a mix, no dangling name, one content for each version), eight fault trials, and a race of four operators whose history is checked as a compare-and-set register by todc-utils' WGL checker. Found on the way: version 0 had a hash of 0 and not that of the empty document.

Not proved here: a version known only to one daemon that is lost together with the log.

--- a/src/board.rs
+++ b/src/board.rs
@@ -24,7 +24,7 @@
 use crate::wire::Digest;
 
 /// The configuration of one version, compiled for the path of a request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Snapshot {
     /// What it is.
     pub digest: Digest,
@@ -103,7 +103,7 @@
             settings,
             logger,
             meter: Meter::shared(),
-            config: ArcSwap::default(),
+            config: ArcSwap::from_pointee(Snapshot::compile(Version(0), Arc::default())),
             roster: ArcSwap::default(),
             target: ArcSwapOption::empty(),
             stage: AtomicU8::new(Stage::Starting as u8),
--- a/src/reader.rs
+++ b/src/reader.rs
@@ -32,6 +32,20 @@
     order.iter().position(|peer| *peer == me)
 }
 
+/// Rank of a daemon among the readers; `None` while reading is not its duty.
+#[must_use]
+pub fn duty(board: &Board) -> Option<usize> {
+    let settings = &board.settings;
+    if board.stage() == Stage::Draining {
+        return None;
+    }
+    if settings.delivery == Delivery::Poll {
+        return Some(0);
+    }
+    let order = order(&board.roster().members, &settings.data_centre);
+    rank(&order, settings.identity()).filter(|rank| *rank < settings.readers)
+}
+
 /// Reads the log while it is this daemon's duty.
 #[derive(Debug)]
 pub struct Reader {
@@ -51,7 +65,7 @@
     pub async fn run(self: Arc<Self>) {
         let mut rosters = self.board.rosters();
         loop {
-            if self.duty().is_none() {
+            if duty(&self.board).is_none() {
                 let _ = tokio::time::timeout(LOOK, rosters.changed()).await;
                 continue;
             }
@@ -85,22 +99,9 @@
         }
     }
 
-    /// Rank among the readers; `None` while it is not this daemon's duty.
-    fn duty(&self) -> Option<usize> {
-        let settings = &self.board.settings;
-        if self.board.stage() == Stage::Draining {
-            return None;
-        }
-        if settings.delivery == Delivery::Poll {
-            return Some(0);
-        }
-        let order = order(&self.board.roster().members, &settings.data_centre);
-        rank(&order, settings.identity()).filter(|rank| *rank < settings.readers)
-    }
-
     /// Keeps the accepted state inside the retention of the log.
     async fn write_checkpoint(&self) {
-        let Some(rank) = self.duty() else {
+        let Some(rank) = duty(&self.board) else {
             return;
         };
         let interval = self.board.settings.checkpoint_ms.duration();
--- a/src/state.rs
+++ b/src/state.rs
@@ -9,6 +9,7 @@
 use crate::gate::Gate;
 use crate::guard::Keys;
 use crate::member::{Health, Member, Stage};
+use crate::reader;
 use crate::roster::Upstream;
 use crate::settings::Settings;
 use crate::telemetry::Reading;
@@ -30,6 +31,8 @@
     pub hash: String,
     /// Routes in force.
     pub routes: usize,
+    /// Whether it reads the log for its data centre.
+    pub reads_log: bool,
     /// The co-located target.
     pub target: Option<Target>,
     /// Time until the target's lease lapses.
@@ -124,6 +127,7 @@
             version: config.digest.version,
             hash: format!("{:016x}", config.digest.hash),
             routes: config.table.len(),
+            reads_log: reader::duty(board).is_some(),
             lease_left_ms: target
                 .as_ref()
                 .map(|target| left(target.lease_until).into()),
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -11,7 +11,7 @@
 use jackdawpulley::wire::Noted;
 use proptest::prelude::*;
 
-const SPAN: Duration = Duration::from_secs(120);
+const SPAN: Duration = Duration::from_mins(2);
 const GATES: usize = 5;
 
 fn address(index: usize) -> SocketAddr {
@@ -114,7 +114,6 @@
                 gone: self.gates[index].lost.map(|lost| self.now - lost),
             })
             .collect();
-        let lost = peers.iter().any(|p| p.gone.is_some_and(|ago| ago < SPAN)) || own.lived;
         match ownership(key, own, &peers, SPAN) {
             Ownership::Run(witnesses) => witnesses
                 .first()
--- a/trial/src/fleet.rs
+++ b/trial/src/fleet.rs
@@ -4,10 +4,12 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use http::Method;
+use jackdawpulley::document::Document;
 use jackdawpulley::fold::{Base, Edit};
 use jackdawpulley::units::{EditId, Version};
 use rustix::process::{Pid, Signal, kill_process};
@@ -15,6 +17,7 @@
 use serde_json::Value;
 
 use crate::deployment::Place;
+use crate::net::Net;
 use crate::platform::{Faults, Stats};
 use crate::session::{self, Answer, Failure};
 use crate::target::Run;
@@ -75,6 +78,8 @@
     pub place: Place,
     /// Its address.
     pub ip: IpAddr,
+    /// Address behind the stand-in network, when there is one.
+    pub inner: IpAddr,
     /// Its daemon, while it runs.
     pub daemon: Option<Process>,
     /// Its target, while it runs.
@@ -114,6 +119,8 @@
     network: u8,
     logs: PathBuf,
     options: Vec<String>,
+    /// The network between the hosts, when trials want to cut it.
+    pub net: Option<Arc<Net>>,
     /// The platform log.
     pub log: Option<Process>,
     /// The hosts.
@@ -139,6 +146,7 @@
             network,
             logs,
             options,
+            net: None,
             log: None,
             hosts: Vec::new(),
         };
@@ -152,6 +160,12 @@
         fleet
     }
 
+    /// Puts a network that can be cut between the hosts that are added from now on.
+    pub fn with_net(mut self) -> Self {
+        self.net = Some(Arc::new(Net::default()));
+        self
+    }
+
     /// Starts hosts and waits until all of them serve.
     ///
     /// # Panics
@@ -164,9 +178,19 @@
             let host = u8::try_from(index % 250 + 1).expect("below 251");
             let rack = u8::try_from(index / 250 + 1).expect("few hosts");
             let ip = IpAddr::V4(Ipv4Addr::new(127, self.network, rack, host));
+            let inner = match &self.net {
+                Some(net) => {
+                    let inner = IpAddr::V4(Ipv4Addr::new(127, self.network, 100 + rack, host));
+                    let (outer, inner) = (SocketAddr::new(ip, PEER), SocketAddr::new(inner, PEER));
+                    net.attach(outer, inner, place.data_centre.clone()).await;
+                    inner.ip()
+                }
+                None => ip,
+            };
             self.hosts.push(Host {
                 place: place.clone(),
                 ip,
+                inner,
                 daemon: None,
                 target: None,
             });
@@ -193,8 +217,9 @@
         let centre = host.place.data_centre.to_string();
         let address = |port| SocketAddr::new(host.ip, port).to_string();
         let log = self.log_address().to_string();
+        let advertise = address(PEER);
         let (peer, call, target, operator) = (
-            address(PEER),
+            SocketAddr::new(host.inner, PEER).to_string(),
             address(CALL),
             address(TARGET),
             address(OPERATOR),
@@ -213,6 +238,8 @@
             &operator,
             "--log-addr",
             &log,
+            "--advertise-addr",
+            &advertise,
         ];
         args.extend(self.options.iter().map(String::as_str));
         let process = self.spawn(&format!("daemon-{index}"), &args);
@@ -344,23 +371,35 @@
 
     /// Publishes a document on whatever is in force and returns its version.
     ///
+    /// A daemon that is a moment behind names the version to publish on.
+    ///
     /// # Panics
     ///
     /// When it is not accepted.
-    pub async fn put(&self, index: usize, document: jackdawpulley::document::Document) -> Version {
-        let base = Base::Version(self.version(index).await.unwrap_or_default());
-        let id = EditId(format!("trial-{:016x}", rand::random::<u64>()));
-        let edit = Edit { id, base, document };
-        let (status, answer) = self
-            .publish(index, &edit)
-            .await
-            .expect("the daemon answers");
-        assert_eq!(status, 200, "the edit is accepted: {answer}");
-        Version(
-            answer["version"]
-                .as_u64()
-                .expect("an accepted edit has a version"),
-        )
+    pub async fn put(&self, index: usize, document: Document) -> Version {
+        let mut base = self.version(index).await.unwrap_or_default();
+        loop {
+            let id = EditId(format!("trial-{:016x}", rand::random::<u64>()));
+            let edit = Edit {
+                id,
+                base: Base::Version(base),
+                document: document.clone(),
+            };
+            let (status, answer) = self
+                .publish(index, &edit)
+                .await
+                .expect("the daemon answers");
+            if let (409, Some(current)) = (status, answer["current"].as_u64()) {
+                base = Version(current);
+                continue;
+            }
+            assert_eq!(status, 200, "the edit is accepted: {answer}");
+            return Version(
+                answer["version"]
+                    .as_u64()
+                    .expect("an accepted edit has a version"),
+            );
+        }
     }
 
     /// Runs `jackdawctl` and returns its exit status and standard output.
@@ -389,6 +428,18 @@
             .unwrap_or_default()
     }
 
+    /// Kills the daemon of a host.
+    pub fn kill_daemon(&mut self, index: usize) {
+        self.hosts[index].daemon = None;
+    }
+
+    /// Sends a signal to the daemon of a host.
+    pub fn signal_daemon(&self, index: usize, signal: Signal) {
+        if let Some(daemon) = &self.hosts[index].daemon {
+            daemon.signal(signal);
+        }
+    }
+
     /// Folder with what the processes wrote to standard error.
     #[must_use]
     pub const fn logs(&self) -> &PathBuf {
--- a/trial/src/lib.rs
+++ b/trial/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod deployment;
 pub mod fleet;
+pub mod net;
 pub mod path;
 pub mod platform;
 pub mod session;
 pub mod target;
+pub mod watch;
--- a/trial/src/platform.rs
+++ b/trial/src/platform.rs
@@ -13,6 +13,7 @@
 use jackdawpulley::units::Offset;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use volo::net::Address;
 use volo_http::body::Body;
 use volo_http::server::param::PathParams;
@@ -73,6 +74,8 @@
     pub appends: u64,
     /// Bytes of records sent.
     pub bytes: u64,
+    /// Reads that wait for a record now.
+    pub waiting: u64,
 }
 
 #[derive(Debug, Default)]
@@ -146,7 +149,7 @@
         if faults.mode == Mode::Refuse {
             return answer(StatusCode::SERVICE_UNAVAILABLE, String::new());
         }
-        let deadline = tokio::time::Instant::now() + Duration::from_millis(wanted.wait_ms);
+        let deadline = Instant::now() + Duration::from_millis(wanted.wait_ms);
         loop {
             let appended = self.appended.notified();
             tokio::pin!(appended);
@@ -156,13 +159,22 @@
                 return answer(StatusCode::GONE, text(&page));
             }
             let nothing = page.records.is_empty() && wanted.from <= page.head.0;
-            if nothing && tokio::time::timeout_at(deadline, appended).await.is_ok() {
+            if nothing && self.wait(deadline, appended).await {
                 continue;
             }
             return answer(StatusCode::OK, text(&page));
         }
     }
 
+    /// Waits for an append; `false` when none came in time.
+    async fn wait(&self, deadline: Instant, appended: impl Future<Output = ()>) -> bool {
+        self.state().stats.waiting += 1;
+        let waiting = Waiting { platform: self };
+        let came = tokio::time::timeout_at(deadline, appended).await.is_ok();
+        drop(waiting);
+        came
+    }
+
     fn page(&self, name: &str, wanted: Wanted) -> Page {
         let mut state = self.state();
         state.stats.reads += 1;
@@ -237,6 +249,17 @@
     }
 }
 
+/// Counts a waiting read, also when its client goes away.
+struct Waiting<'a> {
+    platform: &'a Platform,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.platform.state().stats.waiting -= 1;
+    }
+}
+
 impl State {
     fn stream(&mut self, name: &str) -> &mut Stream {
         let index = self
--- /dev/null
+++ b/trial/tests/common/mod.rs
@@ -0,0 +1,31 @@
+//! What several trials need.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::path::PathBuf;
+
+use jackdaw_trial::deployment::{Deployment, Place};
+use jackdaw_trial::fleet::Fleet;
+use jackdawpulley::document::Document;
+use jackdawpulley::units::{DataCentre, Millis, Service};
+
+/// A fleet of this build, without hosts yet.
+pub async fn fleet(options: &[&str]) -> Fleet {
+    Fleet::start(PathBuf::from(env!("CARGO_BIN_EXE_jackdaw-trial")), options).await
+}
+
+/// Hosts spread over data centres named `dc-0`, `dc-1` and so on, all of the service `shelf`.
+pub fn places(count: usize, centres: usize) -> Vec<Place> {
+    (0..count)
+        .map(|index| Place {
+            data_centre: DataCentre(format!("dc-{}", index % centres)),
+            service: Some(Service::from("shelf")),
+        })
+        .collect()
+}
+
+/// A document that differs from others by its number.
+pub fn document(number: u64) -> Document {
+    let mut document = Deployment::Kalahari.document();
+    document.retries[0].backoff_ms = Millis(number);
+    document
+}
--- /dev/null
+++ b/trial/tests/races.rs
@@ -0,0 +1,173 @@
+//! Racing operators: their history is that of a compare-and-set register.
+
+mod common;
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use common::{document, fleet, places};
+use jackdaw_trial::fleet::{Fleet, get};
+use jackdaw_trial::platform::{Faults, Mode};
+use jackdawpulley::fold::{Base, Edit};
+use jackdawpulley::units::{EditId, Version};
+use serde_json::Value;
+use todc_utils::linearizability::WGLChecker;
+use todc_utils::{Action, History, Specification};
+
+const OPERATORS: usize = 4;
+const EDITS: usize = 8;
+
+/// An edit and what its operator was told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Operation {
+    /// Asked, not answered yet.
+    Asked,
+    Accepted {
+        base: u64,
+        version: u64,
+    },
+    Conflict {
+        base: u64,
+        current: u64,
+    },
+}
+
+/// The register: the version in force.
+struct Register;
+
+impl Specification for Register {
+    type State = u64;
+    type Operation = Operation;
+
+    fn init() -> u64 {
+        0
+    }
+
+    fn apply(operation: &Operation, state: &u64) -> (bool, u64) {
+        match *operation {
+            Operation::Asked => (false, *state),
+            Operation::Accepted { base, version } => (base == *state && version > base, version),
+            Operation::Conflict { base, current } => (current == *state && base != current, *state),
+        }
+    }
+}
+
+type Actions = Arc<Mutex<Vec<(usize, Action<Operation>)>>>;
+
+/// One operator: reads what is in force at some daemon, and publishes on it, again and again.
+async fn operate(fleet: &Fleet, me: usize, actions: &Actions) -> Vec<(EditId, u64)> {
+    let mut undecided = Vec::new();
+    let note = |action| {
+        actions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push((me, action));
+    };
+    for round in 0..EDITS {
+        let daemon = (me + round) % fleet.hosts.len();
+        let base = fleet.version(daemon).await.unwrap_or_default().0;
+        let id = EditId(format!("operator-{me}-edit-{round}"));
+        let number = u64::try_from(me * 100 + round).expect("small");
+        let edit = Edit {
+            id: id.clone(),
+            base: Base::Version(Version(base)),
+            document: document(number),
+        };
+        note(Action::Call(Operation::Asked));
+        let answer = fleet.publish((daemon + 1) % fleet.hosts.len(), &edit).await;
+        let (status, answer) = answer.unwrap_or((0, Value::Null));
+        let told = |name: &str| answer[name].as_u64().unwrap_or_default();
+        match status {
+            200 => note(Action::Response(Operation::Accepted {
+                base,
+                version: told("version"),
+            })),
+            409 => note(Action::Response(Operation::Conflict {
+                base,
+                current: told("current"),
+            })),
+            _ => {
+                undecided.push((id, base));
+                // Its fate is looked up in the end; until then its operator asks nothing more.
+                break;
+            }
+        }
+    }
+    undecided
+}
+
+/// Looks up the fate of an edit whose operator was told that it is unknown.
+async fn settle(fleet: &Fleet, id: &EditId, base: u64) -> Operation {
+    let answer: Option<Value> =
+        get(fleet.hosts[0].operator(), &format!("/config/edits/{id}")).await;
+    let answer = answer.unwrap_or_default();
+    let told = |name: &str| answer[name].as_u64();
+    match (told("version"), told("current")) {
+        (Some(version), _) => Operation::Accepted { base, version },
+        (None, Some(current)) => Operation::Conflict { base, current },
+        (None, None) => Operation::Asked,
+    }
+}
+
+/// Operators race each other through different daemons while the log loses answers, is slow and is
+/// away. Whatever each was told has to fit one order of compare-and-set operations: no accepted
+/// edit is lost, and none is applied twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn history_is_a_register() {
+    let mut fleet = fleet(&[]).await;
+    fleet.add(&places(4, 2)).await;
+    let fleet = Arc::new(fleet);
+    let actions: Actions = Arc::default();
+    let mut operators = Vec::new();
+    for me in 0..OPERATORS {
+        let (fleet, actions) = (Arc::clone(&fleet), Arc::clone(&actions));
+        operators.push(tokio::spawn(
+            async move { operate(&fleet, me, &actions).await },
+        ));
+    }
+    let modes = [
+        Mode::LoseAnswers,
+        Mode::Well,
+        Mode::Refuse,
+        Mode::LoseAnswers,
+        Mode::Well,
+    ];
+    for mode in modes {
+        fleet
+            .fail_log(Faults {
+                mode,
+                slow_ms: 5,
+                ..Faults::default()
+            })
+            .await;
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    let mut undecided = Vec::new();
+    for (me, operator) in operators.into_iter().enumerate() {
+        let left = operator.await.expect("an operator ends");
+        undecided.extend(left.into_iter().map(|(id, base)| (me, id, base)));
+    }
+    let last = fleet.put(0, document(9_999)).await;
+    let mut actions = actions
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    for (me, id, base) in undecided {
+        actions.push((me, Action::Response(settle(&fleet, &id, base).await)));
+    }
+    let accepted = actions.iter().filter_map(|(_, action)| match action {
+        Action::Response(Operation::Accepted { version, .. }) => Some(*version),
+        _ => None,
+    });
+    let mut versions: Vec<u64> = accepted.collect();
+    versions.sort_unstable();
+    let count = versions.len();
+    versions.dedup();
+    assert_eq!(versions.len(), count, "a version belongs to one edit");
+    assert!(count > 0 && versions.last().is_some_and(|version| *version < last.0));
+    let history = History::from_actions(actions.clone());
+    assert!(
+        WGLChecker::<Register>::is_linearizable(history),
+        "{actions:#?}"
+    );
+}
