Write edits as changes; let accepted edits travel with versions

Cause: two matters, found together. 1. With the 100-service document (92,750 bytes) a change cost 42,661 bytes a daemon at 20 daemons over deltas, nearly all of it between readers and log: records carried the whole document. 2. With that changed and a slow log, `data_centres_part` did not end: an edit that was accepted reached its own publisher's daemon by a peer before the log's answer, with its identifier lost on the way; the publisher appended it again and told its operator of a conflict.

Ruled out for 1: fewer readers (one lost reader would stop a data centre for the suspicion time), compression (saves a factor, not the growth). Ruled out for 2: a private fold for each publisher (does not help when another daemon is asked again under the same identifier).

Change: an edit based on a version carries the changes from it, as every fold that can accept it holds that version; the result's hash is checked. Updates between daemons name the edits accepted on the way.

Before: `own_edit_is_no_conflict` fails (409 for an edit that is in force) when updates carry no identifiers. After: it passes, with all other tests.

--- a/src/board.rs
+++ b/src/board.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use serde::Serialize;
@@ -32,6 +32,8 @@
     pub document: Arc<Document>,
     /// Routes.
     pub table: Table,
+    /// When it was compiled to be put in force, in microseconds since 1970.
+    pub since_us: u64,
 }
 
 impl Snapshot {
@@ -47,10 +49,19 @@
             digest,
             document,
             table,
+            since_us: now_us(),
         }
     }
 }
 
+/// Microseconds since 1970.
+fn now_us() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// The co-located target, as it announced itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Target {
--- a/src/config.rs
+++ b/src/config.rs
@@ -14,11 +14,11 @@
 use crate::delta::Delta;
 use crate::document::Document;
 use crate::error::{Error, Result};
-use crate::fold::{Checkpoint, Fold, Record, Verdict};
+use crate::fold::{Base, Checkpoint, Content, Edit, Fold, Proposal, Record, Verdict};
 use crate::log::Stored;
 use crate::settings::Delivery;
 use crate::units::{EditId, Offset, Version};
-use crate::wire::{self, Digest, Reply, Update};
+use crate::wire::{self, Body, Digest, Reply, Update};
 
 /// Earlier versions that deltas can start from.
 const HISTORY: usize = 16;
@@ -55,7 +55,7 @@
 
 /// Content for a peer, encoded.
 #[derive(Debug, Clone)]
-pub struct Content {
+pub struct Parcel {
     /// A [`Reply::Update`].
     pub reply: Bytes,
     /// Whether it is a whole document.
@@ -110,6 +110,22 @@
         self.state().fold.verdict(id).cloned()
     }
 
+    /// The edit for a proposal, in the fewest bytes.
+    #[must_use]
+    pub fn prepare(&self, proposal: Proposal) -> Edit {
+        let state = self.state();
+        let Proposal { id, base, document } = proposal;
+        let document = document.sorted();
+        // Every fold that could accept the edit holds its base, so the changes are enough.
+        let known = base == Base::Version(state.fold.version());
+        let content = if known && self.board.settings.delivery == Delivery::Delta {
+            Content::Delta(Delta::between(state.fold.document(), &document))
+        } else {
+            Content::Whole(document)
+        };
+        Edit { id, base, content }
+    }
+
     /// Notes that all records before `first` have expired.
     pub fn expire(&self, first: Offset) {
         self.state().fold.expire(first);
@@ -150,15 +166,20 @@
     /// to what it promises; [`Error::Faults`] when its document contradicts itself.
     pub fn accept(&self, update: Update) -> Result<Digest> {
         let mut state = self.state();
-        let (version, document) = match update {
-            Update::Delta(delta) if delta.version <= state.fold.version() => {
-                return Ok(self.board.digest());
-            }
-            Update::Delta(delta) if delta.base == state.fold.version() => {
-                (delta.version, delta.apply(state.fold.document())?)
+        let Update {
+            version,
+            body,
+            accepted,
+        } = update;
+        if version <= state.fold.version() {
+            return Ok(self.board.digest());
+        }
+        let document = match body {
+            Body::Delta { base, delta } if base == state.fold.version() => {
+                delta.apply(state.fold.document())?
             }
-            Update::Delta(delta) => return Err(Error::Delta { base: delta.base }),
-            Update::Whole { version, document } => (version, document),
+            Body::Delta { .. } => return Err(Error::Delta),
+            Body::Whole(document) => document,
         };
         // Guards against a peer that sends a document no fold accepted: every daemon checks the
         // whole of it again, and holds on to what it has when a fault turns up.
@@ -168,30 +189,30 @@
                 "version" => version.0, "faults" => faults.len());
             return Err(Error::Faults { faults });
         }
-        state.fold.adopt(version, Arc::new(document));
+        state.fold.adopt(version, Arc::new(document), accepted);
         self.publish(&mut state);
         Ok(self.board.digest())
     }
 
     /// Content that leads a peer from `have` to what is in force.
     #[must_use]
-    pub fn content(&self, have: Version) -> Content {
+    pub fn parcel(&self, have: Version) -> Parcel {
         let mut state = self.state();
         if let Some(done) = state.encoded.iter().find(|encoded| encoded.base == have) {
-            return Content {
+            return Parcel {
                 reply: done.reply.clone(),
                 whole: done.whole,
             };
         }
         let update = state.update(have, self.board.settings.delivery);
-        let whole = matches!(update, Update::Whole { .. });
+        let whole = matches!(update.body, Body::Whole(_));
         let reply = wire::encode(&Reply::Update(update));
         state.encoded.push(Encoded {
             base: have,
             reply: reply.clone(),
             whole,
         });
-        Content { reply, whole }
+        Parcel { reply, whole }
     }
 
     /// The version in force before the current one: what peers most likely hold.
@@ -247,15 +268,17 @@
         let known = self
             .history
             .binary_search_by_key(&have, |past| past.version);
-        match known {
+        let (base, body) = match known {
             Ok(index) if delivery == Delivery::Delta => {
-                let old = &self.history[index].document;
-                Update::Delta(Delta::between((have, old), (version, document)))
+                let delta = Delta::between(&self.history[index].document, document);
+                (have, Body::Delta { base: have, delta })
             }
-            _ => Update::Whole {
-                version,
-                document: Document::clone(document),
-            },
+            _ => (Version(0), Body::Whole(Document::clone(document))),
+        };
+        Update {
+            version,
+            body,
+            accepted: self.fold.accepted_since(base),
         }
     }
 }
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -14,7 +14,7 @@
 use crate::delta::Delta;
 use crate::document::Document;
 use crate::error::{DocumentSnafu, Error, FileSnafu, Result};
-use crate::fold::{Base, Edit};
+use crate::fold::{Base, Proposal};
 use crate::http_client::Client;
 use crate::member::{Member, Stage};
 use crate::operator::{InForce, Published};
@@ -255,7 +255,7 @@
             .cloned()
             .unwrap_or_else(|| EditId(format!("ctl-{:016x}", rand::random::<u64>())));
         let version = self
-            .publish(&Edit {
+            .publish(&Proposal {
                 id: id.clone(),
                 base,
                 document,
@@ -269,8 +269,8 @@
     }
 
     /// Publishes an edit; asks again under the same identifier while its fate is unknown.
-    async fn publish(&self, edit: &Edit) -> Result<Version> {
-        let body = serde_json::to_vec(edit).context(DocumentSnafu)?;
+    async fn publish(&self, proposal: &Proposal) -> Result<Version> {
+        let body = serde_json::to_vec(proposal).context(DocumentSnafu)?;
         for _ in 0..TRIES {
             let sent = self
                 .exchange(self.daemon, Method::POST, "/config", body.clone())
@@ -289,7 +289,7 @@
             }
         }
         Err(Error::Undecided {
-            id: edit.id.clone(),
+            id: proposal.id.clone(),
         })
     }
 
@@ -303,8 +303,7 @@
     async fn diff(&self, file: &str) -> Result<()> {
         let document = read(file)?;
         let in_force = self.in_force().await?;
-        let old = (in_force.version, in_force.document.as_ref());
-        let delta = Delta::between(old, (in_force.version, &document));
+        let delta = Delta::between(&in_force.document, &document);
         let changes = delta.summary();
         self.say(
             &serde_json::json!({ "against": in_force.version, "changes": changes }),
--- a/src/delta.rs
+++ b/src/delta.rs
@@ -1,12 +1,12 @@
 //! The difference between two documents, by named resource.
 //!
-//! A delta carries the upserts and removals that lead from a base to a version, and the hash of
-//! the result. [`Delta::apply`] yields the new document whole or not at all.
+//! A delta carries the upserts and removals that lead from a base to another document, and the hash
+//! of the result. [`Delta::apply`] yields the new document whole or not at all.
 //!
 //! ```
 //! use jackdawpulley::delta::Delta;
 //! use jackdawpulley::document::{Document, Retry};
-//! use jackdawpulley::units::{Millis, Percent, Version};
+//! use jackdawpulley::units::{Millis, Percent};
 //!
 //! let old = Document::default();
 //! let rule = Retry {
@@ -16,7 +16,7 @@
 //!     backoff_ms: Millis(0),
 //! };
 //! let new = Document { retries: vec![rule], ..Document::default() };
-//! let delta = Delta::between((Version(1), &old), (Version(2), &new));
+//! let delta = Delta::between(&old, &new);
 //! assert_eq!(delta.apply(&old).unwrap(), new);
 //! ```
 
@@ -24,15 +24,10 @@
 
 use crate::document::{Document, Group, Retry, Route};
 use crate::error::{DeltaSnafu, Result};
-use crate::units::Version;
 
-/// Changes that lead from one version to a later one.
+/// Changes that lead from one document to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
-    /// Version it starts from.
-    pub base: Version,
-    /// Version it leads to.
-    pub version: Version,
     /// Hash of the resulting document.
     pub hash: u64,
     routes: Edits<Route>,
@@ -71,14 +66,12 @@
 impl Delta {
     /// The changes from `old` to `new`, both sorted.
     #[must_use]
-    pub fn between(old: (Version, &Document), new: (Version, &Document)) -> Self {
+    pub fn between(old: &Document, new: &Document) -> Self {
         Self {
-            base: old.0,
-            version: new.0,
-            hash: new.1.hash(),
-            routes: Edits::between(&old.1.routes, &new.1.routes),
-            groups: Edits::between(&old.1.groups, &new.1.groups),
-            retries: Edits::between(&old.1.retries, &new.1.retries),
+            hash: new.hash(),
+            routes: Edits::between(&old.routes, &new.routes),
+            groups: Edits::between(&old.groups, &new.groups),
+            retries: Edits::between(&old.retries, &new.retries),
         }
     }
 
@@ -109,7 +102,7 @@
         if document.hash() == self.hash {
             Ok(document)
         } else {
-            DeltaSnafu { base: self.base }.fail()
+            DeltaSnafu.fail()
         }
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -90,11 +90,8 @@
         reason: String,
     },
     /// A delta does not lead to the content it promises.
-    #[snafu(display("the delta from version {base} does not apply; pull the whole document"))]
-    Delta {
-        /// Version the delta starts from.
-        base: Version,
-    },
+    #[snafu(display("the delta does not lead to what it promises; take the whole document"))]
+    Delta,
     /// Settings contradict each other or the host.
     #[snafu(display("{} setting(s) are wrong:\n{}", faults.len(), faults.join("\n")))]
     Settings {
--- a/src/fold.rs
+++ b/src/fold.rs
@@ -7,11 +7,12 @@
 //!
 //! ```
 //! use jackdawpulley::document::Document;
-//! use jackdawpulley::fold::{Base, Edit, Fold, Record, Verdict};
+//! use jackdawpulley::fold::{Base, Content, Edit, Fold, Record, Verdict};
 //! use jackdawpulley::units::{Offset, Version};
 //!
 //! let mut fold = Fold::new();
-//! let edit = Edit { id: "e1".into(), base: Base::Version(Version(0)), document: Document::default() };
+//! let content = Content::Whole(Document::default());
+//! let edit = Edit { id: "e1".into(), base: Base::Version(Version(0)), content };
 //! let verdict = fold.apply(Offset(0), &Record::Edit(edit));
 //! assert_eq!(verdict, Verdict::Accepted { version: Version(1) });
 //! ```
@@ -21,8 +22,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::check::{self, Fault};
+use crate::delta::Delta;
 use crate::document::Document;
 use crate::units::{EditId, Offset, Version};
+use crate::wire::Accepted;
 
 /// Verdicts that a fold remembers, to answer a publisher who asks again.
 pub const RECENT_EDITS: usize = 256;
@@ -40,6 +43,28 @@
 /// A wish to replace the document.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Edit {
+    /// Chosen by the publisher; the same for every try.
+    pub id: EditId,
+    /// What the edit was made on.
+    pub base: Base,
+    /// The new document.
+    pub content: Content,
+}
+
+/// The new document of an edit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Content {
+    /// All of it.
+    Whole(Document),
+    /// The changes from the document in force.
+    Delta(Delta),
+}
+
+/// An edit as its publisher writes it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Proposal {
     /// Chosen by the publisher; the same for every try.
     pub id: EditId,
     /// What the edit was made on.
@@ -232,11 +257,39 @@
         }
     }
 
+    /// Accepted edits that led past `base`, oldest first, as far as they are remembered.
+    #[must_use]
+    pub fn accepted_since(&self, base: Version) -> Vec<Accepted> {
+        let since = |decision: &Decision| match decision.verdict {
+            Verdict::Accepted { version } if version > base => {
+                let id = decision.id.clone();
+                Some(Accepted { id, version })
+            }
+            _ => None,
+        };
+        self.state.recent.iter().filter_map(since).collect()
+    }
+
     /// Takes over a version that a peer has in force; `false` when it is not newer.
-    pub fn adopt(&mut self, version: Version, document: Arc<Document>) -> bool {
+    ///
+    /// `accepted` are the edits that led to it. Without them a publisher whose edit arrives here
+    /// by a peer, before the log is read, would not find it again, publish it once more, and be
+    /// told that somebody else had won.
+    pub fn adopt(
+        &mut self,
+        version: Version,
+        document: Arc<Document>,
+        accepted: Vec<Accepted>,
+    ) -> bool {
         if version <= self.state.version {
             return false;
         }
+        for Accepted { id, version } in accepted {
+            if self.verdict(&id).is_none() {
+                let verdict = Verdict::Accepted { version };
+                self.remember(Decision { id, verdict });
+            }
+        }
         self.state.version = version;
         self.state.document = document;
         match self.gap {
@@ -273,27 +326,37 @@
         if let Some(known) = self.verdict(&edit.id) {
             return known.clone();
         }
-        let verdict = self.decide(offset, edit);
-        if let Verdict::Accepted { version } = verdict {
-            self.state.version = version;
-            self.state.document = Arc::new(edit.document.clone().sorted());
-            self.gap = None;
-        }
-        if self.state.recent.len() == RECENT_EDITS {
-            self.state.recent.remove(0);
-        }
-        self.state.recent.push(Decision {
-            id: edit.id.clone(),
+        let verdict = match self.decide(offset, edit) {
+            Ok(document) => {
+                let version = Version::of(offset);
+                self.state.version = version;
+                self.state.document = Arc::new(document);
+                self.gap = None;
+                Verdict::Accepted { version }
+            }
+            Err(verdict) => verdict,
+        };
+        let id = edit.id.clone();
+        self.remember(Decision {
+            id,
             verdict: verdict.clone(),
         });
         verdict
     }
 
+    fn remember(&mut self, decision: Decision) {
+        if self.state.recent.len() == RECENT_EDITS {
+            self.state.recent.remove(0);
+        }
+        self.state.recent.push(decision);
+    }
+
     fn sees_since(&self, base: Base) -> bool {
         matches!(base, Base::Head(head) if head >= self.blind)
     }
 
-    fn decide(&self, offset: Offset, edit: &Edit) -> Verdict {
+    /// The document that the edit puts in force, or why it does not.
+    fn decide(&self, offset: Offset, edit: &Edit) -> Result<Document, Verdict> {
         // Either way an accepted edit makes the condition false for its own repetition, so that
         // a fold which has forgotten its identifier, or never saw it, refuses it all the same.
         let fits = match edit.base {
@@ -301,17 +364,33 @@
             Base::Head(head) => self.state.version.end() <= head && head <= offset,
         };
         if !fits {
-            return Verdict::Conflict {
+            return Err(Verdict::Conflict {
                 current: self.state.version,
-            };
+            });
         }
-        let faults = check::document(&edit.document);
+        let document = match &edit.content {
+            Content::Whole(document) => document.clone().sorted(),
+            Content::Delta(delta) => match delta.apply(&self.state.document) {
+                Ok(document) => document,
+                Err(error) => return Err(mismatch(&error.to_string())),
+            },
+        };
+        let faults = check::document(&document);
         if faults.is_empty() {
-            Verdict::Accepted {
-                version: Version::of(offset),
-            }
+            Ok(document)
         } else {
-            Verdict::Invalid { faults }
+            Err(Verdict::Invalid { faults })
         }
     }
 }
+
+fn mismatch(problem: &str) -> Verdict {
+    let fault = Fault {
+        path: "content".to_owned(),
+        problem: problem.to_owned(),
+        remedy: "publish the whole document".to_owned(),
+    };
+    Verdict::Invalid {
+        faults: vec![fault],
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
 //!
 //! ```
 //! use jackdawpulley::document::Document;
-//! use jackdawpulley::fold::{Base, Edit, Fold, Record, Verdict};
+//! use jackdawpulley::fold::{Base, Content, Edit, Fold, Record, Verdict};
 //! use jackdawpulley::units::{Offset, Version};
 //!
 //! let text = br#"{
@@ -30,7 +30,7 @@
 //! let edit = |id: &str| Record::Edit(Edit {
 //!     id: id.into(),
 //!     base: Base::Version(Version(0)),
-//!     document: document.clone(),
+//!     content: Content::Whole(document.clone()),
 //! });
 //! let mut fold = Fold::new();
 //! assert_eq!(fold.apply(Offset(0), &edit("a")), Verdict::Accepted { version: Version(1) });
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -16,7 +16,7 @@
 use crate::check::Fault;
 use crate::document::Document;
 use crate::error::{Error, Result};
-use crate::fold::Edit;
+use crate::fold::Proposal;
 use crate::gate::Gate;
 use crate::guard::Keys;
 use crate::member::{Member, Stage};
@@ -237,18 +237,18 @@
                 "the edit is over 4 MiB".to_owned(),
             );
         }
-        let edit: Edit = match serde_json::from_slice(body) {
-            Ok(edit) => edit,
+        let proposal: Proposal = match serde_json::from_slice(body) {
+            Ok(proposal) => proposal,
             Err(error) => return bad(StatusCode::BAD_REQUEST, error.to_string()),
         };
-        if edit.id.as_str().is_empty() || edit.id.as_str().len() > 128 {
+        if proposal.id.as_str().is_empty() || proposal.id.as_str().len() > 128 {
             return bad(
                 StatusCode::BAD_REQUEST,
                 "id must have 1 to 128 bytes".to_owned(),
             );
         }
-        let id = edit.id.clone();
-        let result = self.publisher.publish(edit, PATIENCE).await;
+        let id = proposal.id.clone();
+        let result = self.publisher.publish(proposal, PATIENCE).await;
         answer(&id, result)
     }
 }
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -13,7 +13,7 @@
 use crate::check;
 use crate::config::Store;
 use crate::error::{Error, Result};
-use crate::fold::{Edit, Record, Verdict};
+use crate::fold::{Proposal, Record, Verdict};
 use crate::log::{Log, Stream};
 use crate::reader::Reader;
 use crate::units::{EditId, Millis, Offset, Version};
@@ -42,20 +42,20 @@
         }
     }
 
-    /// Publishes an edit and waits up to `patience` for its verdict.
+    /// Publishes a proposal and waits up to `patience` for its verdict.
     ///
     /// # Errors
     ///
     /// [`Error::Faults`] and [`Error::Conflict`] are final; [`Error::Undecided`] means that the
     /// edit may or may not be accepted, and that the same edit may be published again.
-    pub async fn publish(&self, edit: Edit, patience: Duration) -> Result<Version> {
-        let faults = check::document(&edit.document);
+    pub async fn publish(&self, proposal: Proposal, patience: Duration) -> Result<Version> {
+        let faults = check::document(&proposal.document);
         if !faults.is_empty() {
             return Err(Error::Faults { faults });
         }
         let deadline = Instant::now() + patience;
-        let id = edit.id.clone();
-        let record = Record::Edit(edit);
+        let id = proposal.id.clone();
+        let record = Record::Edit(self.store.prepare(proposal));
         while Instant::now() < deadline {
             if let Some(verdict) = self.known(&id)? {
                 return Ok(verdict);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -113,9 +113,9 @@
         if digest.version <= pull.have {
             return wire::encode(&Reply::Have(digest));
         }
-        let content = self.store.content(pull.have);
-        if !content.whole {
-            return content.reply;
+        let parcel = self.store.parcel(pull.have);
+        if !parcel.whole {
+            return parcel.reply;
         }
         // Guards against a storm: after a data centre's power cut, hundreds of daemons ask at
         // once, and sending to all would take the sender's processor and links from its calls.
@@ -124,7 +124,7 @@
             return wire::encode(&Reply::Busy(Millis(wait)));
         };
         tokio::task::yield_now().await;
-        content.reply
+        parcel.reply
     }
 
     /// Fetches what `peer` has in force, unless a fetch is under way.
@@ -170,10 +170,10 @@
             .first()
             .filter(|root| outside && **root != settings.identity());
         receivers.extend(root);
-        let content = self.store.content(self.store.previous());
+        let parcel = self.store.parcel(self.store.previous());
         for peer in receivers {
             let relay = Arc::clone(self);
-            let (reply, order) = (content.reply.clone(), order.clone());
+            let (reply, order) = (parcel.reply.clone(), order.clone());
             tokio::spawn(async move { relay.push(peer, reply, &order).await });
         }
     }
@@ -197,10 +197,10 @@
         if let Reply::Need(digest) = answer
             && digest.version < self.board.digest().version
         {
-            let content = self.store.content(digest.version);
-            let answer: Reply = self.links.exchange(peer, PUSH, content.reply).await?;
+            let parcel = self.store.parcel(digest.version);
+            let answer: Reply = self.links.exchange(peer, PUSH, parcel.reply).await?;
             if let Reply::Need(_) = answer {
-                let whole = self.store.content(Version(0));
+                let whole = self.store.parcel(Version(0));
                 let _: Reply = self.links.exchange(peer, PUSH, whole.reply).await?;
             }
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -124,7 +124,7 @@
     #[arg(long, env = "JACKDAW_GONE_MEMORY_MS", default_value_t = Millis(600_000))]
     pub gone_memory_ms: Millis,
     /// Time between two checkpoints on the log, in milliseconds; well inside its retention
-    #[arg(long, env = "JACKDAW_CHECKPOINT_MS", default_value_t = Millis(60_000))]
+    #[arg(long, env = "JACKDAW_CHECKPOINT_MS", default_value_t = Millis(600_000))]
     pub checkpoint_ms: Millis,
     /// Time without the log after which peers decide the first version, in milliseconds
     #[arg(long, env = "JACKDAW_LOG_PATIENCE_MS", default_value_t = Millis(2_000))]
@@ -276,6 +276,6 @@
         require(kept, "--gone-memory-ms must be above --suspicion-ms");
         let covered = self.gone_memory_ms >= self.key_memory_ms;
         require(covered, "--gone-memory-ms must be at least --key-memory-ms");
-        require(self.checkpoint_ms.0 > 0, "--checkpoint-ms is 0; use 60000");
+        require(self.checkpoint_ms.0 > 0, "--checkpoint-ms is 0; use 600000");
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -89,6 +89,8 @@
     pub version: Version,
     /// Hash of the document, in hexadecimal.
     pub hash: String,
+    /// When the version was put in force, in microseconds since 1970.
+    pub since_us: u64,
     /// Data centre.
     pub data_centre: DataCentre,
     /// Control bytes.
@@ -99,8 +101,10 @@
     /// Reads a board.
     #[must_use]
     pub fn of(board: &Board) -> Self {
-        let digest = board.digest();
+        let config = board.config();
+        let digest = config.digest;
         Self {
+            since_us: config.since_us,
             ready: board.stage() == Stage::Serving,
             stage: board.stage(),
             version: digest.version,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -14,7 +14,7 @@
 use crate::error::{FrameSnafu, Result};
 use crate::keys::Holder;
 use crate::member::Member;
-use crate::units::{CallKey, Millis, Service, Version};
+use crate::units::{CallKey, EditId, Millis, Service, Version};
 
 /// Release of the protocol; a frame of another release is refused.
 pub const RELEASE: u8 = 1;
@@ -73,16 +73,36 @@
 
 /// Content on its way to a daemon.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Update {
+pub struct Update {
+    /// Version that it leads to.
+    pub version: Version,
+    /// The document.
+    pub body: Body,
+    /// Edits that were accepted on the way, oldest first.
+    pub accepted: Vec<Accepted>,
+}
+
+/// An edit that was accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Its identifier.
+    pub id: EditId,
+    /// Version that it got.
+    pub version: Version,
+}
+
+/// The document of an [`Update`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
     /// The changes from a version that the receiver is thought to hold.
-    Delta(Delta),
-    /// The whole document.
-    Whole {
-        /// Its version.
-        version: Version,
-        /// The document.
-        document: Document,
+    Delta {
+        /// Version they start from.
+        base: Version,
+        /// The changes.
+        delta: Delta,
     },
+    /// The whole document.
+    Whole(Document),
 }
 
 /// Asks a peer for what it has in force.
--- a/tests/delta.rs
+++ b/tests/delta.rs
@@ -6,7 +6,7 @@
 use jackdawpulley::Error;
 use jackdawpulley::delta::Delta;
 use jackdawpulley::document::Document;
-use jackdawpulley::units::{Millis, Version};
+use jackdawpulley::units::Millis;
 use proptest::prelude::*;
 
 /// Documents over a few names, so that resources come, go and change.
@@ -32,7 +32,7 @@
 
     #[test]
     fn leads_from_base_to_version(old in document(), new in document()) {
-        let delta = Delta::between((Version(1), &old), (Version(2), &new));
+        let delta = Delta::between(&old, &new);
         prop_assert_eq!(delta.apply(&old).unwrap(), new);
     }
 
@@ -40,11 +40,11 @@
     /// runs a mix of two documents. The hash covers the whole result, so a mix is refused.
     #[test]
     fn never_yields_a_mix(old in document(), new in document(), other in document()) {
-        let delta = Delta::between((Version(1), &old), (Version(2), &new));
+        let delta = Delta::between(&old, &new);
         match delta.apply(&other) {
             Ok(result) => prop_assert_eq!(result, new),
             Err(error) => {
-                let refused = matches!(error, Error::Delta { base: Version(1) });
+                let refused = matches!(error, Error::Delta);
                 prop_assert!(refused);
             }
         }
--- a/tests/fold.rs
+++ b/tests/fold.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use common::{faulty, fixed, numbered};
+use jackdawpulley::delta::Delta;
 use jackdawpulley::document::Document;
-use jackdawpulley::fold::{Base, Checkpoint, Edit, Fold, Record, Verdict};
+use jackdawpulley::fold::{Base, Checkpoint, Content, Edit, Fold, Record, Verdict};
 use jackdawpulley::units::{EditId, Offset, Version};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -118,8 +119,12 @@
                 .records
                 .iter()
                 .any(|r| matches!(r, Record::Edit(e) if e.id == edit.id));
-            if fits && !seen && !edit.document.groups.is_empty() {
-                next = (Version::of(offset), Arc::new(edit.document.clone()));
+            let document = match &edit.content {
+                Content::Whole(document) => document.clone(),
+                Content::Delta(delta) => delta.apply(&next.1).unwrap_or_else(|_| faulty()),
+            };
+            if fits && !seen && !document.groups.is_empty() {
+                next = (Version::of(offset), Arc::new(document));
             }
         }
         self.truth.push(next);
@@ -171,8 +176,13 @@
                     Basis::Head => Base::Head(Offset(log.head())),
                 };
                 let document = if valid { numbered(number) } else { faulty() };
+                let content = if number % 2 == 0 {
+                    Content::Whole(document)
+                } else {
+                    Content::Delta(Delta::between(&log.current().1, &document))
+                };
                 let id = EditId(format!("edit-{}", state.steps));
-                log.append(Record::Edit(Edit { id, base, document }));
+                log.append(Record::Edit(Edit { id, base, content }));
             }
             Step::Repeat { age } => {
                 let edits = log
@@ -195,11 +205,10 @@
             Step::Read { by, count } => log.read(by, count),
             Step::Restart { by } => log.folds[by] = Fold::new(),
             Step::Adopt { by, from } => {
-                let (version, document) = (
-                    log.folds[from].version(),
-                    Arc::clone(log.folds[from].document()),
-                );
-                log.folds[by].adopt(version, document);
+                let source = &log.folds[from];
+                let (version, document) = (source.version(), Arc::clone(source.document()));
+                let accepted = source.accepted_since(log.folds[by].version());
+                log.folds[by].adopt(version, document, accepted);
             }
         }
         log
@@ -228,7 +237,7 @@
     Record::Edit(Edit {
         id: id.into(),
         base: Base::Version(Version(base)),
-        document: numbered(number),
+        content: Content::Whole(numbered(number)),
     })
 }
 
@@ -307,6 +316,25 @@
     );
 }
 
+/// An operator's edit comes to its daemon by a peer, before the daemon has read the log. Without
+/// the identifier it would not find the edit, append it again, and tell the operator that somebody
+/// else had won.
+#[test]
+fn adopted_edit_is_known() {
+    let mut reader = Fold::new();
+    reader.apply(Offset(0), &edit("mine", 0, 1));
+    let mut publisher = Fold::new();
+    let accepted = reader.accepted_since(publisher.version());
+    publisher.adopt(reader.version(), Arc::clone(reader.document()), accepted);
+    let again = publisher.apply(Offset(1), &edit("mine", 0, 1));
+    assert_eq!(
+        again,
+        Verdict::Accepted {
+            version: Version(1)
+        }
+    );
+}
+
 /// A daemon takes a version over from a peer, so it never sees the identifier of the edit that
 /// made it. The publisher, whose answer was lost, appends that forced edit again. Without the
 /// condition on the head this daemon alone would accept it a second time.
@@ -315,10 +343,10 @@
     let forced = Edit {
         id: "f".into(),
         base: Base::Head(Offset(7)),
-        document: numbered(7),
+        content: Content::Whole(numbered(7)),
     };
     let mut fold = Fold::new();
-    fold.adopt(Version(8), Arc::new(numbered(7)));
+    fold.adopt(Version(8), Arc::new(numbered(7)), Vec::new());
     let verdict = fold.apply(Offset(8), &Record::Edit(forced));
     assert_eq!(
         verdict,
@@ -335,7 +363,7 @@
     let forced = Edit {
         id: "f".into(),
         base: Base::Head(Offset(9)),
-        document: numbered(7),
+        content: Content::Whole(numbered(7)),
     };
     let verdict = fold.apply(Offset(9), &Record::Edit(forced));
     assert_eq!(
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -5,7 +5,7 @@
 use common::{fixed, numbered};
 use jackdawpulley::delta::Delta;
 use jackdawpulley::units::Version;
-use jackdawpulley::wire::{self, Datagram, Handover, Join, Note, Pull, Reply, Update};
+use jackdawpulley::wire::{self, Body, Datagram, Handover, Join, Note, Pull, Reply, Update};
 use proptest::prelude::*;
 
 /// Decoding has to end, bounded, with a message or a typed error.
@@ -29,9 +29,11 @@
     #[test]
     fn damaged_frames_are_survived(cut in 0_usize..400, place in 0_usize..400, value: u8) {
         let document = numbered(3);
-        let delta = Delta::between((Version(1), &numbered(2)), (Version(2), &document));
-        let whole = Reply::Update(Update::Whole { version: Version(2), document });
-        for frame in [wire::encode(&Reply::Update(Update::Delta(delta))), wire::encode(&whole)] {
+        let delta = Delta::between(&numbered(2), &document);
+        let update = |body| Reply::Update(Update { version: Version(2), body, accepted: Vec::new() });
+        let changes = update(Body::Delta { base: Version(1), delta });
+        let whole = update(Body::Whole(document));
+        for frame in [wire::encode(&changes), wire::encode(&whole)] {
             let mut bytes = frame.to_vec();
             let place = place % bytes.len();
             bytes[place] = value;
--- a/trial/src/fleet.rs
+++ b/trial/src/fleet.rs
@@ -10,7 +10,7 @@
 
 use http::Method;
 use jackdawpulley::document::Document;
-use jackdawpulley::fold::{Base, Edit};
+use jackdawpulley::fold::{Base, Proposal};
 use jackdawpulley::units::{EditId, Version};
 use rustix::process::{Pid, Signal, kill_process};
 use serde::de::DeserializeOwned;
@@ -29,6 +29,8 @@
 const WORK: u16 = 7005;
 const CONTROL: u16 = 7006;
 const LOG: u16 = 7000;
+/// Tries to publish on what a daemon says is in force.
+const PUT_TRIES: usize = 5;
 /// Pause between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -161,6 +163,7 @@
     }
 
     /// Puts a network that can be cut between the hosts that are added from now on.
+    #[must_use]
     pub fn with_net(mut self) -> Self {
         self.net = Some(Arc::new(Net::default()));
         self
@@ -361,7 +364,7 @@
     /// # Panics
     ///
     /// Never: an edit is plain data.
-    pub async fn publish(&self, index: usize, edit: &Edit) -> Result<(u16, Value), Failure> {
+    pub async fn publish(&self, index: usize, edit: &Proposal) -> Result<(u16, Value), Failure> {
         let body = serde_json::to_string(edit).expect("plain data is JSON");
         let answer =
             session::once(self.hosts[index].operator(), Method::POST, "/config", &body).await?;
@@ -378,9 +381,9 @@
     /// When it is not accepted.
     pub async fn put(&self, index: usize, document: Document) -> Version {
         let mut base = self.version(index).await.unwrap_or_default();
-        loop {
+        for _ in 0..PUT_TRIES {
             let id = EditId(format!("trial-{:016x}", rand::random::<u64>()));
-            let edit = Edit {
+            let edit = Proposal {
                 id,
                 base: Base::Version(base),
                 document: document.clone(),
@@ -394,12 +397,10 @@
                 continue;
             }
             assert_eq!(status, 200, "the edit is accepted: {answer}");
-            return Version(
-                answer["version"]
-                    .as_u64()
-                    .expect("an accepted edit has a version"),
-            );
+            let version = answer["version"].as_u64();
+            return Version(version.expect("an accepted edit has a version"));
         }
+        panic!("no base fits: version {base} is said to be in force");
     }
 
     /// Runs `jackdawctl` and returns its exit status and standard output.
--- a/trial/src/lib.rs
+++ b/trial/src/lib.rs
@@ -4,11 +4,13 @@
 //! platform's log, the stand-in target, the daemon, the operator's command and the trial that
 //! starts and injures all of them.
 
+pub mod converge;
 pub mod deployment;
 pub mod fleet;
 pub mod net;
 pub mod path;
 pub mod platform;
+pub mod process;
 pub mod session;
 pub mod target;
 pub mod watch;
--- a/trial/src/main.rs
+++ b/trial/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use jackdaw_trial::{path, platform, target};
+use jackdaw_trial::{converge, path, platform, target};
 
 #[derive(Debug, Parser)]
 #[command(
@@ -21,6 +21,8 @@
 enum Verb {
     /// The thin path, end to end
     Path,
+    /// Convergence time and control bytes of each way of delivery
+    Converge(converge::Args),
     /// Be the stand-in for the platform's log
     Log(platform::Args),
     /// Be a stand-in target
@@ -71,6 +73,16 @@
                 ExitCode::FAILURE
             }
         }
+        Verb::Converge(args) => {
+            for delivery in converge::DELIVERIES {
+                let report = converge::run(program.clone(), &args, delivery).await;
+                println!(
+                    "{}",
+                    serde_json::to_string(&report).expect("plain data is JSON")
+                );
+            }
+            ExitCode::SUCCESS
+        }
         Verb::Log(args) => {
             platform::run(args).await;
             ExitCode::SUCCESS
--- a/trial/src/platform.rs
+++ b/trial/src/platform.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use clap::Parser;
@@ -74,6 +74,8 @@
     pub appends: u64,
     /// Bytes of records sent.
     pub bytes: u64,
+    /// When the last append took effect, in microseconds since 1970.
+    pub appended_us: u64,
     /// Reads that wait for a record now.
     pub waiting: u64,
 }
@@ -213,6 +215,7 @@
         let offset = {
             let mut state = self.state();
             state.stats.appends += 1;
+            state.stats.appended_us = now_us();
             let retain = state.faults.retain;
             let stream = state.stream(name);
             stream.records.push_back(record);
@@ -293,6 +296,14 @@
     response
 }
 
+/// Microseconds since 1970.
+fn now_us() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn text<T: Serialize>(value: &T) -> String {
     serde_json::to_string(value).expect("plain data is JSON")
 }
--- a/trial/tests/config_faults.rs
+++ b/trial/tests/config_faults.rs
@@ -8,8 +8,8 @@
 use jackdaw_trial::fleet::{get, until};
 use jackdaw_trial::platform::{Faults, Mode};
 use jackdaw_trial::watch::Watch;
-use jackdawpulley::fold::{Base, Edit};
-use jackdawpulley::units::EditId;
+use jackdawpulley::fold::{Base, Proposal};
+use jackdawpulley::units::{EditId, Version};
 use rustix::process::Signal;
 use serde_json::Value;
 
@@ -121,7 +121,7 @@
         })
         .await;
     let base = Base::Version(fleet.version(0).await.expect("it serves"));
-    let edit = Edit {
+    let edit = Proposal {
         id: EditId::from("lost"),
         base,
         document: document(1),
@@ -136,6 +136,36 @@
     assert!(next.0 > first["version"].as_u64().expect("a version"));
 }
 
+/// The log is slow, so that an accepted edit often reaches its own publisher by a peer before the
+/// log's answer does. The publisher took that for somebody else's edit and told its operator of a
+/// conflict, with an edit that was in force everywhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn own_edit_is_no_conflict() {
+    let mut fleet = fleet(&["--readers", "1"]).await;
+    fleet.add(&places(4, 1)).await;
+    assert!(fleet.meets(4, RETURN).await);
+    fleet
+        .fail_log(Faults {
+            slow_ms: 50,
+            ..Faults::default()
+        })
+        .await;
+    let mut base = fleet.version(0).await.expect("it serves");
+    for number in 0..12 {
+        assert!(fleet.converges(base, SECONDS).await);
+        let id = EditId(format!("edit-{number}"));
+        let edit = Proposal {
+            id,
+            base: Base::Version(base),
+            document: document(number),
+        };
+        let index = usize::try_from(number % 4).expect("small");
+        let (status, answer) = fleet.publish(index, &edit).await.expect("an answer");
+        assert_eq!(status, 200, "{answer}");
+        base = Version(answer["version"].as_u64().expect("a version"));
+    }
+}
+
 /// The log hangs: an operator is told that the fate is unknown and what to do, not that the edit
 /// failed. When the log is back, the same edit can be published again.
 #[tokio::test(flavor = "multi_thread")]
@@ -149,7 +179,7 @@
         })
         .await;
     let base = Base::Version(fleet.version(0).await.expect("it serves"));
-    let edit = Edit {
+    let edit = Proposal {
         id: EditId::from("hung"),
         base,
         document: document(1),
--- a/trial/tests/races.rs
+++ b/trial/tests/races.rs
@@ -8,7 +8,7 @@
 use common::{document, fleet, places};
 use jackdaw_trial::fleet::{Fleet, get};
 use jackdaw_trial::platform::{Faults, Mode};
-use jackdawpulley::fold::{Base, Edit};
+use jackdawpulley::fold::{Base, Proposal};
 use jackdawpulley::units::{EditId, Version};
 use serde_json::Value;
 use todc_utils::linearizability::WGLChecker;
@@ -68,7 +68,7 @@
         let base = fleet.version(daemon).await.unwrap_or_default().0;
         let id = EditId(format!("operator-{me}-edit-{round}"));
         let number = u64::try_from(me * 100 + round).expect("small");
-        let edit = Edit {
+        let edit = Proposal {
             id: id.clone(),
             base: Base::Version(Version(base)),
             document: document(number),
