--- a/src/announce.rs
+++ b/src/announce.rs
@@ -42,8 +42,8 @@
     /// What is wrong with it, with a remedy.
     #[must_use]
     pub fn fault(&self) -> Option<&'static str> {
-        if self.service.as_str().is_empty() || self.service.as_str().len() > 64 {
-            return Some("service must have 1 to 64 bytes; name the service");
+        if !self.service.is_valid() {
+            return Some("service must be 1 to 64 letters, digits, dots, dashes or underscores");
         }
         if self.slots.0 == 0 {
             return Some("slots is 0; name how many calls run at the same time");
--- a/src/call.rs
+++ b/src/call.rs
@@ -18,6 +18,7 @@
 use volo_http::body::Body;
 
 use crate::board::{Board, Snapshot};
+use crate::document::Retry;
 use crate::gate::{CALL, Gate, LOAD};
 use crate::keys;
 use crate::member::Stage;
@@ -57,6 +58,8 @@
     head: request::Parts,
     body: Payload,
     tried: Vec<SocketAddr>,
+    /// Why it has no answer yet.
+    reason: Option<Reason>,
 }
 
 /// A request body, kept whole where that is cheap, so that it can be sent again.
@@ -188,6 +191,7 @@
             head,
             body,
             tried: Vec::new(),
+            reason: None,
         })
     }
 
@@ -195,41 +199,49 @@
         let rule = &Arc::clone(&call.plan).retry;
         self.budget.deposit_share(rule.budget);
         let mut made = 0;
-        loop {
-            made += 1;
-            let reason = match self.attempt(&mut call).await {
+        while let Some(upstream) = self.choose(&call) {
+            let reason = match self.attempt(&upstream, &mut call).await {
                 Attempt::Answered(response) => return response,
                 Attempt::Failed(reason) => reason,
             };
-            let left = call.left();
-            let fate = reason.fate();
-            let repeatable = call.handover.repeatable;
-            let sendable = call.body.sendable() && reason != Reason::NoTarget;
-            if !sendable || !retry::again(rule, made, repeatable, fate, left) {
-                return self.give_up(&call, reason);
+            call.reason = Some(
+                call.reason
+                    .map_or(reason, |earlier| earlier.followed_by(reason)),
+            );
+            if reason.is_absence() {
+                // No target was burdened, so neither the rule's attempts nor the budget are
+                // touched; each upstream is asked only once.
+                if call.body.sendable() && !call.left().is_zero() {
+                    continue;
+                }
+                break;
             }
-            if self.board.settings.retries == Retries::Budget && !self.budget.withdraw(rule.budget)
-            {
-                return self.give_up(&call, reason);
+            made += 1;
+            if !self.may_retry(rule, made, &call, reason) {
+                break;
             }
             metrics::counter!("jackdaw_retries_total").increment(1);
             let fraction = rand::rng().random_range(0.0..1.0);
-            if reason != Reason::Moved && reason != Reason::Draining {
-                tokio::time::sleep(retry::backoff(rule, left, fraction)).await;
-            }
+            tokio::time::sleep(retry::backoff(rule, call.left(), fraction)).await;
         }
+        self.give_up(&call)
     }
 
-    fn give_up(&self, call: &Call, reason: Reason) -> Response<Body> {
+    fn may_retry(&self, rule: &Retry, made: u32, call: &Call, reason: Reason) -> bool {
+        let repeatable = call.handover.repeatable;
+        let allowed = retry::again(rule, made, repeatable, reason.fate(), call.left());
+        let fixed = self.board.settings.retries == Retries::Fixed;
+        call.body.sendable() && allowed && (fixed || self.budget.withdraw(rule.budget))
+    }
+
+    fn give_up(&self, call: &Call) -> Response<Body> {
+        let reason = call.reason.unwrap_or(Reason::NoTarget);
         debug!(self.board.logger, "call given up";
             "call" => &call.handover.id, "reason" => %reason, "tried" => call.tried.len());
         outcome::refusal(&call.handover.id, reason)
     }
 
-    async fn attempt(&self, call: &mut Call) -> Attempt {
-        let Some(upstream) = self.choose(call) else {
-            return Attempt::Failed(Reason::NoTarget);
-        };
+    async fn attempt(&self, upstream: &Arc<Upstream>, call: &mut Call) -> Attempt {
         call.tried.push(upstream.peer);
         let own = upstream.begin();
         let left = call.left();
@@ -242,7 +254,7 @@
                 let request = call.request();
                 Ok(self.gate.run(call.handover.clone(), request).await)
             } else {
-                hand_over(&upstream, call).await
+                hand_over(upstream, call).await
             }
         };
         let result = match tokio::time::timeout(left, exchange).await {
@@ -250,7 +262,7 @@
             Err(_) => Err(Reason::TimedOut),
         };
         let attempt = result.map_or_else(Attempt::Failed, judge);
-        self.learn(&upstream, &attempt, call);
+        self.learn(upstream, &attempt, call);
         match attempt {
             Attempt::Answered(response) => {
                 let (parts, body) = response.into_parts();
--- a/src/check.rs
+++ b/src/check.rs
@@ -146,13 +146,9 @@
 
     fn group(&mut self, index: usize, group: &Group) {
         let at = |field: &str| format!("groups[{index}].{field}");
-        let named = !group.service.as_str().is_empty();
-        self.require(
-            named,
-            at("service"),
-            "it is empty".into(),
-            "name the service",
-        );
+        let problem = format!("{:?} is no name of a service", group.service.as_str());
+        let remedy = "use 1 to 64 letters, digits, dots, dashes or underscores";
+        self.require(group.service.is_valid(), at("service"), problem, remedy);
         let fits = group.slots.is_none_or(|slots| slots.0 > 0);
         self.require(
             fits,
--- /dev/null
+++ b/src/claim.rs
@@ -0,0 +1,259 @@
+//! Carries out the stronger guard of idempotency keys: a claim on the log before the run.
+//!
+//! Claims of one gate are gathered while an append is under way and go out as one record, so the
+//! log sees a few appends a second for each gate however many claims there are. With the log away
+//! a claim fails at once, and the request has not run.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use slog::{debug, warn};
+use tokio::sync::{Notify, oneshot};
+
+use crate::board::Board;
+use crate::error::{Error, Result};
+use crate::keys::Holder;
+use crate::ledger::{Batch, Claim, Entry, Ledger};
+use crate::log::{Log, Page, Stream};
+use crate::outcome::Reason;
+use crate::units::{CallKey, Millis, Offset, Service};
+
+/// Allowance for clocks that differ between hosts, in milliseconds.
+const SKEW_MS: u64 = 30_000;
+/// Pause after the log failed; claims that come meanwhile fail when it ends.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Entries in one record.
+const BATCH: usize = 256;
+
+/// Claims of one service at one gate.
+#[derive(Debug)]
+pub struct Claims {
+    board: Arc<Board>,
+    log: Log,
+    stream: Stream,
+    holder: Holder,
+    numbers: AtomicU64,
+    /// Held only to move entries in and out.
+    waiting: Mutex<Vec<Waiting>>,
+    enqueued: Notify,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    entry: Entry,
+    told: Option<oneshot::Sender<Result<(), Reason>>>,
+}
+
+impl Claims {
+    /// Claims of `service`, made as `holder`, and the task that writes them.
+    #[must_use]
+    pub fn start(board: Arc<Board>, log: Log, service: Service, holder: Holder) -> Arc<Self> {
+        let claims = Arc::new(Self {
+            board,
+            log,
+            stream: Stream::Claims(service),
+            holder,
+            numbers: AtomicU64::new(0),
+            waiting: Mutex::default(),
+            enqueued: Notify::new(),
+        });
+        let writer = Arc::clone(&claims);
+        tokio::spawn(async move { writer.run().await });
+        claims
+    }
+
+    /// Claims a key; it may run once this has returned the claim.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::LogAway`] when the log did not take the claim: the key may not run;
+    /// [`Reason::KeyInDoubt`] when another claim came first.
+    pub async fn claim(&self, key: &CallKey) -> Result<Claim, Reason> {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let claim = Claim {
+            key: key.clone(),
+            holder: self.holder,
+            number,
+        };
+        let (told, verdict) = oneshot::channel();
+        self.enqueue(Entry::Claim(claim.clone()), Some(told));
+        verdict
+            .await
+            .unwrap_or(Err(Reason::LogAway))
+            .map(|()| claim)
+    }
+
+    /// Gives a claim back whose key has provably not run.
+    pub fn release(&self, claim: Claim) {
+        self.enqueue(Entry::Release(claim), None);
+    }
+
+    fn enqueue(&self, entry: Entry, told: Option<oneshot::Sender<Result<(), Reason>>>) {
+        self.waiting().push(Waiting { entry, told });
+        self.enqueued.notify_one();
+    }
+
+    async fn run(&self) {
+        let mut ledger = None;
+        loop {
+            let batch = self.take();
+            if batch.is_empty() {
+                self.enqueued.notified().await;
+            } else if self.flush(&mut ledger, batch).await.is_err() {
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+
+    fn take(&self) -> Vec<Waiting> {
+        let mut waiting = self.waiting();
+        let count = waiting.len().min(BATCH);
+        waiting.drain(..count).collect()
+    }
+
+    /// Writes a batch as one record, and tells each claim what became of it.
+    async fn flush(&self, ledger: &mut Option<Ledger>, mut batch: Vec<Waiting>) -> Result<()> {
+        let written = self.write(ledger, &batch).await;
+        if let Err(error) = &written {
+            debug!(self.board.logger, "claims failed"; "error" => %error, "count" => batch.len());
+        }
+        for waiting in &mut batch {
+            let Some(told) = waiting.told.take() else {
+                continue;
+            };
+            let verdict = match (&written, &waiting.entry, ledger.as_ref()) {
+                (Ok(()), Entry::Claim(claim), Some(ledger)) => judge(ledger, claim),
+                _ => Err(Reason::LogAway),
+            };
+            // Guards against a claim whose request gave up while it was written: its key will
+            // not run, and repeats would be in doubt until it is forgotten.
+            if let (Err(Ok(())), Entry::Claim(claim)) = (told.send(verdict), &waiting.entry) {
+                self.release(claim.clone());
+            }
+        }
+        if written.is_err() {
+            self.take_back(batch);
+        }
+        written
+    }
+
+    /// Appends a batch and folds the log up to it.
+    async fn write(&self, ledger: &mut Option<Ledger>, batch: &[Waiting]) -> Result<()> {
+        if ledger.is_none() {
+            *ledger = Some(self.open().await?);
+        }
+        let Some(ledger) = ledger.as_mut() else {
+            return Ok(());
+        };
+        let entries = batch.iter().map(|waiting| waiting.entry.clone()).collect();
+        let record = Batch {
+            at_ms: now_ms(),
+            entries,
+        };
+        let offset = self.log.append(self.stream.clone(), &record).await?;
+        while ledger.next() <= offset {
+            self.read(ledger).await?;
+        }
+        ledger.forget(self.horizon());
+        Ok(())
+    }
+
+    /// Gives back, once the log answers, what may have been claimed without an answer.
+    ///
+    /// Guards against a claim whose append took effect though its answer was lost: nobody runs
+    /// its key, and repeats would be in doubt until it is forgotten.
+    fn take_back(&self, batch: Vec<Waiting>) {
+        let mut waiting = self.waiting();
+        for lost in batch {
+            let (Entry::Claim(claim) | Entry::Release(claim)) = lost.entry;
+            waiting.push(Waiting {
+                entry: Entry::Release(claim),
+                told: None,
+            });
+        }
+        // Kept bounded during a long outage; what is dropped stays in doubt, which is safe.
+        let excess = waiting.len().saturating_sub(BATCH * 4);
+        if excess > 0 {
+            warn!(self.board.logger, "claims stay in doubt"; "count" => excess);
+            waiting.drain(..excess);
+        }
+    }
+
+    async fn read(&self, ledger: &mut Ledger) -> Result<()> {
+        let page = self
+            .log
+            .read(self.stream.clone(), ledger.next(), Millis(0))
+            .await?;
+        for stored in &page.records {
+            match serde_json::from_str::<Batch>(&stored.value) {
+                Ok(batch) => ledger.apply(stored.offset, batch.at_ms, &batch.entries),
+                Err(_) => ledger.apply(stored.offset, 0, &[]),
+            }
+        }
+        Ok(())
+    }
+
+    /// A ledger over every claim that is still remembered.
+    async fn open(&self) -> Result<Ledger> {
+        let bounds = self.log.bounds(self.stream.clone()).await?;
+        let horizon = self.horizon();
+        let start = self.first_since(&bounds, horizon).await?;
+        // Guards against a log that forgets claims sooner than keys are remembered: a claim that
+        // has expired there may have run.
+        if bounds.first > Offset(0) && start == bounds.first {
+            return Err(Error::Expired {
+                first: bounds.first,
+            });
+        }
+        let mut ledger = Ledger::new(start);
+        while ledger.next() < bounds.head {
+            self.read(&mut ledger).await?;
+        }
+        Ok(ledger)
+    }
+
+    /// First offset whose record was written at `horizon` or later, by binary search.
+    async fn first_since(&self, bounds: &Page, horizon: u64) -> Result<Offset> {
+        let (mut low, mut high) = (bounds.first.0, bounds.head.0);
+        while low < high {
+            let middle = low.midpoint(high);
+            let page = self
+                .log
+                .read(self.stream.clone(), Offset(middle), Millis(0))
+                .await?;
+            let batch = page.records.first();
+            let batch = batch.and_then(|s| serde_json::from_str::<Batch>(&s.value).ok());
+            if batch.is_some_and(|batch| batch.at_ms < horizon) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        Ok(Offset(low))
+    }
+
+    fn horizon(&self) -> u64 {
+        let span = self.board.settings.key_memory_ms.0;
+        now_ms().saturating_sub(span + SKEW_MS)
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, Vec<Waiting>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn judge(ledger: &Ledger, claim: &Claim) -> Result<(), Reason> {
+    if ledger.holder(&claim.key) == Some(claim) {
+        Ok(())
+    } else {
+        Err(Reason::KeyInDoubt)
+    }
+}
+
+fn now_ms() -> u64 {
+    let since_epoch: Duration = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Millis::from(since_epoch).0
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -125,7 +125,11 @@
         Arc::clone(&store),
         log.clone(),
     ));
-    let keys = Arc::new(Keys::new(Arc::clone(&board), Arc::clone(&links)));
+    let keys = Arc::new(Keys::new(
+        Arc::clone(&board),
+        Arc::clone(&links),
+        log.clone(),
+    ));
     let gate = Arc::new(Gate::new(Arc::clone(&board), Arc::clone(&keys)));
     let server = Arc::new(Server {
         board: Arc::clone(&board),
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -15,12 +15,14 @@
 
 use crate::board::{Board, InFlight};
 use crate::dispatch::Dispatcher;
+use crate::document::{Class, Guard};
 use crate::guard::Keys;
 use crate::limit::{Admission, Limit, Ticket};
 use crate::member::Stage;
 use crate::outcome::{self, Fate, OUTCOME, REFUSED, Reason};
 use crate::settings::Limits;
 use crate::stream::{self, Held};
+use crate::units::{Millis, Service};
 use crate::wire::Handover;
 
 /// Header with the requests in flight at a gate.
@@ -96,10 +98,7 @@
             in_flight,
         };
         let result = match received.handover.key.clone() {
-            Some(key) => {
-                let service = received.handover.service.clone();
-                self.keys.guard(service, key, received, self).await
-            }
+            Some(key) => self.keys.guard(key, received, self).await,
             None => self.work(received).await,
         };
         let mut response = match result {
@@ -164,6 +163,18 @@
         self.deadline
     }
 
+    /// What keeps its key from running twice.
+    #[must_use]
+    pub const fn guard(&self) -> Guard {
+        self.handover.guard
+    }
+
+    /// Service that is called.
+    #[must_use]
+    pub const fn service(&self) -> &Service {
+        &self.handover.service
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
@@ -211,10 +222,7 @@
         let left = deadline.saturating_duration_since(Instant::now());
         let headers = request.headers_mut();
         stream::strip_hop_by_hop(headers);
-        headers.insert(
-            REMAINING,
-            HeaderValue::from(crate::units::Millis::from(left).0),
-        );
+        headers.insert(REMAINING, HeaderValue::from(Millis::from(left).0));
         if let Ok(id) = HeaderValue::from_str(&handover.id) {
             headers.insert(CALL, id);
         }
@@ -299,7 +307,7 @@
         self: &Arc<Self>,
         slots: u32,
         queue: u32,
-        class: crate::document::Class,
+        class: Class,
         patience: Duration,
     ) -> Result<Permit, Reason> {
         let (waiting, signal) = {
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -1,4 +1,4 @@
-//! Carries out the memory guard of idempotency keys at a gate.
+//! Carries out the guards of idempotency keys at a gate.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,8 +13,11 @@
 use volo_http::body::Body;
 
 use crate::board::Board;
+use crate::claim::Claims;
+use crate::document::Guard;
 use crate::gate::{Gate, Received};
 use crate::keys::{Answer, Holder, Memory, Own, Ownership, Peer, State, ownership, proven};
+use crate::log::Log;
 use crate::member::Stage;
 use crate::outcome::{Fate, Reason};
 use crate::peer::Links;
@@ -31,7 +34,10 @@
 pub struct Keys {
     board: Arc<Board>,
     links: Arc<Links>,
+    log: Log,
     memory: Mutex<Memory>,
+    /// Sorted by service.
+    claims: Mutex<Vec<(Service, Arc<Claims>)>>,
     /// Told whenever a run ends.
     ended: watch::Sender<u64>,
     born: Instant,
@@ -42,12 +48,14 @@
 impl Keys {
     /// An empty memory.
     #[must_use]
-    pub fn new(board: Arc<Board>, links: Arc<Links>) -> Self {
+    pub fn new(board: Arc<Board>, links: Arc<Links>, log: Log) -> Self {
         let span = board.settings.key_memory_ms.duration();
         Self {
             board,
             links,
+            log,
             memory: Mutex::new(Memory::new(span)),
+            claims: Mutex::default(),
             ended: watch::Sender::new(0),
             born: Instant::now(),
             life: rand::random(),
@@ -85,7 +93,6 @@
     /// Why there is no answer.
     pub async fn guard(
         self: &Arc<Self>,
-        service: Service,
         key: CallKey,
         received: Received,
         gate: &Arc<Gate>,
@@ -112,16 +119,71 @@
         };
         let (keys, gate) = (Arc::clone(self), Arc::clone(gate));
         let task = tokio::spawn(async move {
-            let proof = keys.prove(&service, &key).await;
-            let result = match proof {
-                Ok(()) => gate.work(received).await,
-                Err(reason) => Err(reason),
+            let result = match received.guard() {
+                Guard::Memory => keys.run_noted(&key, received, &gate).await,
+                Guard::Claim => keys.run_claimed(&key, received, &gate).await,
             };
             run.settle(result).await
         });
         task.await.unwrap_or(Err(Reason::Broken))
     }
 
+    async fn run_noted(
+        &self,
+        key: &CallKey,
+        received: Received,
+        gate: &Gate,
+    ) -> Result<Response<Body>, Reason> {
+        self.prove(received.service(), key).await?;
+        gate.work(received).await
+    }
+
+    async fn run_claimed(
+        &self,
+        key: &CallKey,
+        received: Received,
+        gate: &Gate,
+    ) -> Result<Response<Body>, Reason> {
+        let claims = self.claims(received.service());
+        let patience = received
+            .deadline()
+            .saturating_duration_since(Instant::now());
+        // A claim without an answer in time may still be written; it is given back then, since
+        // its key has not run.
+        let claiming = claims.claim(key);
+        let claim = tokio::time::timeout(patience, claiming).await;
+        let claim = claim.unwrap_or(Err(Reason::LogAway))?;
+        let result = gate.work(received).await;
+        if let Err(reason) = &result
+            && reason.fate() == Fate::NotRun
+        {
+            claims.release(claim);
+        }
+        result
+    }
+
+    /// The claims of a service, begun when first needed.
+    fn claims(&self, service: &Service) -> Arc<Claims> {
+        let mut claims = self.claims.lock().unwrap_or_else(PoisonError::into_inner);
+        match claims.binary_search_by(|(known, _)| known.cmp(service)) {
+            Ok(index) => Arc::clone(&claims[index].1),
+            Err(index) => {
+                let (board, log) = (Arc::clone(&self.board), self.log.clone());
+                let started = Claims::start(board, log, service.clone(), self.holder());
+                claims.insert(index, (service.clone(), Arc::clone(&started)));
+                started
+            }
+        }
+    }
+
+    /// This gate in its present life.
+    fn holder(&self) -> Holder {
+        Holder {
+            gate: self.board.settings.identity(),
+            life: self.life,
+        }
+    }
+
     fn begin(&self, key: &CallKey) -> Result<Begin, Reason> {
         let now = Instant::now();
         let mut memory = self.memory();
@@ -155,10 +217,7 @@
         let peers = self.peers(service);
         let note = Note {
             key: key.clone(),
-            holder: Holder {
-                gate: own.address,
-                life: self.life,
-            },
+            holder: self.holder(),
         };
         match ownership(key, own, &peers, span) {
             Ownership::Moved => Err(Reason::Moved),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod floor;
 pub mod fold;
 pub mod keys;
+pub mod ledger;
 pub mod limit;
 pub mod log;
 pub mod member;
@@ -64,6 +65,7 @@
 
 mod accept;
 mod call;
+mod claim;
 mod config;
 mod dispatch;
 mod error;
--- a/src/log.rs
+++ b/src/log.rs
@@ -4,6 +4,7 @@
 //! offset; `GET /streams/{stream}?from=N&limit=L&wait_ms=W` reads records from an offset on, waiting
 //! for the first one if there is none yet. Records before the first retained one answer 410.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,12 +12,11 @@
 use http::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString, VariantNames};
 
 use crate::error::{Error, Result};
 use crate::http_client;
 use crate::telemetry::Meter;
-use crate::units::{Millis, Offset};
+use crate::units::{Millis, Offset, Service};
 
 /// Time for an answer, beside the time that a read may wait.
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -26,15 +26,24 @@
 const HEADS: usize = 260;
 
 /// Streams that the system keeps on the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString, VariantNames)]
-#[strum(serialize_all = "snake_case")]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Stream {
     /// Edits and checkpoints.
     Config,
     /// Daemons to join through.
     Contacts,
-    /// Claims of idempotency keys.
-    Claims,
+    /// Claims of idempotency keys of one service.
+    Claims(Service),
+}
+
+impl fmt::Display for Stream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Config => f.write_str("config"),
+            Self::Contacts => f.write_str("contacts"),
+            Self::Claims(service) => write!(f, "claims-{service}"),
+        }
+    }
 }
 
 /// A run of records.
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -83,6 +83,28 @@
         }
     }
 
+    /// What to report when an attempt failed for this reason and a later one for another.
+    ///
+    /// Guards against a lie: a request whose first attempt may have run and whose second was
+    /// refused must not be reported as not run.
+    #[must_use]
+    pub fn followed_by(self, later: Self) -> Self {
+        if self.fate() == Fate::Unknown {
+            self
+        } else {
+            later
+        }
+    }
+
+    /// Whether the upstream was simply not there to take the request.
+    #[must_use]
+    pub const fn is_absence(self) -> bool {
+        matches!(
+            self,
+            Self::Draining | Self::Moved | Self::NoTarget | Self::Unreachable
+        )
+    }
+
     const fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/src/units.rs
+++ b/src/units.rs
@@ -123,6 +123,18 @@
     CallKey
 }
 
+impl Service {
+    /// Longest name, in bytes.
+    pub const MAX: usize = 64;
+
+    /// Whether the name can stand in a path: letters, digits, `.`, `_` and `-`.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+        (1..=Self::MAX).contains(&self.0.len()) && self.0.bytes().all(plain)
+    }
+}
+
 impl Offset {
     /// The offset that follows this one.
     #[must_use]
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -61,3 +61,21 @@
         assert_eq!(reason.fate(), Fate::NotRun, "{reason}");
     }
 }
+
+/// A read breaks off at its first target and the second refuses it. "Not run" would be a lie.
+#[test]
+fn doubt_is_not_lost_in_later_attempts() {
+    assert_eq!(Reason::Broken.followed_by(Reason::NoTarget), Reason::Broken);
+    assert_eq!(
+        Reason::Broken.followed_by(Reason::Overloaded).fate(),
+        Fate::Unknown
+    );
+    assert_eq!(
+        Reason::Draining.followed_by(Reason::TimedOut),
+        Reason::TimedOut
+    );
+    assert_eq!(
+        Reason::Draining.followed_by(Reason::Overloaded),
+        Reason::Overloaded
+    );
+}
--- a/trial/src/fleet.rs
+++ b/trial/src/fleet.rs
@@ -27,7 +27,6 @@
 const TARGET: u16 = 7003;
 const OPERATOR: u16 = 7004;
 const WORK: u16 = 7005;
-const CONTROL: u16 = 7006;
 const LOG: u16 = 7000;
 /// Tries to publish on what a daemon says is in force.
 const PUT_TRIES: usize = 5;
@@ -121,6 +120,8 @@
     network: u8,
     logs: PathBuf,
     options: Vec<String>,
+    /// Slots of each target.
+    slots: String,
     /// The network between the hosts, when trials want to cut it.
     pub net: Option<Arc<Net>>,
     /// The platform log.
@@ -148,6 +149,7 @@
             network,
             logs,
             options,
+            slots: "20".to_owned(),
             net: None,
             log: None,
             hosts: Vec::new(),
@@ -162,6 +164,13 @@
         fleet
     }
 
+    /// Gives the targets that are started from now on other slots.
+    #[must_use]
+    pub fn with_slots(mut self, slots: u32) -> Self {
+        self.slots = slots.to_string();
+        self
+    }
+
     /// Puts a network that can be cut between the hosts that are added from now on.
     #[must_use]
     pub fn with_net(mut self) -> Self {
@@ -256,17 +265,20 @@
             return;
         };
         let address = |port| SocketAddr::new(host.ip, port).to_string();
-        let (listen, control, daemon) = (address(WORK), address(CONTROL), address(TARGET));
+        let (listen, daemon) = (address(WORK), address(TARGET));
+        let runs = self.runs_file(index).to_string_lossy().into_owned();
         let args = [
             "target",
             "--listen",
             &listen,
-            "--control",
-            &control,
+            "--runs",
+            &runs,
             "--daemon",
             &daemon,
             "--service",
             &service,
+            "--slots",
+            &self.slots,
         ];
         let process = self.spawn(&format!("target-{index}"), &args);
         self.hosts[index].target = Some(process);
@@ -422,11 +434,20 @@
         )
     }
 
-    /// What a host's target has run.
-    pub async fn runs(&self, index: usize) -> Vec<Run> {
-        get(SocketAddr::new(self.hosts[index].ip, CONTROL), "/runs")
-            .await
-            .unwrap_or_default()
+    /// What all targets have run, across their restarts.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        let files = (0..self.hosts.len()).map(|index| self.runs_file(index));
+        let texts = files.filter_map(|file| std::fs::read_to_string(file).ok());
+        let lines: Vec<String> = texts.flat_map(|text| lines(&text)).collect();
+        lines
+            .iter()
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+
+    fn runs_file(&self, index: usize) -> PathBuf {
+        self.logs.join(format!("target-{index}.runs"))
     }
 
     /// Kills the daemon of a host.
@@ -496,6 +517,10 @@
     }
 }
 
+fn lines(text: &str) -> Vec<String> {
+    text.lines().map(str::to_owned).collect()
+}
+
 /// A part of the loopback network that no other trial uses.
 fn free_network() -> u8 {
     for _ in 0..200 {
--- /dev/null
+++ b/trial/src/inject.rs
@@ -0,0 +1,142 @@
+//! What is done to a fleet while callers call.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use jackdawpulley::units::Millis;
+use rustix::process::Signal;
+
+use crate::calls::{Args, Fault};
+use crate::fleet::{Fleet, until};
+use crate::history::Leaving;
+use crate::platform::{Faults, Mode};
+use crate::target::now_ms;
+
+/// Time for a process to stop, or to come back.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Carries out a fault over `length`, with a change of configuration in the middle.
+///
+/// Returns the targets that were asked to leave. Daemons that are killed are named in `killed`
+/// before it happens.
+///
+/// # Panics
+///
+/// When a process does not stop or come back.
+pub async fn run(
+    fleet: &mut Fleet,
+    args: &Args,
+    length: Duration,
+    killed: &Mutex<Vec<SocketAddr>>,
+) -> Vec<Leaving> {
+    let began = Instant::now();
+    tokio::time::sleep(length / 4).await;
+    let mut leavings = Vec::new();
+    match args.fault {
+        Fault::None | Fault::Surge => {}
+        Fault::Kill => kill(fleet, killed),
+        Fault::Freeze => freeze(fleet, Signal::STOP),
+        Fault::LogOutage => {
+            fleet
+                .fail_log(Faults {
+                    mode: Mode::Refuse,
+                    ..Faults::default()
+                })
+                .await;
+        }
+        Fault::Leave => leavings = roll(fleet, began + length).await,
+    }
+    tokio::time::sleep((length / 2).saturating_sub(began.elapsed())).await;
+    if args.fault == Fault::LogOutage {
+        tokio::time::sleep(length / 10).await;
+        fleet.fail_log(Faults::default()).await;
+    }
+    change(fleet, args).await;
+    tokio::time::sleep((length * 3 / 4).saturating_sub(began.elapsed())).await;
+    match args.fault {
+        Fault::Kill => revive(fleet),
+        Fault::Freeze => freeze(fleet, Signal::CONT),
+        _ => {}
+    }
+    leavings
+}
+
+/// The hosts that are injured: one of each service, the last ones.
+fn victims(fleet: &Fleet) -> (usize, usize) {
+    let last = fleet.hosts.len() - 1;
+    (1, last)
+}
+
+/// Kills a whole host of the first service and only the target of a host of the second.
+fn kill(fleet: &mut Fleet, killed: &Mutex<Vec<SocketAddr>>) {
+    let (host, target) = victims(fleet);
+    let door = fleet.hosts[host].calls();
+    killed
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .push(door);
+    fleet.hosts[host].daemon = None;
+    fleet.hosts[host].target = None;
+    fleet.hosts[target].target = None;
+}
+
+fn revive(fleet: &mut Fleet) {
+    let (host, target) = victims(fleet);
+    fleet.start_daemon(host);
+    fleet.start_target(host);
+    fleet.start_target(target);
+}
+
+/// Stops or continues the target of one host and the daemon of another.
+fn freeze(fleet: &Fleet, signal: Signal) {
+    let (daemon, target) = victims(fleet);
+    fleet.signal_daemon(daemon, signal);
+    if let Some(target) = &fleet.hosts[target].target {
+        target.signal(signal);
+    }
+}
+
+/// Stops every target and daemon as planned, one host after another while callers call, and starts
+/// it again.
+async fn roll(fleet: &mut Fleet, end: Instant) -> Vec<Leaving> {
+    let mut leavings = Vec::new();
+    for index in 0..fleet.hosts.len() {
+        if Instant::now() >= end {
+            break;
+        }
+        let target = fleet.hosts[index].work();
+        let asked_ms = now_ms();
+        stop(fleet.hosts[index].target.take()).await;
+        stop(fleet.hosts[index].daemon.take()).await;
+        let back_ms = now_ms();
+        leavings.push(Leaving {
+            target,
+            asked_ms,
+            back_ms,
+        });
+        fleet.start_daemon(index);
+        fleet.start_target(index);
+        assert!(
+            fleet.serves(index, PATIENCE).await,
+            "host {index} comes back"
+        );
+    }
+    leavings
+}
+
+async fn stop(process: Option<crate::fleet::Process>) {
+    let Some(mut process) = process else {
+        return;
+    };
+    process.signal(Signal::TERM);
+    let ended = until(PATIENCE, || std::future::ready(process.ended().is_some())).await;
+    assert!(ended, "a planned stop ends");
+}
+
+/// Changes a time-out through a daemon that runs.
+async fn change(fleet: &Fleet, args: &Args) {
+    let mut document = args.deployment.document();
+    document.routes[0].timeout_ms = Millis(2_100);
+    fleet.put(0, document).await;
+}
--- a/trial/src/lib.rs
+++ b/trial/src/lib.rs
@@ -4,10 +4,14 @@
 //! platform's log, the stand-in target, the daemon, the operator's command and the trial that
 //! starts and injures all of them.
 
+pub mod calls;
 pub mod converge;
 pub mod deployment;
 pub mod fleet;
+pub mod history;
+pub mod inject;
 pub mod net;
+pub mod overhead;
 pub mod path;
 pub mod platform;
 pub mod process;
--- a/trial/src/main.rs
+++ b/trial/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use jackdaw_trial::{converge, path, platform, target};
+use jackdaw_trial::{calls, converge, overhead, path, platform, target};
 
 #[derive(Debug, Parser)]
 #[command(
@@ -23,6 +23,10 @@
     Path,
     /// Convergence time and control bytes of each way of delivery
     Converge(converge::Args),
+    /// Calls under a fault, the simple policies beside the default ones
+    Calls(calls::Args),
+    /// Latency that daemons add, and calls a second for each core
+    Overhead(overhead::Args),
     /// Be the stand-in for the platform's log
     Log(platform::Args),
     /// Be a stand-in target
@@ -83,6 +87,22 @@
             }
             ExitCode::SUCCESS
         }
+        Verb::Calls(args) => {
+            if !args.no_baseline {
+                print(&calls::run(program.clone(), &args, calls::Policy::Baseline).await);
+            }
+            let report = calls::run(program, &args, calls::Policy::Default).await;
+            print(&report);
+            if report.counts.clean() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Verb::Overhead(args) => {
+            print(&overhead::run(program, &args).await);
+            ExitCode::SUCCESS
+        }
         Verb::Log(args) => {
             platform::run(args).await;
             ExitCode::SUCCESS
@@ -94,3 +114,10 @@
         Verb::Daemon { .. } | Verb::Ctl { .. } => ExitCode::FAILURE,
     }
 }
+
+fn print<T: serde::Serialize>(report: &T) {
+    println!(
+        "{}",
+        serde_json::to_string(report).expect("plain data is JSON")
+    );
+}
--- /dev/null
+++ b/trial/src/overhead.rs
@@ -0,0 +1,214 @@
+//! Latency that daemons add to a call, pairwise in one run.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use clap::Parser;
+use hdrhistogram::Histogram;
+use http::Method;
+use jackdawpulley::units::{DataCentre, Service};
+use serde::Serialize;
+
+use crate::converge::as_f64;
+use crate::deployment::{Deployment, Place};
+use crate::fleet::Fleet;
+use crate::process::Usage;
+use crate::session::Session;
+
+/// Time for one answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Sessions that saturate a daemon.
+const CROWD: usize = 32;
+
+/// Arguments of the trial.
+#[derive(Debug, Clone, Parser)]
+pub struct Args {
+    /// Rounds; each calls over every way in turn
+    #[arg(long, default_value_t = 4_000)]
+    pub rounds: usize,
+    /// Sessions that call at the same time
+    #[arg(long, default_value_t = 4)]
+    pub sessions: usize,
+    /// Pause of a session between two rounds, in milliseconds
+    #[arg(long, default_value_t = 2)]
+    pub pause_ms: u64,
+    /// Time for which a daemon is saturated, in seconds
+    #[arg(long, default_value_t = 4)]
+    pub saturate_s: u64,
+}
+
+/// What a run showed.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// Which trial this is.
+    pub trial: &'static str,
+    /// Calls over each way.
+    pub calls: u64,
+    /// Straight to the target, median, in milliseconds.
+    pub direct_p50_ms: f64,
+    /// Straight to the target, 99 in 100.
+    pub direct_p99_ms: f64,
+    /// Through the target's own daemon, median.
+    pub one_p50_ms: f64,
+    /// Through the target's own daemon, 99 in 100.
+    pub one_p99_ms: f64,
+    /// Through another daemon and the target's, median.
+    pub two_p50_ms: f64,
+    /// Through another daemon and the target's, 99 in 100.
+    pub two_p99_ms: f64,
+    /// Added at the median by one daemon.
+    pub one_added_p50_ms: f64,
+    /// Added at 99 in 100 by one daemon.
+    pub one_added_p99_ms: f64,
+    /// Added at the median by two daemons.
+    pub two_added_p50_ms: f64,
+    /// Added at 99 in 100 by two daemons.
+    pub two_added_p99_ms: f64,
+    /// Calls through one daemon in a second of its processor time.
+    pub one_calls_per_core_s: f64,
+    /// Calls through two daemons in a second of the entry's processor time.
+    pub entry_calls_per_core_s: f64,
+    /// Calls through two daemons in a second of the gate's processor time.
+    pub gate_calls_per_core_s: f64,
+}
+
+/// Measures the three ways.
+///
+/// # Panics
+///
+/// When the fleet does not come up, or a call is not answered.
+pub async fn run(program: PathBuf, args: &Args) -> Report {
+    let mut fleet = Fleet::start(program, &[]).await;
+    let place = |service: Option<&str>| Place {
+        data_centre: DataCentre::from("eros"),
+        service: service.map(Service::from),
+    };
+    fleet.add(&[place(Some("shelf")), place(None)]).await;
+    assert!(fleet.meets(2, PATIENCE * 4).await, "both know each other");
+    let version = fleet.put(0, Deployment::Kalahari.document()).await;
+    assert!(
+        fleet.converges(version, PATIENCE).await,
+        "the document is in force"
+    );
+    let ways = [
+        fleet.hosts[0].work(),
+        fleet.hosts[0].calls(),
+        fleet.hosts[1].calls(),
+    ];
+    let times = latencies(args, ways).await;
+    let [direct, one, two] = &times;
+    let one_usage = saturate(&fleet, ways[1], args).await;
+    let two_usage = saturate(&fleet, ways[2], args).await;
+    let ms = |times: &Histogram<u64>, share| as_f64(times.value_at_quantile(share)) / 1_000_000.0;
+    Report {
+        trial: "overhead",
+        calls: direct.len(),
+        direct_p50_ms: ms(direct, 0.50),
+        direct_p99_ms: ms(direct, 0.99),
+        one_p50_ms: ms(one, 0.50),
+        one_p99_ms: ms(one, 0.99),
+        two_p50_ms: ms(two, 0.50),
+        two_p99_ms: ms(two, 0.99),
+        one_added_p50_ms: ms(one, 0.50) - ms(direct, 0.50),
+        one_added_p99_ms: ms(one, 0.99) - ms(direct, 0.99),
+        two_added_p50_ms: ms(two, 0.50) - ms(direct, 0.50),
+        two_added_p99_ms: ms(two, 0.99) - ms(direct, 0.99),
+        one_calls_per_core_s: one_usage.calls / one_usage.cpu_s[0],
+        entry_calls_per_core_s: two_usage.calls / two_usage.cpu_s[1],
+        gate_calls_per_core_s: two_usage.calls / two_usage.cpu_s[0],
+    }
+}
+
+/// Calls over all ways in turn, so that whatever else the machine does hits all alike.
+async fn latencies(args: &Args, ways: [SocketAddr; 3]) -> [Histogram<u64>; 3] {
+    let workers: Vec<_> = (0..args.sessions)
+        .map(|_| tokio::spawn(worker(ways, args.rounds / args.sessions, args.pause_ms)))
+        .collect();
+    let mut total = [(); 3].map(|()| Histogram::new(3).expect("three digits are valid"));
+    for worker in workers {
+        let times = worker.await.expect("a worker ends");
+        for (sum, part) in total.iter_mut().zip(&times) {
+            sum.add(part).expect("equal histograms add up");
+        }
+    }
+    total
+}
+
+async fn worker(ways: [SocketAddr; 3], rounds: usize, pause_ms: u64) -> [Histogram<u64>; 3] {
+    let mut sessions = ways.map(Session::new);
+    let mut times = [(); 3].map(|()| Histogram::new(3).expect("three digits are valid"));
+    for round in 0..rounds + rounds / 10 {
+        for (session, times) in sessions.iter_mut().zip(&mut times) {
+            let began = Instant::now();
+            call(session).await;
+            // The first tenth warms connections and caches up.
+            if round >= rounds / 10 {
+                let took = u64::try_from(began.elapsed().as_nanos()).unwrap_or(u64::MAX);
+                times.record(took).expect("the histogram resizes");
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+    times
+}
+
+async fn call(session: &mut Session) {
+    let headers = [("x-request", "o"), ("x-size", "300")];
+    let request = Session::request(Method::GET, Deployment::Kalahari.paths().read, &headers, "");
+    let answer = session
+        .send(request, PATIENCE)
+        .await
+        .expect("a whole answer");
+    assert!(answer.status.is_success(), "{answer:?}");
+}
+
+/// What a saturated daemon did.
+#[derive(Debug)]
+struct Load {
+    calls: f64,
+    /// Processor time of the two daemons, in seconds.
+    cpu_s: [f64; 2],
+}
+
+async fn saturate(fleet: &Fleet, way: SocketAddr, args: &Args) -> Load {
+    let usage = || {
+        [0, 1].map(|i| {
+            fleet.hosts[i]
+                .daemon
+                .as_ref()
+                .map_or(0.0, |d| Usage::of(d.id()).cpu_s)
+        })
+    };
+    let (stop, count) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicU64::new(0)),
+    );
+    let before = usage();
+    // Only as many sessions as the target has slots get answers; the others would be refused.
+    let crowd: Vec<_> = (0..CROWD.min(16))
+        .map(|_| {
+            let (stop, count) = (Arc::clone(&stop), Arc::clone(&count));
+            tokio::spawn(async move {
+                let mut session = Session::new(way);
+                while !stop.load(Ordering::Acquire) {
+                    call(&mut session).await;
+                    count.fetch_add(1, Ordering::Relaxed);
+                }
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_secs(args.saturate_s)).await;
+    stop.store(true, Ordering::Release);
+    for caller in crowd {
+        caller.await.expect("a caller ends");
+    }
+    let after = usage();
+    let cpu_s = [after[0] - before[0], after[1] - before[1]];
+    Load {
+        calls: as_f64(count.load(Ordering::Relaxed)),
+        cpu_s,
+    }
+}
--- a/trial/src/target.rs
+++ b/trial/src/target.rs
@@ -3,7 +3,10 @@
 //! A request's headers say how long it works (`x-work-ms`) and how large its answer is
 //! (`x-size`). The target announces itself to its daemon, renews, and leaves when it is stopped.
 
+use std::fs::File;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -19,7 +22,6 @@
 use tokio::signal::unix::{SignalKind, signal};
 use volo::net::Address;
 use volo_http::body::{Body, BodyConversion};
-use volo_http::server::route::get;
 use volo_http::server::{Router, Server};
 
 use crate::session;
@@ -30,9 +32,9 @@
     /// Address to take calls on
     #[arg(long)]
     pub listen: SocketAddr,
-    /// Address that tells what was run
+    /// File that records what was run, one JSON object a line
     #[arg(long)]
-    pub control: SocketAddr,
+    pub runs: PathBuf,
     /// Where to announce
     #[arg(long)]
     pub daemon: SocketAddr,
@@ -57,6 +59,8 @@
     pub request: String,
     /// When it began, in milliseconds since 1970.
     pub began_ms: u64,
+    /// The target that ran it.
+    pub target: SocketAddr,
 }
 
 /// Body of an answer.
@@ -76,7 +80,8 @@
 struct Target {
     args: Args,
     began: std::time::Instant,
-    runs: Mutex<Vec<Run>>,
+    /// Written before a run begins, so that the record outlives a kill.
+    runs: Mutex<File>,
     in_flight: AtomicU64,
     leaving: AtomicBool,
 }
@@ -87,27 +92,22 @@
 ///
 /// When an address can't be had.
 pub async fn run(args: Args) {
+    let file = File::options().create(true).append(true).open(&args.runs);
+    let file = file.expect("the record can be written");
     let target = Arc::new(Target {
         args: args.clone(),
         began: std::time::Instant::now(),
-        runs: Mutex::default(),
+        runs: Mutex::new(file),
         in_flight: AtomicU64::new(0),
         leaving: AtomicBool::new(false),
     });
-    let (worker, reporter) = (Arc::clone(&target), Arc::clone(&target));
+    let worker = Arc::clone(&target);
     let work = move |request: Request<Body>| {
         let target = Arc::clone(&worker);
         async move { target.work(request).await }
     };
-    let report = move || {
-        let runs = reporter.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        std::future::ready(serde_json::to_string(&*runs).expect("plain data is JSON"))
-    };
     let calls = Server::new(Router::new().fallback(work)).run(Address::from(args.listen));
-    let control = Router::new().route("/runs", get(report));
-    let control = Server::new(control).run(Address::from(args.control));
     tokio::spawn(calls);
-    tokio::spawn(control);
     let renewing = Arc::clone(&target);
     tokio::spawn(async move { renewing.renew().await });
     let mut terminate = signal(SignalKind::terminate()).expect("signals can be awaited");
@@ -138,14 +138,7 @@
         let request = text("x-request").to_owned();
         let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
         let (work, size) = (number("x-work-ms"), number("x-size"));
-        let run = Run {
-            request: request.clone(),
-            began_ms: now_ms(),
-        };
-        self.runs
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(run);
+        self.record(&request);
         let received = body.into_bytes().await.map_or(0, |body| body.len());
         let cold = self.began.elapsed() < self.args.cold_ms.duration();
         let work = if cold { 2 * work } else { work };
@@ -170,6 +163,18 @@
         response
     }
 
+    fn record(&self, request: &str) {
+        let run = Run {
+            request: request.to_owned(),
+            began_ms: now_ms(),
+            target: self.args.listen,
+        };
+        let line = serde_json::to_string(&run).expect("plain data is JSON") + "\n";
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.write_all(line.as_bytes())
+            .expect("the record can be written");
+    }
+
     async fn renew(&self) {
         let announcement = Announcement {
             service: self.args.service.clone(),
--- /dev/null
+++ b/trial/tests/calls.rs
@@ -0,0 +1,296 @@
+//! What callers get while targets and daemons misbehave, with real daemons.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use common::fake::{Fake, Manner, announce};
+use common::{document, fleet, places};
+use http::{Method, StatusCode};
+use jackdaw_trial::deployment::Place;
+use jackdaw_trial::fleet::{Fleet, until};
+use jackdaw_trial::session::{Answer, Failure, Session};
+use jackdaw_trial::target::Echo;
+use jackdawpulley::document::Document;
+use jackdawpulley::outcome::{OUTCOME, REASON};
+use jackdawpulley::units::{DataCentre, Millis};
+use rustix::process::Signal;
+
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// A fleet of hosts without targets of their own, but for the hosts named in `with_target`.
+async fn hosts(count: usize, with_target: &[usize], document: Document) -> Fleet {
+    let mut fleet = fleet(&[]).await;
+    let bare = |index: usize| Place {
+        data_centre: DataCentre::from("eros"),
+        service: places(1, 1)[0]
+            .service
+            .clone()
+            .filter(|_| with_target.contains(&index)),
+    };
+    fleet.add(&(0..count).map(bare).collect::<Vec<_>>()).await;
+    for host in &mut fleet.hosts {
+        host.place.service = places(1, 1)[0].service.clone();
+    }
+    assert!(fleet.meets(count, PATIENCE).await);
+    let version = fleet.put(0, document).await;
+    assert!(fleet.converges(version, PATIENCE).await);
+    fleet
+}
+
+/// Waits until a daemon sees `count` upstreams.
+async fn sees(fleet: &Fleet, index: usize, count: usize) {
+    let operator = fleet.hosts[index].operator();
+    let seen = until(PATIENCE, || async move {
+        let state: Option<serde_json::Value> = jackdaw_trial::fleet::get(operator, "/state").await;
+        state.is_some_and(|s| {
+            s["upstreams"]
+                .as_array()
+                .is_some_and(|all| all.len() == count)
+        })
+    });
+    assert!(seen.await, "host {index} sees {count} upstreams");
+}
+
+async fn call(door: SocketAddr, method: Method, path: &str, name: &str) -> Result<Answer, Failure> {
+    let request = Session::request(method, path, &[("x-request", name)], "");
+    Session::new(door).send(request, PATIENCE).await
+}
+
+fn told(answer: &Answer) -> (&str, &str) {
+    (answer.header(OUTCOME), answer.header(REASON))
+}
+
+/// A target reads a rental and its connection breaks before the answer. The rental may have been
+/// charged: the caller is told so, and no other target gets it.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_rental_is_unknown_and_not_repeated() {
+    let fleet = hosts(2, &[], document(1)).await;
+    let fakes = [
+        Fake::start(&fleet.hosts[0], Manner::CloseAfterReading).await,
+        Fake::start(&fleet.hosts[1], Manner::CloseAfterReading).await,
+    ];
+    sees(&fleet, 0, 2).await;
+    let answer = call(fleet.hosts[0].calls(), Method::POST, "/grants", "g")
+        .await
+        .expect("whole");
+    assert_eq!(told(&answer), ("unknown", "broken"));
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(fakes[0].count() + fakes[1].count(), 1);
+    let answer = call(fleet.hosts[0].calls(), Method::GET, "/titles", "t")
+        .await
+        .expect("whole");
+    assert_eq!(
+        told(&answer),
+        ("unknown", "broken"),
+        "a read is tried elsewhere, in vain here"
+    );
+    assert_eq!(fakes[0].count() + fakes[1].count(), 3);
+}
+
+/// A target refuses before it runs anything and says so: the rental goes to another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn proved_refusal_is_tried_elsewhere() {
+    let fleet = hosts(2, &[1], document(1)).await;
+    let fake = Fake::start(&fleet.hosts[0], Manner::Refuse).await;
+    sees(&fleet, 0, 2).await;
+    let all = until(PATIENCE, || async {
+        let answer = call(fleet.hosts[0].calls(), Method::POST, "/grants", "g").await;
+        assert_eq!(answer.expect("whole").header(OUTCOME), "answered");
+        fake.count() > 0
+    });
+    assert!(all.await, "the refusing target was tried as well");
+}
+
+/// Nothing listens where the target announced itself: nothing can have run, and the caller is told
+/// at once, with the time to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreachable_target_is_not_run() {
+    let fleet = hosts(1, &[], document(1)).await;
+    announce(&fleet.hosts[0], SocketAddr::new(fleet.hosts[0].ip, 7_199)).await;
+    sees(&fleet, 0, 1).await;
+    let began = Instant::now();
+    let answer = call(fleet.hosts[0].calls(), Method::POST, "/grants", "g")
+        .await
+        .expect("whole");
+    assert_eq!(told(&answer), ("not-run", "unreachable"));
+    assert!(
+        began.elapsed() < Duration::from_millis(500),
+        "at once, not at the deadline"
+    );
+    assert!(!answer.header("retry-after").is_empty());
+}
+
+/// An answer breaks off in the middle. A caller that got it as a whole answer would show half a
+/// roster.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_cut_short_is_a_cut() {
+    for door in [0, 1] {
+        let fleet = hosts(2, &[], document(1)).await;
+        Fake::start(&fleet.hosts[0], Manner::CutShort).await;
+        sees(&fleet, door, 1).await;
+        let result = call(fleet.hosts[door].calls(), Method::GET, "/titles", "t").await;
+        assert!(
+            matches!(result, Err(Failure::Cut(_))),
+            "through host {door}: {result:?}"
+        );
+    }
+}
+
+/// A target answers after the time-out of its request, while the next request is on its way. The
+/// late answer must not be taken for the next one's.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answer_meets_nobody() {
+    let mut short = document(1);
+    for route in &mut short.routes {
+        route.timeout_ms = Millis(200);
+    }
+    let fleet = hosts(1, &[], short).await;
+    Fake::start(&fleet.hosts[0], Manner::Late).await;
+    sees(&fleet, 0, 1).await;
+    let door = fleet.hosts[0].calls();
+    for round in 0..5 {
+        let slow = call(door, Method::POST, "/grants", "slow")
+            .await
+            .expect("whole");
+        assert_eq!(told(&slow), ("unknown", "timed-out"));
+        for next in 0..10 {
+            let name = format!("{round}-{next}");
+            let answer = call(door, Method::POST, "/grants", &name)
+                .await
+                .expect("whole");
+            assert_eq!(answer.body, name.as_bytes());
+        }
+    }
+}
+
+/// A gate is frozen with a rental waiting for a slot, and continued after the rental's deadline.
+/// Its caller has been told long ago; the rental must not run now.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_gate_does_not_run_late() {
+    let mut narrow = document(1);
+    narrow
+        .groups
+        .iter_mut()
+        .for_each(|group| group.slots = Some(jackdawpulley::units::Slots(1)));
+    let fleet = hosts(2, &[0], narrow).await;
+    sees(&fleet, 1, 1).await;
+    let door = fleet.hosts[1].calls();
+    let request = |name: &'static str, work: &'static str, timeout: &'static str| {
+        let headers = [
+            ("x-request", name),
+            ("x-work-ms", work),
+            ("x-jackdaw-timeout-ms", timeout),
+        ];
+        let request = Session::request(Method::POST, "/grants", &headers, "");
+        tokio::spawn(async move { Session::new(door).send(request, PATIENCE).await })
+    };
+    let first = request("first", "700", "1900");
+    let running = until(PATIENCE, || std::future::ready(fleet.runs().len() == 1)).await;
+    assert!(running, "the first request holds the slot");
+    let second = request("second", "0", "1500");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.signal_daemon(0, Signal::STOP);
+    let answer = second.await.expect("it ends").expect("whole");
+    assert_eq!(told(&answer), ("unknown", "timed-out"));
+    fleet.signal_daemon(0, Signal::CONT);
+    let _ = first.await;
+    let answer = call(door, Method::POST, "/grants", "third")
+        .await
+        .expect("whole");
+    assert_eq!(answer.header(OUTCOME), "answered", "the gate works again");
+    let runs = fleet.runs();
+    assert!(runs.iter().all(|run| run.request != "second"), "{runs:?}");
+}
+
+/// A daemon is told to stop while a long request is in flight through it.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_waits_for_what_is_in_flight() {
+    let mut fleet = hosts(2, &[0, 1], document(1)).await;
+    sees(&fleet, 0, 2).await;
+    let door = fleet.hosts[0].calls();
+    let calls: Vec<_> = (0..12)
+        .map(|number| {
+            let name = format!("long-{number}");
+            let headers = [("x-request", name.as_str()), ("x-work-ms", "1500")];
+            let request = Session::request(Method::POST, "/grants", &headers, "");
+            tokio::spawn(async move { Session::new(door).send(request, PATIENCE).await })
+        })
+        .collect();
+    let running = until(PATIENCE, || std::future::ready(fleet.runs().len() == 12)).await;
+    assert!(running);
+    fleet.signal_daemon(0, Signal::TERM);
+    for call in calls {
+        let answer = call.await.expect("it ends").expect("whole");
+        assert_eq!(answer.header(OUTCOME), "answered");
+    }
+    let daemon = fleet.hosts[0].daemon.as_mut().expect("it was started");
+    let ended = until(PATIENCE, || std::future::ready(daemon.ended().is_some())).await;
+    assert!(ended);
+}
+
+/// A target says good-bye: from that moment its gate lets nothing through.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaver_gets_nothing_more() {
+    let fleet = hosts(2, &[0, 1], document(1)).await;
+    sees(&fleet, 1, 2).await;
+    let leaving = SocketAddr::new(fleet.hosts[0].ip, 7_003);
+    // Its renewals would announce it again.
+    fleet.hosts[0]
+        .target
+        .as_ref()
+        .expect("it runs")
+        .signal(Signal::STOP);
+    let left = jackdaw_trial::session::once(leaving, Method::POST, "/leave", "").await;
+    assert!(left.is_ok_and(|answer| answer.status.is_success()));
+    let before = fleet
+        .runs()
+        .iter()
+        .filter(|run| run.target == fleet.hosts[0].work())
+        .count();
+    for number in 0..40 {
+        let answer = call(
+            fleet.hosts[1].calls(),
+            Method::POST,
+            "/grants",
+            &format!("{number}"),
+        )
+        .await;
+        assert_eq!(answer.expect("whole").header(OUTCOME), "answered");
+    }
+    let after = fleet
+        .runs()
+        .iter()
+        .filter(|run| run.target == fleet.hosts[0].work())
+        .count();
+    assert_eq!(before, after);
+}
+
+/// A large body goes up and a large one comes down, through two daemons, unharmed.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_pass_whole() {
+    let fleet = hosts(2, &[0], document(1)).await;
+    sees(&fleet, 1, 1).await;
+    let body = "y".repeat(3 << 20);
+    let headers = [("x-request", "large"), ("x-size", "3000000")];
+    for door in [0, 1] {
+        let request = Session::request(Method::POST, "/grants", &headers, &body);
+        let mut session = Session::new(fleet.hosts[door].calls());
+        let answer = session.send(request, PATIENCE).await.expect("whole");
+        let echo: Echo = serde_json::from_slice(&answer.body).expect("the target's answer");
+        assert_eq!((echo.received, echo.padding.len()), (3 << 20, 3_000_000));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_path_is_not_run() {
+    let fleet = hosts(1, &[0], document(1)).await;
+    let answer = call(fleet.hosts[0].calls(), Method::GET, "/nowhere", "n")
+        .await
+        .expect("whole");
+    assert_eq!(told(&answer), ("not-run", "no-route"));
+    assert_eq!(answer.status, StatusCode::NOT_FOUND);
+    let report: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+    assert_eq!(report["outcome"], "not-run");
+}
--- /dev/null
+++ b/trial/tests/common/fake.rs
@@ -0,0 +1,119 @@
+//! A target that misbehaves on purpose, byte by byte.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use http::Method;
+use jackdaw_trial::fleet::Host;
+use jackdaw_trial::session;
+use jackdawpulley::announce::Announcement;
+use jackdawpulley::units::{Millis, Slots};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the target does with a request that it has read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Manner {
+    /// Closes the connection.
+    CloseAfterReading,
+    /// Promises a thousand bytes and closes after a hundred.
+    CutShort,
+    /// Proves that it refuses.
+    Refuse,
+    /// Answers with the name of the request, late enough for its time-out to have passed.
+    Late,
+}
+
+/// A misbehaving target.
+#[derive(Debug, Clone)]
+pub struct Fake {
+    /// Requests that it has read.
+    pub read: Arc<AtomicUsize>,
+}
+
+impl Fake {
+    /// Listens in the place of a host's target and announces itself.
+    pub async fn start(host: &Host, manner: Manner) -> Self {
+        let address = SocketAddr::new(host.ip, 7_105);
+        let listener = TcpListener::bind(address).await.expect("the port is free");
+        let fake = Self {
+            read: Arc::default(),
+        };
+        let counter = Arc::clone(&fake.read);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let counter = Arc::clone(&counter);
+                tokio::spawn(async move { serve(stream, manner, &counter).await });
+            }
+        });
+        announce(host, address).await;
+        fake
+    }
+
+    /// Requests that it has read so far.
+    pub fn count(&self) -> usize {
+        self.read.load(Ordering::Acquire)
+    }
+}
+
+/// Announces a target at `address`.
+pub async fn announce(host: &Host, address: SocketAddr) {
+    let announcement = Announcement {
+        service: host.place.service.clone().expect("the host has a service"),
+        address,
+        slots: Slots(20),
+        lease_ms: Millis(60_000),
+    };
+    let body = serde_json::to_string(&announcement).expect("plain data is JSON");
+    let daemon = SocketAddr::new(host.ip, 7_003);
+    let answer = session::once(daemon, Method::POST, "/announce", &body).await;
+    assert!(
+        answer.is_ok_and(|answer| answer.status.is_success()),
+        "the daemon takes it"
+    );
+}
+
+async fn serve(mut stream: TcpStream, manner: Manner, counter: &AtomicUsize) {
+    while let Some(name) = read_request(&mut stream).await {
+        counter.fetch_add(1, Ordering::AcqRel);
+        let answer = match manner {
+            Manner::CloseAfterReading => return,
+            Manner::CutShort => {
+                let head = "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n";
+                let part = head.to_owned() + &"x".repeat(100);
+                let _ = stream.write_all(part.as_bytes()).await;
+                return;
+            }
+            Manner::Refuse => {
+                "HTTP/1.1 503 Busy\r\nx-jackdaw-refused: busy\r\ncontent-length: 0\r\n\r\n"
+                    .to_owned()
+            }
+            Manner::Late => {
+                tokio::time::sleep(Duration::from_millis(if name == "slow" { 600 } else { 0 }))
+                    .await;
+                format!(
+                    "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{name}",
+                    name.len()
+                )
+            }
+        };
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads the head of a request without a body; its `x-request` header.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let line = head
+        .lines()
+        .find_map(|line| line.strip_prefix("x-request:"));
+    Some(line.unwrap_or_default().trim().to_owned())
+}
--- a/trial/tests/common/mod.rs
+++ b/trial/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! What several trials need.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod fake;
+
 use std::path::PathBuf;
 
 use jackdaw_trial::deployment::{Deployment, Place};
--- /dev/null
+++ b/trial/tests/hostile.rs
@@ -0,0 +1,149 @@
+//! Bad input on every port: a typed refusal, and nothing else disturbed.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::{document, fleet, places};
+use http::{Method, StatusCode};
+use jackdaw_trial::fleet::Fleet;
+use jackdaw_trial::session::{Session, once};
+use jackdawpulley::outcome::OUTCOME;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+async fn start() -> Fleet {
+    let mut fleet = fleet(&[]).await;
+    fleet.add(&places(2, 1)).await;
+    assert!(fleet.meets(2, PATIENCE).await);
+    let version = fleet.put(0, document(1)).await;
+    assert!(fleet.converges(version, PATIENCE).await);
+    fleet
+}
+
+/// The daemon still answers a call and still probes its peer.
+async fn is_well(fleet: &Fleet) {
+    let request = Session::request(Method::GET, "/titles", &[("x-request", "r")], "");
+    let answer = Session::new(fleet.hosts[0].calls())
+        .send(request, PATIENCE)
+        .await;
+    assert_eq!(answer.expect("whole").header(OUTCOME), "answered");
+    assert!(fleet.meets(2, PATIENCE).await);
+}
+
+/// Sends bytes and reads until the other side closes or falls silent.
+async fn say(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).await.expect("it listens");
+    stream.write_all(bytes).await.expect("it takes them");
+    let mut answer = Vec::new();
+    let _ = tokio::time::timeout(Duration::from_millis(500), stream.read_to_end(&mut answer)).await;
+    answer
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_on_sockets_is_survived() {
+    let fleet = start().await;
+    let host = &fleet.hosts[0];
+    let garbage: Vec<u8> = (0..5_000_u32)
+        .map(|i| (i * 7 % 251).to_le_bytes()[0])
+        .collect();
+    for address in [
+        host.peer(),
+        host.calls(),
+        host.operator(),
+        SocketAddr::new(host.ip, 7_003),
+    ] {
+        say(address, &garbage).await;
+        say(address, b"GET / HTTP/1.1\r\nbroken header\r\n\r\n").await;
+        say(
+            address,
+            b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\x00\x00",
+        )
+        .await;
+    }
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    for length in [0, 1, 20, 300, 1_400] {
+        let _ = socket.send_to(&garbage[..length], host.peer()).await;
+    }
+    is_well(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_frames_are_refused_one_by_one() {
+    let fleet = start().await;
+    let peer = fleet.hosts[0].peer();
+    let stream = TcpStream::connect(peer).await.expect("it listens");
+    let (mut sender, connection) = h2::client::handshake(stream).await.expect("it speaks h2");
+    tokio::spawn(connection);
+    for path in [
+        "/control/push",
+        "/control/pull",
+        "/control/join",
+        "/control/note",
+        "/nowhere",
+    ] {
+        sender = sender.ready().await.expect("the connection goes on");
+        let request = http::Request::post(format!("http://{peer}{path}"))
+            .body(())
+            .expect("valid");
+        let (response, mut body) = sender.send_request(request, false).expect("it is sent");
+        body.send_data(vec![0xff; 64].into(), true)
+            .expect("it is sent");
+        let error = response.await.expect_err("it is refused");
+        assert_eq!(error.reason(), Some(h2::Reason::PROTOCOL_ERROR), "{path}");
+    }
+    let request = http::Request::post(format!("http://{peer}/titles"));
+    let request = request
+        .header("x-jackdaw-handover", "not hex")
+        .body(())
+        .expect("valid");
+    let mut sender = sender.ready().await.expect("the connection goes on");
+    let (response, _) = sender.send_request(request, true).expect("it is sent");
+    let error = response.await.expect_err("it is refused");
+    assert_eq!(error.reason(), Some(h2::Reason::REFUSED_STREAM));
+    is_well(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_name_the_remedy() {
+    let fleet = start().await;
+    let host = &fleet.hosts[0];
+    let target = SocketAddr::new(host.ip, 7_003);
+    let long = format!(
+        r#"{{"id":"x","base":{{"version":0}},"document":{{"x":"{}"}}}}"#,
+        "y".repeat(5 << 20)
+    );
+    let cases = [
+        (host.operator(), "/config", "{", StatusCode::BAD_REQUEST),
+        (
+            host.operator(),
+            "/config",
+            long.as_str(),
+            StatusCode::PAYLOAD_TOO_LARGE,
+        ),
+        (target, "/announce", "[]", StatusCode::BAD_REQUEST),
+        (
+            target,
+            "/announce",
+            r#"{"service":"a b","address":"127.0.0.1:1","slots":1,"lease_ms":1}"#,
+            StatusCode::UNPROCESSABLE_ENTITY,
+        ),
+        (
+            target,
+            "/announce",
+            r#"{"service":"s","address":"127.0.0.1:1","slots":0,"lease_ms":1}"#,
+            StatusCode::UNPROCESSABLE_ENTITY,
+        ),
+    ];
+    for (address, path, body, status) in cases {
+        let answer = once(address, Method::POST, path, body)
+            .await
+            .expect("whole");
+        assert_eq!(answer.status, status, "{path}");
+        assert!(!answer.body.is_empty(), "{path} says why");
+    }
+    is_well(&fleet).await;
+}
--- /dev/null
+++ b/trial/tests/idempotency.rs
@@ -0,0 +1,205 @@
+//! Idempotency keys with real daemons, killed and away in between.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use common::{document, fleet, places};
+use http::Method;
+use jackdaw_trial::fleet::{Fleet, until};
+use jackdaw_trial::platform::{Faults, Mode};
+use jackdaw_trial::session::{Answer, Session};
+use jackdawpulley::document::{Document, Guard};
+use jackdawpulley::outcome::{OUTCOME, REASON};
+
+const PATIENCE: Duration = Duration::from_secs(8);
+
+fn claimed() -> Document {
+    let mut document = document(1);
+    for route in document.routes.iter_mut().filter(|route| !route.repeatable) {
+        route.guard = Guard::Claim;
+    }
+    document
+}
+
+async fn start(count: usize, document: Document) -> Fleet {
+    let mut fleet = fleet(&["--suspicion-ms", "1000"]).await;
+    fleet.add(&places(count, 1)).await;
+    assert!(fleet.meets(count, PATIENCE).await);
+    let version = fleet.put(0, document).await;
+    assert!(fleet.converges(version, PATIENCE).await);
+    for index in 0..count {
+        let operator = fleet.hosts[index].operator();
+        let all = until(PATIENCE, || async move {
+            let state: Option<serde_json::Value> =
+                jackdaw_trial::fleet::get(operator, "/state").await;
+            state.is_some_and(|s| s["upstreams"].as_array().is_some_and(|u| u.len() == count))
+        });
+        assert!(all.await, "host {index} sees all upstreams");
+    }
+    fleet
+}
+
+async fn book(door: SocketAddr, key: &str, work: &str) -> Answer {
+    let headers = [
+        ("x-request", key),
+        ("x-work-ms", work),
+        ("idempotency-key", key),
+    ];
+    let request = Session::request(Method::POST, "/grants", &headers, "");
+    Session::new(door)
+        .send(request, PATIENCE)
+        .await
+        .expect("a whole answer")
+}
+
+fn times(fleet: &Fleet, key: &str) -> usize {
+    fleet.runs().iter().filter(|run| run.request == key).count()
+}
+
+/// A clerk repeats a booking through every host, while it runs and after: one run, one answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_get_the_first_answer() {
+    for document in [document(1), claimed()] {
+        let fleet = start(4, document).await;
+        for number in 0..6 {
+            let key = format!("booking-{number}");
+            let doors: Vec<SocketAddr> = fleet
+                .hosts
+                .iter()
+                .map(jackdaw_trial::fleet::Host::calls)
+                .collect();
+            let early: Vec<_> = doors
+                .iter()
+                .map(|door| {
+                    let (door, key) = (*door, key.clone());
+                    tokio::spawn(async move { book(door, &key, "200").await })
+                })
+                .collect();
+            let mut answers = Vec::new();
+            for answer in early {
+                answers.push(answer.await.expect("it ends"));
+            }
+            for door in doors {
+                answers.push(book(door, &key, "0").await);
+            }
+            for answer in &answers {
+                assert_eq!(answer.header(OUTCOME), "answered", "{answer:?}");
+                assert_eq!(answer.body, answers[0].body);
+            }
+            assert_eq!(times(&fleet, &key), 1);
+        }
+    }
+}
+
+/// The gate that runs a booking is killed before it answers, and the clerk repeats the key through
+/// the other hosts: it may have run, so it is not run again, and the clerk is told.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_holder_leaves_doubt_not_a_second_run() {
+    for document in [document(1), claimed()] {
+        let mut fleet = start(4, document).await;
+        let door = fleet.hosts[0].calls();
+        let first = tokio::spawn(async move {
+            let headers = [
+                ("x-request", "k"),
+                ("x-work-ms", "1500"),
+                ("idempotency-key", "k"),
+            ];
+            let request = Session::request(Method::POST, "/grants", &headers, "");
+            Session::new(door).send(request, PATIENCE).await
+        });
+        let running = until(PATIENCE, || std::future::ready(times(&fleet, "k") == 1)).await;
+        assert!(running);
+        let target = fleet.runs()[0].target;
+        let holder = fleet
+            .hosts
+            .iter()
+            .position(|host| host.work() == target)
+            .expect("known");
+        fleet.kill_daemon(holder);
+        let _ = first.await;
+        assert!(fleet.meets(3, PATIENCE).await, "the others see it gone");
+        for index in (0..4).filter(|index| *index != holder) {
+            let answer = book(fleet.hosts[index].calls(), "k", "0").await;
+            assert_eq!(answer.header(OUTCOME), "unknown", "{answer:?}");
+        }
+        fleet.start_daemon(holder);
+        assert!(fleet.serves(holder, PATIENCE).await && fleet.meets(4, PATIENCE).await);
+        for host in &fleet.hosts {
+            let answer = book(host.calls(), "k", "0").await;
+            assert_ne!(answer.header(OUTCOME), "answered", "{answer:?}");
+        }
+        assert_eq!(times(&fleet, "k"), 1);
+        let fresh = book(fleet.hosts[0].calls(), "other", "0").await;
+        assert_ne!(fresh.header(REASON), "log-away");
+    }
+}
+
+/// The log is away: a booking that needs a claim is not run, and the clerk is told at once and not
+/// near the deadline. When the log is back, the same key runs, once.
+#[tokio::test(flavor = "multi_thread")]
+async fn claim_without_the_log_is_not_run() {
+    let fleet = start(2, claimed()).await;
+    assert_eq!(
+        book(fleet.hosts[0].calls(), "warm", "0")
+            .await
+            .header(OUTCOME),
+        "answered"
+    );
+    fleet
+        .fail_log(Faults {
+            mode: Mode::Refuse,
+            ..Faults::default()
+        })
+        .await;
+    let began = Instant::now();
+    let answer = book(fleet.hosts[0].calls(), "k", "0").await;
+    assert_eq!(
+        (answer.header(OUTCOME), answer.header(REASON)),
+        ("not-run", "log-away")
+    );
+    assert!(began.elapsed() < Duration::from_secs(1));
+    assert_eq!(times(&fleet, "k"), 0);
+    fleet.fail_log(Faults::default()).await;
+    let back = until(PATIENCE, || async {
+        book(fleet.hosts[1].calls(), "k", "0").await.header(OUTCOME) == "answered"
+    });
+    assert!(back.await);
+    assert_eq!(times(&fleet, "k"), 1);
+}
+
+/// The log takes claims and loses its answers: nothing runs twice, and keys that were told "not
+/// run" are free again once the log is well.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_claim_answers_are_taken_back() {
+    let fleet = start(2, claimed()).await;
+    assert_eq!(
+        book(fleet.hosts[0].calls(), "warm", "0")
+            .await
+            .header(OUTCOME),
+        "answered"
+    );
+    fleet
+        .fail_log(Faults {
+            mode: Mode::LoseAnswers,
+            ..Faults::default()
+        })
+        .await;
+    for number in 0..5 {
+        let answer = book(fleet.hosts[number % 2].calls(), &format!("k{number}"), "0").await;
+        assert_eq!(answer.header(OUTCOME), "not-run", "{answer:?}");
+    }
+    fleet.fail_log(Faults::default()).await;
+    for number in 0..5 {
+        let key = format!("k{number}");
+        let runs = until(PATIENCE, || async {
+            book(fleet.hosts[number % 2].calls(), &key, "0")
+                .await
+                .header(OUTCOME)
+                == "answered"
+        });
+        assert!(runs.await, "{key} is free again");
+        assert_eq!(times(&fleet, &key), 1);
+    }
+}
