Tell a planned stop from a loss; pass on the least-told news first

A restarted gate was told that its address had lived before, by greeters that had not heard its good-bye yet; the next gate still had the leaver as serving; and a daemon took callers before it was ready.

Ruled out: a pause before the restart (operators will not wait); counting no restart as a loss (a kill followed by a quick restart is one).

Change: the latest word of an address decides whether its last life was lost; good-byes go to 64 daemons; a leaver says when all its keys have been taken, and its silence then is no doubt; the entry tells the gate who refused it as leaving; callers are accepted only once the daemon serves. News that has been passed on least goes first: after a data centre's return a death had to wait for hundreds of older entries (latest_news_goes_first failed without it). A target that refuses connections is closed until it announces itself again.

--- a/src/call.rs
+++ b/src/call.rs
@@ -96,6 +96,7 @@
             repeatable: plan.route.repeatable,
             key: key.filter(|_| !plan.route.repeatable),
             guard: plan.route.guard,
+            leaving: Vec::new(),
         };
         stream::strip_hop_by_hop(&mut head.headers);
         let keeping = Payload::keep(body, &head, limit);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -164,20 +164,16 @@
     let entry = Arc::new(Entry::new(Arc::clone(&board), gate));
 
     let listener = server.listen().await?;
+    let mut servers = tokio::task::JoinSet::new();
     let faces = [
         (board.settings.operator_addr, operator.router()),
         (board.settings.target_addr, desk.router()),
-        (board.settings.call_addr, calls(entry)),
     ];
-    let mut servers = tokio::task::JoinSet::new();
     for (address, router) in faces {
-        let listener = TcpListener::bind(address)
-            .await
-            .context(ListenSnafu { address })?;
-        let closes = address == board.settings.call_addr;
-        let incoming = Closing::new(listener, closes.then(|| board.stages()));
-        servers.spawn(serve(address, router, incoming));
+        let listener = bind(address).await?;
+        servers.spawn(serve(address, router, Closing::new(listener, None)));
     }
+    servers.spawn(serve_calls(Arc::clone(&board), entry));
     tokio::spawn(server.run(listener));
     tokio::spawn(Arc::clone(&membership).run());
     tokio::spawn(relay.run());
@@ -186,6 +182,30 @@
     stop(&board, &membership, &keys, servers).await
 }
 
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
+
+/// Serves callers once the daemon is ready: until then the host refuses them, and they go on to
+/// another daemon.
+async fn serve_calls(board: Arc<Board>, entry: Arc<Entry>) -> Result<()> {
+    let mut stages = board.stages();
+    let ready = stages.wait_for(|stage| *stage != Stage::Starting).await;
+    if ready.is_ok_and(|stage| *stage == Stage::Draining) {
+        return Ok(());
+    }
+    let address = board.settings.call_addr;
+    let listener = bind(address).await?;
+    serve(
+        address,
+        calls(entry),
+        Closing::new(listener, Some(board.stages())),
+    )
+    .await
+}
+
 fn calls(entry: Arc<Entry>) -> Router {
     Router::new().fallback(move |request: Request<Body>| {
         let entry = Arc::clone(&entry);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -142,6 +142,10 @@
             if call.handover.key.is_none() || reason.is_absence() {
                 call.tried.push(upstream.peer);
             }
+            if matches!(reason, Reason::Draining | Reason::NoTarget) {
+                // The upstream's own word goes before what the next one's view may still have.
+                call.handover.leaving.push(upstream.peer);
+            }
             if reason.is_absence() {
                 // No target was burdened, so neither the rule's attempts nor the budget are
                 // touched; each upstream is asked only once.
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -139,6 +139,16 @@
         }
     }
 
+    /// Closes a target that refuses connections, until it announces itself again.
+    ///
+    /// Guards against a target that has died: its lease holds for seconds, and for so long its
+    /// daemon would draw calls, and hold keys, that it can't serve.
+    fn doubt_target(&self, reason: Reason) {
+        if reason == Reason::Unreachable {
+            self.board.set_target(None);
+        }
+    }
+
     /// Slots and places to wait for a group.
     fn sizes(&self, handover: &Handover) -> (u32, u32) {
         if self.board.settings.limits == Limits::Off {
@@ -175,6 +185,12 @@
         &self.handover.service
     }
 
+    /// Gates that take no more calls by their own word.
+    #[must_use]
+    pub fn leaving(&self) -> &[SocketAddr] {
+        &self.handover.leaving
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
@@ -228,7 +244,7 @@
         }
         let answer = gate.dispatcher.send(self.target, request);
         let response = match tokio::time::timeout(left, answer).await {
-            Ok(answer) => answer?,
+            Ok(answer) => answer.inspect_err(|reason| gate.doubt_target(*reason))?,
             // Dropping the exchange closes its connection, so that a late answer can't meet the
             // next request.
             Err(_) => return Err(Reason::TimedOut),
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -17,7 +17,7 @@
 use crate::document::Guard;
 use crate::gate::{Gate, Received};
 use crate::keys::{
-    Answer, Holder, Memory, Own, Ownership, Peer, Standing, State, ownership, proven,
+    Answer, Handed, Holder, Memory, Own, Ownership, Peer, Standing, State, ownership, proven,
 };
 use crate::log::Log;
 use crate::member::{Health, Member, Stage};
@@ -53,6 +53,8 @@
     closed: AtomicBool,
     /// Service of the keys.
     service: Mutex<Option<Service>>,
+    /// Gates that have handed everything over and have not been seen serving since.
+    inherited: Mutex<Vec<SocketAddr>>,
 }
 
 impl Keys {
@@ -72,12 +74,13 @@
             lived: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             service: Mutex::default(),
+            inherited: Mutex::default(),
         }
     }
 
-    /// Notes that this address belonged to another daemon not long ago.
-    pub fn set_lived(&self) {
-        self.lived.store(true, Ordering::Release);
+    /// Notes whether an earlier daemon at this address was lost with its keys.
+    pub fn set_lived(&self, lost: bool) {
+        self.lived.store(lost, Ordering::Release);
     }
 
     /// Keys that are remembered.
@@ -92,6 +95,13 @@
         if self.closed.load(Ordering::Acquire) {
             return None;
         }
+        // A gate that notes keys serves again, in another life.
+        let mut heirs = self
+            .inherited
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        heirs.retain(|gate| *gate != note.holder.gate);
+        drop(heirs);
         let known = self.memory().note(Instant::now(), &note.key, note.holder);
         let lived = self.lived.load(Ordering::Acquire);
         let age = Millis::from(self.born.elapsed());
@@ -148,7 +158,7 @@
         received: Received,
         gate: &Gate,
     ) -> Result<Response<Body>, Reason> {
-        self.prove(received.service(), key).await?;
+        self.prove(&received, key).await?;
         gate.work(received).await
     }
 
@@ -221,14 +231,15 @@
     }
 
     /// Makes sure that nobody else ran the key, and that this run will be known.
-    async fn prove(&self, service: &Service, key: &CallKey) -> Result<(), Reason> {
+    async fn prove(&self, received: &Received, key: &CallKey) -> Result<(), Reason> {
+        let (service, leaving) = (received.service(), received.leaving());
         let own = Own {
             address: self.board.settings.identity(),
             age: self.born.elapsed(),
             lived: self.lived.load(Ordering::Acquire),
         };
         let span = self.board.settings.key_memory_ms.duration();
-        let peers = self.peers(service);
+        let peers = self.peers(service, leaving);
         let note = Note {
             key: key.clone(),
             holder: self.holder(),
@@ -263,11 +274,19 @@
     }
 
     async fn tell_all(&self, survivors: &[SocketAddr], note: &Note) -> Result<Vec<Noted>, Reason> {
-        let asking = survivors
-            .iter()
-            .map(|peer| self.links.send::<_, Noted>(*peer, NOTE, note));
-        let answers: crate::Result<Vec<Noted>> = join_all(asking).await.into_iter().collect();
-        answers.map_err(|_| Reason::KeyInDoubt)
+        let asking = survivors.iter().map(|peer| async move {
+            (*peer, self.links.send::<_, Noted>(*peer, NOTE, note).await)
+        });
+        let mut answers = Vec::new();
+        for (peer, answer) in join_all(asking).await {
+            match answer {
+                Ok(noted) => answers.push(noted),
+                // It has handed over what it knew, and this gate remembers it.
+                Err(_) if self.inherited_from(peer) => {}
+                Err(_) => return Err(Reason::KeyInDoubt),
+            }
+        }
+        Ok(answers)
     }
 
     /// Hands everything remembered to the other gates of the service; whether all took it.
@@ -284,27 +303,29 @@
         let Some(service) = service.filter(|_| !keys.is_empty()) else {
             return true;
         };
-        let peers = self.peers(&service);
+        let peers = self.peers(&service, &[]);
         let stay = peers
             .iter()
             .filter(|peer| peer.standing == Standing::Serving);
         let stay: Vec<SocketAddr> = stay.map(|peer| peer.address).collect();
         for part in keys.chunks(LEGACY_PART) {
-            let legacy = Legacy {
-                keys: part.to_vec(),
-            };
-            let sending = stay
-                .iter()
-                .map(|peer| self.links.send::<_, Taken>(*peer, LEGACY, &legacy));
-            if join_all(sending)
-                .await
-                .iter()
-                .any(std::result::Result::is_err)
-            {
+            if !self.bequeath(&stay, part, false).await {
                 return false;
             }
         }
-        !stay.is_empty()
+        !stay.is_empty() && self.bequeath(&stay, &[], true).await
+    }
+
+    async fn bequeath(&self, stay: &[SocketAddr], keys: &[Handed], complete: bool) -> bool {
+        let legacy = Legacy {
+            from: self.holder(),
+            keys: keys.to_vec(),
+            complete,
+        };
+        let sending = stay
+            .iter()
+            .map(|peer| self.links.send::<_, Taken>(*peer, LEGACY, &legacy));
+        join_all(sending).await.iter().all(crate::Result::is_ok)
     }
 
     /// Takes what a leaving gate remembered.
@@ -315,11 +336,30 @@
         for handed in &legacy.keys {
             memory.note(now, &handed.key, handed.holder);
         }
+        drop(memory);
+        if legacy.complete {
+            let mut heirs = self
+                .inherited
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            heirs.retain(|gate| *gate != legacy.from.gate);
+            heirs.push(legacy.from.gate);
+        }
         Taken
     }
 
-    /// The other gates of a service, those that were lost not long ago included.
-    fn peers(&self, service: &Service) -> Vec<Peer> {
+    /// Whether a gate has handed everything over to this one, and does not serve again yet.
+    fn inherited_from(&self, gate: SocketAddr) -> bool {
+        let heirs = self
+            .inherited
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        heirs.contains(&gate)
+    }
+
+    /// The other gates of a service, those that were lost not long ago included. Those of `leaving`
+    /// have said so themselves, whatever the view still has.
+    fn peers(&self, service: &Service, leaving: &[SocketAddr]) -> Vec<Peer> {
         let now = Instant::now();
         let me = self.board.settings.identity();
         let roster = self.board.roster();
@@ -333,7 +373,8 @@
             .filter(|member| offers(member))
             .map(|member| {
                 let open = member.offer.as_ref().is_some_and(|offer| offer.open);
-                let serving = open && member.stage == Stage::Serving;
+                let serving =
+                    open && member.stage == Stage::Serving && !leaving.contains(&member.peer);
                 let standing = if serving {
                     Standing::Serving
                 } else {
--- a/src/join.rs
+++ b/src/join.rs
@@ -13,7 +13,7 @@
 use crate::floor::Floor;
 use crate::guard::Keys;
 use crate::log::{Log, Stream};
-use crate::member::Stage;
+use crate::member::{Health, Member, Stage};
 use crate::peer::Links;
 use crate::probe::Membership;
 use crate::reader::Reader;
@@ -80,9 +80,10 @@
     async fn reach_floor(&self) {
         let began = Instant::now();
         let mut floor = Floor::default();
+        let mut earlier = None;
         let mut warned = false;
         while self.board.stage() == Stage::Starting {
-            self.greet(&mut floor).await;
+            self.greet(&mut floor, &mut earlier).await;
             let log_read = self.read_log(&mut floor).await;
             let have = self.board.digest().version;
             if log_read && floor.met_by_log(have, self.store.next()) {
@@ -105,7 +106,7 @@
     }
 
     /// Joins through a few contacts and fetches what they have in force.
-    async fn greet(&self, floor: &mut Floor) {
+    async fn greet(&self, floor: &mut Floor, earlier: &mut Option<Member>) {
         let join = Join {
             member: self.membership.me(),
         };
@@ -116,9 +117,7 @@
             let greeter = welcome.members.first();
             let greeter = greeter.map(|m| m.data_centre.clone()).unwrap_or_default();
             floor.heard(&greeter, welcome.digest.version, welcome.ran);
-            if welcome.lived {
-                self.keys.set_lived();
-            }
+            self.look_back(&welcome.members, &join.member, earlier);
             self.membership.learn(&welcome.members);
             if welcome.digest.version > self.board.digest().version {
                 let _ = self.relay.pull(peer).await;
@@ -126,6 +125,25 @@
         }
     }
 
+    /// Finds out how an earlier daemon at this address ended: the latest word of it counts.
+    fn look_back(&self, members: &[Member], me: &Member, earlier: &mut Option<Member>) {
+        let past = members
+            .iter()
+            .find(|known| known.peer == me.peer && known.incarnation < me.incarnation);
+        let word = |member: &Member| (member.incarnation, member.health);
+        if let Some(past) = past
+            && earlier
+                .as_ref()
+                .is_none_or(|known| word(known) < word(past))
+        {
+            *earlier = Some(past.clone());
+        }
+        let lost = earlier
+            .as_ref()
+            .is_some_and(|known| known.health != Health::Left);
+        self.keys.set_lived(lost);
+    }
+
     /// Reads the log to its head; `false` while it is away.
     async fn read_log(&self, floor: &mut Floor) -> bool {
         loop {
--- a/src/member.rs
+++ b/src/member.rs
@@ -8,6 +8,7 @@
 //! A view is a hint for liveness and never for exclusivity: a member that was paused may still
 //! believe that it is there, and the others may believe that it is gone.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,8 @@
 
 /// Daemons that probe a silent one on another's behalf.
 const HELPERS: usize = 3;
+/// Daemons that a leaver says good-bye to.
+const FAREWELLS: usize = 64;
 /// Times that news is passed on, as a multiple of the logarithm of the view's size.
 const SPREAD: u32 = 3;
 /// Most news in one datagram.
@@ -270,7 +273,7 @@
     pub fn leave(&mut self, health: Health, rng: &mut SmallRng) -> Vec<Send> {
         self.renew(self.me.incarnation);
         self.me.health = health;
-        let receivers = self.some_live(HELPERS, None, rng);
+        let receivers = self.some_live(FAREWELLS, None, rng);
         receivers
             .into_iter()
             .map(|to| self.datagram(to, Probe::News))
@@ -516,13 +519,18 @@
         {
             news.push(self.entries[index].member.clone());
         }
-        let fresh = self
-            .entries
-            .iter_mut()
-            .filter(|e| e.sends > 0 && e.member.peer != to);
-        for entry in fresh.take(MAX_NEWS) {
-            entry.sends -= 1;
-            news.push(entry.member.clone());
+        // Guards against a queue: after a whole data centre has come back hundreds of entries wait
+        // to be passed on, and a death in their midst must not wait for all of them. What has
+        // been passed on least goes first.
+        let waiting = self.entries.iter().enumerate();
+        let mut waiting: Vec<(Reverse<u32>, usize)> = waiting
+            .filter(|(_, entry)| entry.sends > 0 && entry.member.peer != to)
+            .map(|(index, entry)| (Reverse(entry.sends), index))
+            .collect();
+        waiting.sort_unstable();
+        for (_, index) in waiting.into_iter().take(MAX_NEWS) {
+            self.entries[index].sends -= 1;
+            news.push(self.entries[index].member.clone());
         }
         news
     }
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -127,14 +127,6 @@
     pub fn welcome(&self, join: &Join) -> Welcome {
         let mut guard = self.state();
         let ran = guard.view.ran(join.member.peer);
-        let known = guard
-            .view
-            .entries()
-            .iter()
-            .find(|e| e.member.peer == join.member.peer);
-        let lived = known.is_some_and(|e| {
-            e.member.incarnation != join.member.incarnation && e.member.health != Health::Left
-        });
         // The view goes out as it was before the join, so that the joiner sees what is said of
         // its own address and can refute it.
         let members = guard.view.members();
@@ -145,7 +137,6 @@
             members,
             digest: self.board.digest(),
             ran,
-            lived,
         }
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -141,8 +141,6 @@
     pub digest: Digest,
     /// Highest version that the joiner's address is known to have run.
     pub ran: Version,
-    /// Whether a daemon with this address, but of another incarnation, was known.
-    pub lived: bool,
 }
 
 /// Asks a gate to note that a key is about to run elsewhere.
@@ -157,8 +155,12 @@
 /// What a leaving gate remembers, for those who stay.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Legacy {
+    /// The gate that leaves.
+    pub from: Holder,
     /// Its keys, or a part of them.
     pub keys: Vec<Handed>,
+    /// Whether every part has been taken by all.
+    pub complete: bool,
 }
 
 /// Answer to a [`Legacy`].
@@ -195,6 +197,8 @@
     pub key: Option<CallKey>,
     /// What keeps the key from running twice.
     pub guard: Guard,
+    /// Gates that have told the entry themselves that they take no more calls.
+    pub leaving: Vec<SocketAddr>,
 }
 
 /// Encodes a message.
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -261,3 +261,24 @@
         );
     }
 }
+
+/// A data centre of two hundred comes back and fills the news of every datagram for minutes. A
+/// death meanwhile must be told in the next one, or callers are sent to a dead host for as long.
+#[test]
+fn latest_news_goes_first() {
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut view = View::new(member(0, 1), Timing::default());
+    for index in 1..200 {
+        view.merge(now, &member(index, 1));
+    }
+    for step in 1..20 {
+        view.tick(now + TICK * 6 * step, &mut rng);
+    }
+    let mut dead = member(199, 1);
+    dead.health = Health::Gone;
+    view.merge(now, &dead);
+    let effects = view.tick(now + TICK * 200, &mut rng);
+    let told = |send: &Send| send.datagram.news.contains(&dead);
+    assert!(effects.sends.iter().any(told), "{:?}", effects.sends.len());
+}
--- a/trial/src/target.rs
+++ b/trial/src/target.rs
@@ -119,13 +119,12 @@
     async fn work(&self, request: Request<Body>) -> Response<Body> {
         let (parts, body) = request.into_parts();
         let running = self.in_flight.fetch_add(1, Ordering::AcqRel);
-        let response = if running >= u64::from(self.args.slots.0) {
+        let _slot = Slot { target: self };
+        if running >= u64::from(self.args.slots.0) {
             shed()
         } else {
             self.answer(&parts.headers, body).await
-        };
-        self.in_flight.fetch_sub(1, Ordering::AcqRel);
-        response
+        }
     }
 
     async fn answer(&self, headers: &HeaderMap, body: Body) -> Response<Body> {
@@ -202,6 +201,17 @@
     }
 }
 
+/// A slot in use, given back also when the caller cancels its call.
+struct Slot<'a> {
+    target: &'a Target,
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.target.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 fn shed() -> Response<Body> {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/trial/tests/calls.rs
+++ b/trial/tests/calls.rs
@@ -31,7 +31,7 @@
     };
     fleet.add(&(0..count).map(bare).collect::<Vec<_>>()).await;
     for host in &mut fleet.hosts {
-        host.place.service = places(1, 1)[0].service.clone();
+        host.place.service.clone_from(&places(1, 1)[0].service);
     }
     assert!(fleet.meets(count, PATIENCE).await);
     let version = fleet.put(0, document).await;
