Run faults under load among the tests

Cause: the fault runs were only measurements; a regression would show late. Change: a kill (hooghly), planned stops (kalahari) and a surge, 8 s each, must leave the history clean.

--- /dev/null
+++ b/trial/tests/faults.rs
@@ -0,0 +1,34 @@
+//! Calls under load and faults, checked on the history of callers and targets.
+
+mod common;
+
+use std::path::PathBuf;
+
+use jackdaw_trial::calls::{Args, Fault, Policy, run};
+use jackdaw_trial::deployment::Deployment;
+
+/// Runs one fault; whatever callers were told has to fit what targets ran.
+async fn stays_clean(deployment: Deployment, fault: Fault) {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_jackdaw-trial"));
+    let args = Args {
+        deployment,
+        fault,
+        seconds: 8,
+        no_baseline: true,
+    };
+    let report = run(program, &args, Policy::Default).await;
+    assert!(report.counts.clean(), "{report:?}");
+    assert!(report.counts.answered > 0, "{report:?}");
+    if matches!(fault, Fault::Leave | Fault::LogOutage) {
+        assert_eq!(report.reads_lost, 0, "{report:?}");
+    }
+}
+
+/// Hosts are killed and stopped as planned under load, one fault after the other, since each needs
+/// the machine for itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn faults_leave_the_history_clean() {
+    stays_clean(Deployment::Hooghly, Fault::Kill).await;
+    stays_clean(Deployment::Kalahari, Fault::Leave).await;
+    stays_clean(Deployment::Kalahari, Fault::Surge).await;
+}
