Split large files, close idle links, add the pages and the scale trial

Change: view out of member, line out of gate, replay out of guard, survey out of ctl, clock for both crates, shuffles by the library. Call links without a call for 60 s are closed. Tests for the operator's command as a process, for documented flags, metrics and the example document.

--- a/src/board.rs
+++ b/src/board.rs
@@ -7,13 +7,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use serde::Serialize;
 use slog::Logger;
 use tokio::sync::watch;
 
+use crate::clock;
 use crate::document::Document;
 use crate::member::{Offer, Stage};
 use crate::roster::Roster;
@@ -49,19 +50,11 @@
             digest,
             document,
             table,
-            since_us: now_us(),
+            since_us: clock::unix_us(),
         }
     }
 }
 
-/// Microseconds since 1970.
-fn now_us() -> u64 {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
-}
-
 /// The co-located target, as it announced itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Target {
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -6,12 +6,13 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use slog::{debug, warn};
 use tokio::sync::{Notify, oneshot};
 
 use crate::board::Board;
+use crate::clock;
 use crate::error::{Error, Result};
 use crate::keys::Holder;
 use crate::ledger::{Batch, Claim, Entry, Ledger};
@@ -148,7 +149,7 @@
         };
         let entries = batch.iter().map(|waiting| waiting.entry.clone()).collect();
         let record = Batch {
-            at_ms: now_ms(),
+            at_ms: clock::unix_ms(),
             entries,
         };
         let offset = self.log.append(self.stream.clone(), &record).await?;
@@ -235,7 +236,7 @@
 
     fn horizon(&self) -> u64 {
         let span = self.board.settings.key_memory_ms.0;
-        now_ms().saturating_sub(span + SKEW_MS)
+        clock::unix_ms().saturating_sub(span + SKEW_MS)
     }
 
     fn waiting(&self) -> MutexGuard<'_, Vec<Waiting>> {
@@ -250,10 +251,3 @@
         Err(Reason::KeyInDoubt)
     }
 }
-
-fn now_ms() -> u64 {
-    let since_epoch: Duration = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    Millis::from(since_epoch).0
-}
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -8,7 +8,6 @@
 use futures_util::stream;
 use http::{Method, StatusCode};
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
 use crate::delta::Delta;
@@ -19,7 +18,8 @@
 use crate::member::{Member, Stage};
 use crate::operator::{InForce, Published};
 use crate::state::Brief;
-use crate::units::{DataCentre, EditId, Millis, Version};
+use crate::survey::{Summary, summarise, table};
+use crate::units::{EditId, Millis, Version};
 
 /// Exit status when everything asked for was done.
 pub const EXIT_DONE: u8 = 0;
@@ -117,23 +117,6 @@
     },
 }
 
-/// One data centre, as `status` shows it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Summary {
-    /// Its name.
-    pub data_centre: DataCentre,
-    /// Daemons in the view.
-    pub daemons: usize,
-    /// Daemons that serve.
-    pub ready: usize,
-    /// Lowest version in force.
-    pub lowest: Version,
-    /// Highest version in force.
-    pub highest: Version,
-    /// Daemons that are behind, or do not answer.
-    pub laggards: Vec<SocketAddr>,
-}
-
 /// Runs the program `jackdawctl` with the arguments of this process.
 ///
 /// Returns the exit status.
@@ -447,55 +430,3 @@
         body: String::from_utf8_lossy(body).into_owned(),
     })
 }
-
-fn summarise(answers: &[(Member, Option<Brief>)], wanted: Version) -> Vec<Summary> {
-    let mut summaries: Vec<Summary> = Vec::new();
-    for (member, brief) in answers {
-        let place = summaries.binary_search_by(|s| s.data_centre.cmp(&member.data_centre));
-        let index = place.unwrap_or_else(|index| {
-            let summary = Summary {
-                data_centre: member.data_centre.clone(),
-                daemons: 0,
-                ready: 0,
-                lowest: Version(u64::MAX),
-                highest: Version(0),
-                laggards: Vec::new(),
-            };
-            summaries.insert(index, summary);
-            index
-        });
-        let summary = &mut summaries[index];
-        summary.daemons += 1;
-        if let Some(brief) = brief {
-            summary.ready += usize::from(brief.ready);
-            summary.lowest = summary.lowest.min(brief.version);
-            summary.highest = summary.highest.max(brief.version);
-        }
-        if brief.as_ref().is_none_or(|brief| brief.version < wanted) {
-            summary.laggards.push(member.operator);
-        }
-    }
-    summaries
-}
-
-fn table(summaries: &[Summary]) -> String {
-    let head = format!(
-        "{:<24}{:>9}{:>7}{:>9}{:>9}{:>8}",
-        "data centre", "daemons", "ready", "lowest", "highest", "behind"
-    );
-    let rows = summaries.iter().map(|s| {
-        format!(
-            "{:<24}{:>9}{:>7}{:>9}{:>9}{:>8}",
-            s.data_centre.as_str(),
-            s.daemons,
-            s.ready,
-            s.lowest.0,
-            s.highest.0,
-            s.laggards.len()
-        )
-    });
-    std::iter::once(head)
-        .chain(rows)
-        .collect::<Vec<_>>()
-        .join("\n")
-}
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -5,10 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use bytes::Bytes;
 use futures_util::future::join_all;
-use http::{Response, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http::Response;
 use tokio::sync::watch;
 use volo_http::body::Body;
 
@@ -23,6 +21,7 @@
 use crate::member::{Health, Member, Stage};
 use crate::outcome::{Fate, Reason};
 use crate::peer::Links;
+use crate::replay::{keep, response};
 use crate::units::{CallKey, Millis, Service};
 use crate::wire::{Legacy, Note, Noted, Taken};
 
@@ -32,8 +31,6 @@
 pub const LEGACY: &str = "/control/legacy";
 /// Keys in one [`Legacy`].
 const LEGACY_PART: usize = 1_000;
-/// Largest answer that is kept to be given again, in bytes.
-const KEPT_ANSWER: usize = 64 << 10;
 
 /// The keys of one gate.
 #[derive(Debug)]
@@ -456,36 +453,3 @@
         }
     }
 }
-
-/// Keeps an answer, when it is small enough to be given again.
-async fn keep(answered: Response<Body>) -> (State, Result<Response<Body>, Reason>) {
-    let length = answered.headers().get(header::CONTENT_LENGTH);
-    let length = length
-        .and_then(|v| v.to_str().ok())
-        .and_then(|text| text.parse::<usize>().ok());
-    if length.is_none_or(|length| length > KEPT_ANSWER) {
-        return (State::Doubt, Ok(answered));
-    }
-    let (parts, body) = answered.into_parts();
-    match Limited::new(body, KEPT_ANSWER).collect().await {
-        Ok(body) => {
-            let answer = Answer {
-                status: parts.status,
-                headers: parts.headers,
-                body: body.to_bytes(),
-            };
-            let answer = Arc::new(answer);
-            let again = response(&answer);
-            (State::Done(answer), Ok(again))
-        }
-        Err(_) => (State::Doubt, Err(Reason::Broken)),
-    }
-}
-
-fn response(answer: &Answer) -> Response<Body> {
-    let body: Bytes = answer.body.clone();
-    let mut response = Response::new(Body::from_body(Full::new(body)));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = answer.headers.clone();
-    response
-}
--- a/src/join.rs
+++ b/src/join.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use rand::RngExt;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
@@ -127,9 +127,12 @@
 
     /// Finds out how an earlier daemon at this address ended: the latest word of it counts.
     fn look_back(&self, members: &[Member], me: &Member, earlier: &mut Option<Member>) {
+        // Entries between the birth of this daemon and now are its own; those from the future
+        // are of an earlier one whose clock was ahead.
+        let own = self.membership.born()..=me.incarnation;
         let past = members
             .iter()
-            .find(|known| known.peer == me.peer && known.incarnation < me.incarnation);
+            .find(|known| known.peer == me.peer && !own.contains(&known.incarnation));
         let word = |member: &Member| (member.incarnation, member.health);
         if let Some(past) = past
             && earlier
@@ -175,7 +178,7 @@
         contacts.sort_unstable();
         contacts.dedup();
         contacts.retain(|peer| *peer != me);
-        spread(&mut contacts);
+        contacts.shuffle(&mut rand::rng());
         contacts.truncate(GREETERS);
         contacts
     }
@@ -253,10 +256,3 @@
         }
     }
 }
-
-fn spread(contacts: &mut [SocketAddr]) {
-    let mut rng = rand::rng();
-    for index in (1..contacts.len()).rev() {
-        contacts.swap(index, rng.random_range(0..=index));
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,8 +3,8 @@
 //! One small daemon runs beside each target. Operators publish a [`document`] of routes, upstream
 //! groups and retry rules to an append-only [`log`]; the [`fold`] of the log decides, alike on
 //! every daemon, which edits are accepted. A few daemons of each data centre read the log and
-//! relay versions to the others as [`delta`]s. Daemons find each other by the [`member`]ship
-//! protocol, without a list.
+//! relay versions to the others as [`delta`]s. Daemons find each other by the membership
+//! protocol, a [`view`] of [`member`]s, without a list.
 //!
 //! A caller reaches any daemon, the *entry*. It [`route`]s the request, [`pick`]s an upstream and
 //! hands the request to the daemon beside that target, the *gate*, which [`limit`]s the work,
@@ -43,6 +43,7 @@
 pub mod announce;
 pub mod board;
 pub mod check;
+pub mod clock;
 pub mod ctl;
 pub mod daemon;
 pub mod delta;
@@ -61,6 +62,7 @@
 pub mod settings;
 pub mod telemetry;
 pub mod units;
+pub mod view;
 pub mod wire;
 
 mod accept;
@@ -74,16 +76,19 @@
 mod guard;
 mod http_client;
 mod join;
+mod line;
 mod operator;
 mod peer;
 mod probe;
 mod publish;
 mod reader;
 mod relay;
+mod replay;
 mod roster;
 mod server;
 mod state;
 mod stream;
+mod survey;
 
 pub use document::Document;
 pub use error::{Error, Result};
--- /dev/null
+++ b/src/line.rs
@@ -0,0 +1,187 @@
+//! The line of requests before a target: who runs, who waits, and waking who may run.
+//!
+//! The decisions are those of [`Limit`]; a slot and a place in the queue are values that give
+//! themselves back when dropped, so that a request that is given up anywhere leaks neither.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use crate::document::Class;
+use crate::limit::{Admission, Limit, Ticket};
+use crate::outcome::Reason;
+
+/// Who runs and who waits at a gate.
+#[derive(Debug, Default)]
+pub struct Line {
+    state: Mutex<LineState>,
+}
+
+#[derive(Debug)]
+struct LineState {
+    limit: Limit,
+    sizes: (u32, u32),
+    next: Ticket,
+    /// Sorted by ticket.
+    waiters: Vec<(Ticket, oneshot::Sender<Signal>)>,
+}
+
+/// What a waiting request is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Signal {
+    Run,
+    Shed,
+}
+
+impl Default for LineState {
+    fn default() -> Self {
+        Self {
+            limit: Limit::new(0, 0),
+            sizes: (0, 0),
+            next: 0,
+            waiters: Vec::new(),
+        }
+    }
+}
+
+impl LineState {
+    fn wake(&mut self, ticket: Ticket, signal: Signal) {
+        if let Ok(index) = self
+            .waiters
+            .binary_search_by_key(&ticket, |waiter| waiter.0)
+        {
+            let _ = self.waiters.remove(index).1.send(signal);
+        }
+    }
+
+    fn resize(&mut self, sizes: (u32, u32)) {
+        if self.sizes != sizes {
+            self.sizes = sizes;
+            for ticket in self.limit.resize(sizes.0, sizes.1) {
+                self.wake(ticket, Signal::Run);
+            }
+        }
+    }
+}
+
+impl Line {
+    /// Waits up to `patience` for one of `slots`, in one of `queue` places.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::Overloaded`] when there is no place, or no slot in time.
+    pub async fn enter(
+        self: &Arc<Self>,
+        slots: u32,
+        queue: u32,
+        class: Class,
+        patience: Duration,
+    ) -> Result<Permit, Reason> {
+        let (waiting, signal) = {
+            let mut state = self.state();
+            state.resize((slots, queue));
+            state.next += 1;
+            let ticket = state.next;
+            match state.limit.enter(ticket, class) {
+                Admission::Run => {
+                    return Ok(Permit {
+                        line: Arc::clone(self),
+                    });
+                }
+                Admission::Shed => return Err(Reason::Overloaded),
+                Admission::Wait { shed } => {
+                    if let Some(loser) = shed {
+                        state.wake(loser, Signal::Shed);
+                    }
+                    let (sender, receiver) = oneshot::channel();
+                    state.waiters.push((ticket, sender));
+                    (
+                        Waiting {
+                            line: Arc::clone(self),
+                            ticket,
+                            settled: false,
+                        },
+                        receiver,
+                    )
+                }
+            }
+        };
+        waiting.wait(signal, patience).await
+    }
+
+    /// Requests that run and that wait.
+    #[must_use]
+    pub fn load(&self) -> (u32, usize) {
+        let state = self.state();
+        (state.limit.running(), state.limit.waiting())
+    }
+
+    fn state(&self) -> MutexGuard<'_, LineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A place in the queue, given up when dropped.
+#[derive(Debug)]
+struct Waiting {
+    line: Arc<Line>,
+    ticket: Ticket,
+    settled: bool,
+}
+
+impl Waiting {
+    async fn wait(
+        mut self,
+        signal: oneshot::Receiver<Signal>,
+        patience: Duration,
+    ) -> Result<Permit, Reason> {
+        match tokio::time::timeout(patience, signal).await {
+            Ok(Ok(Signal::Run)) => {
+                self.settled = true;
+                Ok(Permit {
+                    line: Arc::clone(&self.line),
+                })
+            }
+            Ok(_) => {
+                self.settled = true;
+                Err(Reason::Overloaded)
+            }
+            Err(_) => Err(Reason::Overloaded),
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let mut state = self.line.state();
+        let waited = state.limit.cancel(self.ticket);
+        if let Ok(index) = state.waiters.binary_search_by_key(&self.ticket, |w| w.0) {
+            state.waiters.remove(index);
+        } else if !waited {
+            // The slot was granted while the request gave up: pass it on, or it is lost for good.
+            drop(state);
+            drop(Permit {
+                line: Arc::clone(&self.line),
+            });
+        }
+    }
+}
+
+/// A slot of the target, given back when dropped.
+#[derive(Debug)]
+pub struct Permit {
+    line: Arc<Line>,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let mut state = self.line.state();
+        if let Some(ticket) = state.limit.leave() {
+            state.wake(ticket, Signal::Run);
+        }
+    }
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -24,16 +24,18 @@
 use tokio::net::{TcpSocket, TcpStream};
 use volo_http::body::Body;
 
+use crate::clock;
 use crate::error::{Error, Result};
 use crate::stream;
 use crate::telemetry::Meter;
+use crate::units::Millis;
 use crate::wire;
 
 /// Time to open a connection.
 const CONNECT: Duration = Duration::from_millis(500);
 /// Time for the answer to a control message.
 const PATIENCE: Duration = Duration::from_secs(3);
-/// Time after which an idle control link is closed.
+/// Time after which an idle link is closed.
 const IDLE: Duration = Duration::from_mins(1);
 
 /// Why a call has no answer from its gate.
@@ -51,6 +53,8 @@
     peer: SocketAddr,
     home: IpAddr,
     sender: ArcSwapOption<SendRequest<Bytes>>,
+    /// When it was used last, in milliseconds since 1970.
+    used_ms: AtomicU64,
     /// Held by callers of this link alone, while one of them connects.
     opening: tokio::sync::Mutex<()>,
 }
@@ -63,6 +67,7 @@
             peer,
             home,
             sender: ArcSwapOption::empty(),
+            used_ms: AtomicU64::new(0),
             opening: tokio::sync::Mutex::new(()),
         }
     }
@@ -77,6 +82,7 @@
         request: Request<()>,
         body: Body,
     ) -> std::result::Result<Response<RecvStream>, Failure> {
+        self.used_ms.store(clock::unix_ms(), Ordering::Relaxed);
         let mut sender = self.sender(None).await.map_err(|_| Failure::Unsent)?;
         let empty = http_body::Body::is_end_stream(&body);
         // An error here means that no stream was opened, so nothing has left this process.
@@ -91,6 +97,14 @@
         })
     }
 
+    /// Closes the connection when no call has begun for a while; calls in flight end first.
+    pub fn close_idle(&self) {
+        let idle_ms = clock::unix_ms().saturating_sub(self.used_ms.load(Ordering::Relaxed));
+        if idle_ms > Millis::from(IDLE).0 {
+            self.sender.store(None);
+        }
+    }
+
     /// Sends a control message and decodes its answer.
     ///
     /// # Errors
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -10,12 +10,14 @@
 use tokio::net::UdpSocket;
 
 use crate::board::Board;
+use crate::clock;
 use crate::error::{ListenSnafu, Result};
-use crate::member::{Effects, Entry, Health, Member, Offer, Send, Stage, Timing, View};
+use crate::member::{Health, Member, Offer, Stage};
 use crate::relay::Relay;
 use crate::roster::{Departed, Home, Roster};
 use crate::settings::{Delivery, Settings};
 use crate::units::{Incarnation, Millis};
+use crate::view::{Effects, Entry, Send, Timing, View};
 use crate::wire::{self, Datagram, Join, Welcome};
 use snafu::ResultExt;
 
@@ -28,6 +30,7 @@
     board: Arc<Board>,
     relay: Arc<Relay>,
     socket: UdpSocket,
+    born: Incarnation,
     state: Mutex<State>,
 }
 
@@ -49,13 +52,16 @@
         let socket = UdpSocket::bind(address)
             .await
             .context(ListenSnafu { address })?;
-        let view = View::new(newborn(settings), timing(settings));
+        let me = newborn(settings);
+        let born = me.incarnation;
+        let view = View::new(me, timing(settings));
         let rng = SmallRng::from_rng(&mut rand::rng());
         let state = Mutex::new(State { view, rng });
         let membership = Self {
             board,
             relay,
             socket,
+            born,
             state,
         };
         membership.rebuild(&membership.state());
@@ -72,6 +78,7 @@
         loop {
             ticks.tick().await;
             self.reflect().await;
+            self.close_idle_links();
             let effects = {
                 let mut guard = self.state();
                 let State { view, rng } = &mut *guard;
@@ -84,6 +91,12 @@
         }
     }
 
+    fn close_idle_links(&self) {
+        for (_, upstream) in self.board.roster().all() {
+            upstream.link.close_idle();
+        }
+    }
+
     /// Shows the others what the board says of this daemon and its target.
     pub async fn reflect(&self) {
         let stage = self.board.stage();
@@ -150,6 +163,12 @@
         self.rebuild(&guard);
     }
 
+    /// Incarnation with which this daemon started.
+    #[must_use]
+    pub const fn born(&self) -> Incarnation {
+        self.born
+    }
+
     /// This daemon's own entry.
     #[must_use]
     pub fn me(&self) -> Member {
@@ -273,14 +292,11 @@
 fn newborn(settings: &Settings) -> Member {
     // A restarted daemon has to win over what is said of its earlier life: the clock mostly does
     // that at once, and the welcome of any peer does it when the clock was set back.
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
     Member {
         peer: settings.identity(),
         operator: settings.operator_addr,
         data_centre: settings.data_centre.clone(),
-        incarnation: Incarnation(Millis::from(since_epoch).0),
+        incarnation: Incarnation(clock::unix_ms()),
         health: Health::Alive,
         stage: Stage::Starting,
         offer: None,
--- /dev/null
+++ b/src/survey.rs
@@ -0,0 +1,82 @@
+//! The survey of a mesh that `jackdawctl status` prints.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::member::Member;
+use crate::state::Brief;
+use crate::units::{DataCentre, Version};
+
+/// One data centre, as `status` shows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Its name.
+    pub data_centre: DataCentre,
+    /// Daemons in the view.
+    pub daemons: usize,
+    /// Daemons that serve.
+    pub ready: usize,
+    /// Lowest version in force.
+    pub lowest: Version,
+    /// Highest version in force.
+    pub highest: Version,
+    /// Daemons that are behind, or do not answer.
+    pub laggards: Vec<SocketAddr>,
+}
+
+/// Sums up what each member answered; who has not `wanted` or a later version is behind.
+#[must_use]
+pub fn summarise(answers: &[(Member, Option<Brief>)], wanted: Version) -> Vec<Summary> {
+    let mut summaries: Vec<Summary> = Vec::new();
+    for (member, brief) in answers {
+        let place = summaries.binary_search_by(|s| s.data_centre.cmp(&member.data_centre));
+        let index = place.unwrap_or_else(|index| {
+            let summary = Summary {
+                data_centre: member.data_centre.clone(),
+                daemons: 0,
+                ready: 0,
+                lowest: Version(u64::MAX),
+                highest: Version(0),
+                laggards: Vec::new(),
+            };
+            summaries.insert(index, summary);
+            index
+        });
+        let summary = &mut summaries[index];
+        summary.daemons += 1;
+        if let Some(brief) = brief {
+            summary.ready += usize::from(brief.ready);
+            summary.lowest = summary.lowest.min(brief.version);
+            summary.highest = summary.highest.max(brief.version);
+        }
+        if brief.as_ref().is_none_or(|brief| brief.version < wanted) {
+            summary.laggards.push(member.operator);
+        }
+    }
+    summaries
+}
+
+/// The survey for a person.
+#[must_use]
+pub fn table(summaries: &[Summary]) -> String {
+    let head = format!(
+        "{:<24}{:>9}{:>7}{:>9}{:>9}{:>8}",
+        "data centre", "daemons", "ready", "lowest", "highest", "behind"
+    );
+    let rows = summaries.iter().map(|s| {
+        format!(
+            "{:<24}{:>9}{:>7}{:>9}{:>9}{:>8}",
+            s.data_centre.as_str(),
+            s.daemons,
+            s.ready,
+            s.lowest.0,
+            s.highest.0,
+            s.laggards.len()
+        )
+    });
+    std::iter::once(head)
+        .chain(rows)
+        .collect::<Vec<_>>()
+        .join("\n")
+}
--- /dev/null
+++ b/src/view.rs
@@ -0,0 +1,488 @@
+//! The membership view: who is there, learnt without a list.
+//!
+//! A SWIM-like protocol as a pure state machine. Each period a daemon probes one other directly,
+//! then through a few others, then suspects it; a suspect that does not refute in time is gone.
+//! News travels piggybacked on probes. [`View`] gets time, randomness and datagrams as arguments
+//! and returns the datagrams to send.
+//!
+//! A view is a hint for liveness and never for exclusivity: a member that was paused may still
+//! believe that it is there, and the others may believe that it is gone.
+
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+
+use crate::member::{Health, Member, Offer, Stage};
+use crate::units::{Incarnation, Version};
+use crate::wire::{self, Datagram, Digest, Probe};
+
+/// Daemons that probe a silent one on another's behalf.
+const HELPERS: usize = 3;
+/// Daemons that a leaver says good-bye to.
+const FAREWELLS: usize = 64;
+/// Times that news is passed on, as a multiple of the logarithm of the view's size.
+const SPREAD: u32 = 3;
+/// Most news in one datagram.
+const MAX_NEWS: usize = 12;
+/// Periods between two probes of a member that is thought to be gone.
+const REVISIT: u64 = 5;
+
+/// Times of the protocol.
+#[derive(Debug, Clone)]
+pub struct Timing {
+    /// Between two probes of a daemon.
+    pub period: Duration,
+    /// Until a direct probe counts as missed.
+    pub patience: Duration,
+    /// Until a suspect counts as gone.
+    pub suspicion: Duration,
+    /// Until a gone member is forgotten.
+    pub memory: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            period: Duration::from_secs(1),
+            patience: Duration::from_millis(400),
+            suspicion: Duration::from_secs(3),
+            memory: Duration::from_mins(10),
+        }
+    }
+}
+
+/// A member with what the view knows beside its entry.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// Entry as it travels.
+    pub member: Member,
+    /// When its health or incarnation changed last.
+    pub since: Instant,
+    /// Highest version it is known to have run.
+    pub ran: Version,
+    sends: u32,
+}
+
+/// A datagram on its way out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Send {
+    /// Receiver.
+    pub to: SocketAddr,
+    /// Content.
+    pub datagram: Datagram,
+}
+
+/// What a view wants done.
+#[derive(Debug, Default)]
+pub struct Effects {
+    /// Datagrams to send.
+    pub sends: Vec<Send>,
+    /// A peer that holds a newer or another configuration than ours.
+    pub ahead: Option<SocketAddr>,
+    /// Whether a member came, went or changed.
+    pub changed: bool,
+}
+
+/// A probe that has not been answered.
+#[derive(Debug)]
+struct Pending {
+    seq: u64,
+    subject: SocketAddr,
+    /// For whom the probe is made, with their number.
+    asker: Option<(SocketAddr, u64)>,
+    sent: Instant,
+    relayed: bool,
+}
+
+/// Everything a daemon knows about the others.
+#[derive(Debug)]
+pub struct View {
+    me: Member,
+    digest: Digest,
+    entries: Vec<Entry>,
+    pending: Vec<Pending>,
+    round: Vec<SocketAddr>,
+    seq: u64,
+    next_probe: Option<Instant>,
+    last_tick: Option<Instant>,
+    timing: Timing,
+}
+
+impl View {
+    /// A view that knows only its own daemon.
+    #[must_use]
+    pub fn new(me: Member, timing: Timing) -> Self {
+        Self {
+            me,
+            digest: Digest::default(),
+            entries: Vec::new(),
+            pending: Vec::new(),
+            round: Vec::new(),
+            seq: 0,
+            next_probe: None,
+            last_tick: None,
+            timing,
+        }
+    }
+
+    /// Its own daemon's entry.
+    #[must_use]
+    pub const fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// All other members, gone ones included, sorted by address.
+    #[must_use]
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    /// The other members that are not gone.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        self.entries
+            .iter()
+            .map(|entry| &entry.member)
+            .filter(|m| m.health.is_live())
+    }
+
+    /// Everyone, its own daemon first.
+    #[must_use]
+    pub fn members(&self) -> Vec<Member> {
+        let others = self.entries.iter().map(|entry| entry.member.clone());
+        std::iter::once(self.me.clone()).chain(others).collect()
+    }
+
+    /// Sets what its own daemon has in force.
+    pub const fn set_digest(&mut self, digest: Digest) {
+        self.digest = digest;
+    }
+
+    /// Changes its own entry; the datagrams spread the change at once.
+    pub fn update(&mut self, stage: Stage, offer: Option<Offer>, rng: &mut SmallRng) -> Vec<Send> {
+        if self.me.stage == stage && self.me.offer == offer {
+            return Vec::new();
+        }
+        self.me.stage = stage;
+        self.me.offer = offer;
+        self.renew(self.me.incarnation);
+        let receivers = self.some_live(HELPERS, None, rng);
+        receivers
+            .into_iter()
+            .map(|to| self.datagram(to, Probe::News))
+            .collect()
+    }
+
+    /// Says good-bye as [`Health::Gone`] or [`Health::Left`]: the datagrams that make the others
+    /// drop this daemon at once.
+    pub fn leave(&mut self, health: Health, rng: &mut SmallRng) -> Vec<Send> {
+        self.renew(self.me.incarnation);
+        self.me.health = health;
+        let receivers = self.some_live(FAREWELLS, None, rng);
+        receivers
+            .into_iter()
+            .map(|to| self.datagram(to, Probe::News))
+            .collect()
+    }
+
+    /// Highest version that `peer` is known to have run.
+    #[must_use]
+    pub fn ran(&self, peer: SocketAddr) -> Version {
+        self.find(peer)
+            .map_or(Version(0), |index| self.entries[index].ran)
+    }
+
+    /// Merges an entry that came from anywhere; `true` when it was news.
+    pub fn merge(&mut self, now: Instant, member: &Member) -> bool {
+        if member.peer == self.me.peer {
+            return self.refute(member);
+        }
+        let sends = self.spread();
+        match self
+            .entries
+            .binary_search_by_key(&member.peer, |entry| entry.member.peer)
+        {
+            Ok(index) => {
+                let entry = &mut self.entries[index];
+                let old = (entry.member.incarnation, entry.member.health);
+                if (member.incarnation, member.health) <= old {
+                    return false;
+                }
+                entry.member = member.clone();
+                entry.since = now;
+                entry.sends = sends;
+            }
+            Err(index) => {
+                let entry = Entry {
+                    member: member.clone(),
+                    since: now,
+                    ran: Version(0),
+                    sends,
+                };
+                self.entries.insert(index, entry);
+            }
+        }
+        true
+    }
+
+    /// Notes what version a peer has in force.
+    pub fn note_version(&mut self, peer: SocketAddr, version: Version) {
+        if let Some(index) = self.find(peer) {
+            let entry = &mut self.entries[index];
+            entry.ran = entry.ran.max(version);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant, rng: &mut SmallRng) -> Effects {
+        let mut effects = Effects::default();
+        // Guards against blaming others for an own pause: after SIGCONT every probe under way
+        // looks overdue, and healthy members would be suspected all at once. They are probed anew.
+        let paused = self
+            .last_tick
+            .is_some_and(|last| now - last > 2 * self.timing.period);
+        self.last_tick = Some(now);
+        if paused {
+            self.pending.clear();
+        }
+        self.overdue(now, rng, &mut effects);
+        self.expire(now, &mut effects);
+        if self.next_probe.is_none_or(|due| due <= now) {
+            // A pause of the process must not be followed by a burst of the missed probes.
+            self.next_probe = Some(now + self.timing.period);
+            self.probe_next(now, rng, &mut effects);
+        }
+        effects
+    }
+
+    /// Takes a datagram in.
+    pub fn receive(&mut self, now: Instant, datagram: &Datagram) -> Effects {
+        let mut effects = Effects {
+            changed: self.merge(now, &datagram.from),
+            ..Effects::default()
+        };
+        for member in &datagram.news {
+            effects.changed |= self.merge(now, member);
+        }
+        let sender = datagram.from.peer;
+        self.note_version(sender, datagram.digest.version);
+        if datagram.digest.version > self.digest.version {
+            effects.ahead = Some(sender);
+        }
+        self.answer(now, sender, &datagram.probe, &mut effects);
+        effects
+    }
+
+    fn answer(&mut self, now: Instant, sender: SocketAddr, probe: &Probe, effects: &mut Effects) {
+        match *probe {
+            Probe::Ping { seq } => {
+                let pong = self.datagram(sender, Probe::Pong { seq });
+                effects.sends.push(pong);
+            }
+            Probe::Pong { seq } => self.answered(seq, sender, effects),
+            Probe::Relay { seq, subject } => {
+                let ping = self.ping(now, subject, Some((sender, seq)));
+                effects.sends.push(ping);
+            }
+            Probe::News => {}
+        }
+    }
+
+    fn answered(&mut self, seq: u64, sender: SocketAddr, effects: &mut Effects) {
+        let Some(index) = self.pending.iter().position(|p| p.seq == seq) else {
+            return;
+        };
+        let pending = self.pending.swap_remove(index);
+        // A relayed answer comes from the helper; only the subject's own is passed on.
+        if let (Some((asker, seq)), true) = (pending.asker, pending.subject == sender) {
+            let pong = self.datagram(asker, Probe::Pong { seq });
+            effects.sends.push(pong);
+        }
+    }
+
+    fn overdue(&mut self, now: Instant, rng: &mut SmallRng, effects: &mut Effects) {
+        let pending = std::mem::take(&mut self.pending);
+        for mut probe in pending {
+            let age = now.saturating_duration_since(probe.sent);
+            if age >= self.timing.period {
+                if probe.asker.is_none() {
+                    effects.changed |= self.suspect(now, probe.subject);
+                }
+                continue;
+            }
+            if age >= self.timing.patience && !probe.relayed && probe.asker.is_none() {
+                probe.relayed = true;
+                let relay = Probe::Relay {
+                    seq: probe.seq,
+                    subject: probe.subject,
+                };
+                for helper in self.some_live(HELPERS, Some(probe.subject), rng) {
+                    let request = self.datagram(helper, relay.clone());
+                    effects.sends.push(request);
+                }
+            }
+            self.pending.push(probe);
+        }
+    }
+
+    fn suspect(&mut self, now: Instant, peer: SocketAddr) -> bool {
+        let Some(index) = self.find(peer) else {
+            return false;
+        };
+        let mut member = self.entries[index].member.clone();
+        member.health = Health::Suspect;
+        self.merge(now, &member)
+    }
+
+    fn expire(&mut self, now: Instant, effects: &mut Effects) {
+        let sends = self.spread();
+        for entry in &mut self.entries {
+            let age = now.saturating_duration_since(entry.since);
+            if entry.member.health == Health::Suspect && age >= self.timing.suspicion {
+                entry.member.health = Health::Gone;
+                entry.since = now;
+                entry.sends = sends;
+                effects.changed = true;
+            }
+        }
+        let memory = self.timing.memory;
+        self.entries.retain(|entry| {
+            entry.member.health.is_live() || now.saturating_duration_since(entry.since) < memory
+        });
+    }
+
+    fn probe_next(&mut self, now: Instant, rng: &mut SmallRng, effects: &mut Effects) {
+        self.seq += 1;
+        // Guards against a split that outlives the cut: both sides hold each other as gone and
+        // would never speak again. A gone member is probed now and then until it is forgotten.
+        if self.seq.is_multiple_of(REVISIT) {
+            let gone = self
+                .entries
+                .iter()
+                .filter(|e| e.member.health == Health::Gone);
+            let gone: Vec<SocketAddr> = gone.map(|e| e.member.peer).collect();
+            if !gone.is_empty() {
+                let peer = gone[rng.random_range(0..gone.len())];
+                let revisit = self.datagram(peer, Probe::Ping { seq: 0 });
+                effects.sends.push(revisit);
+            }
+        }
+        if let Some(subject) = self.draw(rng) {
+            let ping = self.ping(now, subject, None);
+            effects.sends.push(ping);
+        }
+    }
+
+    /// Next member to probe: each is probed once in a shuffled round.
+    fn draw(&mut self, rng: &mut SmallRng) -> Option<SocketAddr> {
+        for _ in 0..2 {
+            while let Some(peer) = self.round.pop() {
+                if self
+                    .find(peer)
+                    .is_some_and(|i| self.entries[i].member.health.is_live())
+                {
+                    return Some(peer);
+                }
+            }
+            self.round = self.live().map(|m| m.peer).collect();
+            self.round.shuffle(rng);
+        }
+        None
+    }
+
+    fn ping(&mut self, now: Instant, to: SocketAddr, asker: Option<(SocketAddr, u64)>) -> Send {
+        self.seq += 1;
+        let seq = self.seq;
+        self.pending.push(Pending {
+            seq,
+            subject: to,
+            asker,
+            sent: now,
+            relayed: false,
+        });
+        self.datagram(to, Probe::Ping { seq })
+    }
+
+    /// A datagram with as much news as fits.
+    fn datagram(&mut self, to: SocketAddr, probe: Probe) -> Send {
+        let mut datagram = Datagram {
+            release: wire::RELEASE,
+            from: self.me.clone(),
+            digest: self.digest,
+            probe,
+            news: self.news(to),
+        };
+        while wire::encode(&datagram).len() > wire::MAX_DATAGRAM && datagram.news.pop().is_some() {}
+        Send { to, datagram }
+    }
+
+    fn news(&mut self, to: SocketAddr) -> Vec<Member> {
+        let mut news = Vec::new();
+        // The receiver hears first what is said against it, so that it can refute.
+        if let Some(index) = self.find(to)
+            && self.entries[index].member.health != Health::Alive
+        {
+            news.push(self.entries[index].member.clone());
+        }
+        // Guards against a queue: after a whole data centre has come back hundreds of entries wait
+        // to be passed on, and a death in their midst must not wait for all of them. What has
+        // been passed on least goes first.
+        let waiting = self.entries.iter().enumerate();
+        let mut waiting: Vec<(Reverse<u32>, usize)> = waiting
+            .filter(|(_, entry)| entry.sends > 0 && entry.member.peer != to)
+            .map(|(index, entry)| (Reverse(entry.sends), index))
+            .collect();
+        waiting.sort_unstable();
+        for (_, index) in waiting.into_iter().take(MAX_NEWS) {
+            self.entries[index].sends -= 1;
+            news.push(self.entries[index].member.clone());
+        }
+        news
+    }
+
+    fn some_live(
+        &self,
+        count: usize,
+        except: Option<SocketAddr>,
+        rng: &mut SmallRng,
+    ) -> Vec<SocketAddr> {
+        let live = self
+            .live()
+            .map(|m| m.peer)
+            .filter(|peer| Some(*peer) != except);
+        let mut peers: Vec<SocketAddr> = live.collect();
+        peers.shuffle(rng);
+        peers.truncate(count);
+        peers
+    }
+
+    /// Answers an entry about its own daemon: `true` when it had to be refuted.
+    fn refute(&mut self, member: &Member) -> bool {
+        let leaving = !self.me.health.is_live();
+        let slander = (member.incarnation, member.health) > (self.me.incarnation, self.me.health);
+        let stale = member.incarnation == self.me.incarnation && *member != self.me;
+        if leaving || !(slander || stale) {
+            return false;
+        }
+        self.renew(member.incarnation.max(self.me.incarnation));
+        true
+    }
+
+    const fn renew(&mut self, above: Incarnation) {
+        self.me.incarnation = Incarnation(above.0 + 1);
+    }
+
+    fn find(&self, peer: SocketAddr) -> Option<usize> {
+        self.entries
+            .binary_search_by_key(&peer, |entry| entry.member.peer)
+            .ok()
+    }
+
+    fn spread(&self) -> u32 {
+        let size = self.entries.len() + 2;
+        SPREAD * size.ilog2().max(1)
+    }
+}
--- a/tests/document.rs
+++ b/tests/document.rs
@@ -59,3 +59,14 @@
     assert_eq!(one.sorted().hash(), other.sorted().hash());
     assert_ne!(numbered(1).hash(), numbered(2).hash());
 }
+
+#[test]
+fn documented_example_is_valid() {
+    let page = include_str!("../docs/OPERATORS.md");
+    let example = page
+        .split("```json")
+        .nth(1)
+        .and_then(|rest| rest.split("```").next());
+    let document = Document::parse(example.expect("there is one").as_bytes()).expect("it is valid");
+    assert_eq!(document.routes.len(), 2);
+}
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use common::fixed;
-use jackdawpulley::member::{Effects, Health, Member, Send, Stage, Timing, View};
+use jackdawpulley::member::{Health, Member, Stage};
 use jackdawpulley::units::{DataCentre, Incarnation, Version};
+use jackdawpulley::view::{Effects, Send, Timing, View};
 use jackdawpulley::wire::Digest;
 use proptest::prelude::*;
 use rand::SeedableRng;
--- a/trial/src/inject.rs
+++ b/trial/src/inject.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use jackdawpulley::clock;
 use jackdawpulley::units::Millis;
 use rustix::process::Signal;
 
@@ -11,7 +12,6 @@
 use crate::fleet::{Fleet, until};
 use crate::history::Leaving;
 use crate::platform::{Faults, Mode};
-use crate::target::now_ms;
 
 /// Time for a process to stop, or to come back.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -106,10 +106,10 @@
             break;
         }
         let target = fleet.hosts[index].work();
-        let asked_ms = now_ms();
+        let asked_ms = clock::unix_ms();
         stop(fleet.hosts[index].target.take()).await;
         stop(fleet.hosts[index].daemon.take()).await;
-        let back_ms = now_ms();
+        let back_ms = clock::unix_ms();
         leavings.push(Leaving {
             target,
             asked_ms,
--- a/trial/src/lib.rs
+++ b/trial/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod path;
 pub mod platform;
 pub mod process;
+pub mod scale;
 pub mod session;
 pub mod target;
 pub mod watch;
--- a/trial/src/main.rs
+++ b/trial/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use jackdaw_trial::{calls, converge, overhead, path, platform, target};
+use jackdaw_trial::{calls, converge, overhead, path, platform, scale, target};
 
 #[derive(Debug, Parser)]
 #[command(
@@ -27,6 +27,8 @@
     Calls(calls::Args),
     /// Latency that daemons add, and calls a second for each core
     Overhead(overhead::Args),
+    /// Time and memory of a large view and document
+    Scale(scale::Args),
     /// Be the stand-in for the platform's log
     Log(platform::Args),
     /// Be a stand-in target
@@ -103,6 +105,10 @@
             print(&overhead::run(program, &args).await);
             ExitCode::SUCCESS
         }
+        Verb::Scale(args) => {
+            print(&scale::run(&args));
+            ExitCode::SUCCESS
+        }
         Verb::Log(args) => {
             platform::run(args).await;
             ExitCode::SUCCESS
--- a/trial/src/overhead.rs
+++ b/trial/src/overhead.rs
@@ -14,9 +14,9 @@
 
 use crate::converge::as_f64;
 use crate::deployment::{Deployment, Place};
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, until};
 use crate::process::Usage;
-use crate::session::Session;
+use crate::session::{self, Session};
 
 /// Time for one answer.
 const PATIENCE: Duration = Duration::from_secs(5);
@@ -98,6 +98,15 @@
         fleet.hosts[0].calls(),
         fleet.hosts[1].calls(),
     ];
+    // The target announces itself when it is up; until then there is nobody to call.
+    for way in ways {
+        let answers = || async move {
+            let read = Deployment::Kalahari.paths().read;
+            let answer = session::once(way, Method::GET, read, "").await;
+            answer.is_ok_and(|answer| answer.status.is_success())
+        };
+        assert!(until(PATIENCE * 4, answers).await, "{way} answers");
+    }
     let times = latencies(args, ways).await;
     let [direct, one, two] = &times;
     let one_usage = saturate(&fleet, ways[1], args).await;
--- a/trial/src/platform.rs
+++ b/trial/src/platform.rs
@@ -3,12 +3,13 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use clap::Parser;
 use futures_util::stream;
 use http::{Response, StatusCode};
+use jackdawpulley::clock;
 use jackdawpulley::log::{Appended, Page, Stored};
 use jackdawpulley::units::Offset;
 use serde::{Deserialize, Serialize};
@@ -215,7 +216,7 @@
         let offset = {
             let mut state = self.state();
             state.stats.appends += 1;
-            state.stats.appended_us = now_us();
+            state.stats.appended_us = clock::unix_us();
             let retain = state.faults.retain;
             let stream = state.stream(name);
             stream.records.push_back(record);
@@ -296,14 +297,6 @@
     response
 }
 
-/// Microseconds since 1970.
-fn now_us() -> u64 {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
-}
-
 fn text<T: Serialize>(value: &T) -> String {
     serde_json::to_string(value).expect("plain data is JSON")
 }
--- a/trial/src/target.rs
+++ b/trial/src/target.rs
@@ -9,13 +9,14 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use clap::Parser;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use jackdawpulley::announce::Announcement;
+use jackdawpulley::clock;
 use jackdawpulley::outcome::REFUSED;
 use jackdawpulley::units::{Millis, Service, Slots};
 use serde::{Deserialize, Serialize};
@@ -165,7 +166,7 @@
     fn record(&self, request: &str) {
         let run = Run {
             request: request.to_owned(),
-            began_ms: now_ms(),
+            began_ms: clock::unix_ms(),
             target: self.args.listen,
         };
         let line = serde_json::to_string(&run).expect("plain data is JSON") + "\n";
@@ -220,12 +221,3 @@
         .insert(REFUSED, http::HeaderValue::from_static("slots"));
     response
 }
-
-/// Milliseconds since 1970.
-#[must_use]
-pub fn now_ms() -> u64 {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
-}
--- /dev/null
+++ b/trial/tests/operators.rs
@@ -0,0 +1,175 @@
+//! The operator's command and the daemon's exit statuses, as processes.
+
+mod common;
+
+use std::path::{Path, PathBuf};
+use std::process::Output;
+use std::time::Duration;
+
+use common::{document, fleet, places};
+use jackdaw_trial::fleet::{Fleet, until};
+use jackdaw_trial::platform::{Faults, Mode};
+use serde_json::Value;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn write(fleet: &Fleet, name: &str, text: &str) -> String {
+    let path: PathBuf = fleet.logs().join(name);
+    std::fs::write(&path, text).expect("the temporary folder can be written");
+    path.to_string_lossy().into_owned()
+}
+
+fn json(out: &str) -> Value {
+    serde_json::from_str(out).unwrap_or_default()
+}
+
+async fn program(args: &[&str]) -> Output {
+    let program = Path::new(env!("CARGO_BIN_EXE_jackdaw-trial"));
+    let output = tokio::process::Command::new(program)
+        .args(args)
+        .output()
+        .await;
+    output.expect("the program can be started")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verdicts_have_statuses() {
+    let mut fleet = fleet(&[]).await;
+    fleet.add(&places(2, 1)).await;
+    let text = serde_json::to_string(&document(1)).expect("a document is JSON");
+    let good = write(&fleet, "good.json", &text);
+    let bad = write(
+        &fleet,
+        "bad.json",
+        r#"{"routes":[{"name":"a","path":"b","group":"c","retry":"d"}]}"#,
+    );
+    let odd = write(&fleet, "odd.json", r#"{"rotues":[]}"#);
+    assert_eq!(fleet.ctl(0, &["check", &good]).await.0, Some(0));
+    assert_eq!(fleet.ctl(0, &["check", &bad]).await.0, Some(4));
+    assert_eq!(fleet.ctl(0, &["check", &odd]).await.0, Some(4));
+    assert_eq!(fleet.ctl(0, &["check", "/nowhere.json"]).await.0, Some(1));
+    let (status, out) = fleet
+        .ctl(0, &["apply", &good, "--base", "0", "--id", "first"])
+        .await;
+    assert_eq!(status, Some(0), "{out}");
+    let version = json(&out)["version"].clone();
+    let (status, out) = fleet
+        .ctl(1, &["apply", &good, "--base", "0", "--id", "first"])
+        .await;
+    assert_eq!(
+        (status, &json(&out)["version"]),
+        (Some(0), &version),
+        "asked again: {out}"
+    );
+    assert_eq!(
+        fleet
+            .ctl(1, &["apply", &good, "--base", "0", "--id", "second"])
+            .await
+            .0,
+        Some(3)
+    );
+    assert_eq!(fleet.ctl(1, &["apply", &good, "--force"]).await.0, Some(0));
+    let (status, out) = fleet.ctl(0, &["diff", &good]).await;
+    assert_eq!(
+        (status, json(&out)["changes"].as_array().map(Vec::len)),
+        (Some(0), Some(0))
+    );
+    assert_eq!(fleet.ctl(0, &["nonsense"]).await.0, Some(2));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn starting_draining_and_gone_daemons_answer_plainly() {
+    let mut fleet = fleet(&["--log-patience-ms", "60000"]).await;
+    fleet.add(&places(1, 1)).await;
+    fleet
+        .fail_log(Faults {
+            mode: Mode::Hang,
+            ..Faults::default()
+        })
+        .await;
+    // Without log and peers a second daemon can't reach a floor.
+    fleet.kill_daemon(0);
+    fleet.start_daemon(0);
+    let starting = until(PATIENCE, || async {
+        let (status, out) = fleet.ctl(0, &["state"]).await;
+        status == Some(0) && json(&out)["stage"] == "starting"
+    });
+    assert!(starting.await);
+    let (status, out) = fleet
+        .ctl(0, &["status", "--watch", "1", "--patience-ms", "1"])
+        .await;
+    assert_eq!(status, Some(1), "{out}");
+    let address = fleet.hosts[0].operator().to_string();
+    let (status, out) = fleet.ctl(0, &["drain", &address]).await;
+    assert_eq!(
+        (status, json(&out)["stage"].as_str()),
+        (Some(0), Some("draining")),
+        "{out}"
+    );
+    let daemon = fleet.hosts[0].daemon.as_mut().expect("it was started");
+    let ended = until(PATIENCE, || std::future::ready(daemon.ended().is_some())).await;
+    assert!(ended);
+    assert_eq!(daemon.ended().and_then(|status| status.code()), Some(0));
+    let (status, out) = fleet.ctl(0, &["show"]).await;
+    assert_eq!(status, Some(1));
+    assert!(
+        json(&out)["error"]
+            .as_str()
+            .is_some_and(|text| text.contains("can't be reached"))
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_settings_are_named_and_end_with_two() {
+    let right = [
+        "daemon",
+        "--data-centre",
+        "eros",
+        "--peer-addr",
+        "127.0.0.8:17001",
+        "--call-addr",
+        "127.0.0.8:17002",
+        "--target-addr",
+        "127.0.0.8:17003",
+        "--operator-addr",
+        "127.0.0.8:17004",
+        "--log-addr",
+        "127.0.0.8:17000",
+        "--check-settings",
+    ];
+    assert_eq!(program(&right).await.status.code(), Some(0));
+    let wrong: Vec<&str> = right
+        .into_iter()
+        .chain(["--readers", "0", "--fanout", "0"])
+        .collect();
+    let output = program(&wrong).await;
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(
+        told.contains("--readers") && told.contains("--fanout"),
+        "{told}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_are_documented() {
+    let mut fleet = fleet(&[]).await;
+    fleet.add(&places(1, 1)).await;
+    let version = fleet.put(0, document(1)).await;
+    assert!(fleet.converges(version, PATIENCE).await);
+    let call =
+        jackdaw_trial::session::once(fleet.hosts[0].calls(), http::Method::GET, "/titles", "");
+    assert!(call.await.is_ok());
+    let metrics =
+        jackdaw_trial::session::once(fleet.hosts[0].operator(), http::Method::GET, "/metrics", "");
+    let text = String::from_utf8_lossy(&metrics.await.expect("whole").body).into_owned();
+    let page = include_str!("../../docs/OPERATORS.md");
+    let names: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .collect();
+    assert!(names.len() >= 5, "{text}");
+    for name in names.iter().filter_map(|line| line.split(' ').next()) {
+        assert!(page.contains(name), "{name} is not in docs/OPERATORS.md");
+    }
+}
