--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -403,10 +403,7 @@
             .client
             .exchange(daemon, method, path, body, PATIENCE)
             .await;
-        sent.map_err(|reason| Error::Unreachable {
-            peer: daemon,
-            reason,
-        })
+        sent.map_err(|reason| Error::NoDaemon { daemon, reason })
     }
 
     fn say(&self, value: &serde_json::Value, text: impl FnOnce() -> String) {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -79,6 +79,7 @@
         if let Ok(id) = HeaderValue::from_str(&id) {
             headers.insert(CALL, id);
         }
+        headers.remove(LOAD);
         headers.insert(VERSION, HeaderValue::from(config.digest.version.0));
         if self.board.stage() == Stage::Draining {
             // A planned stop ends a session after an answer, never within one.
--- a/src/error.rs
+++ b/src/error.rs
@@ -75,6 +75,16 @@
         /// What happened.
         reason: String,
     },
+    /// A daemon could not be reached by an operator.
+    #[snafu(display(
+        "daemon {daemon} can't be reached: {reason}; check --daemon, or name another"
+    ))]
+    NoDaemon {
+        /// Operator address of the daemon.
+        daemon: SocketAddr,
+        /// What happened.
+        reason: String,
+    },
     /// A peer failed after it may have seen the request.
     #[snafu(display("peer {peer} failed: {reason}; ask again"))]
     Peer {
