--- a/src/announce.rs
+++ b/src/announce.rs
@@ -5,24 +5,33 @@
 //! is left alone.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Instant;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
-use http::StatusCode;
+use http::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
-use slog::info;
+use slog::{debug, info, warn};
+use volo_http::body::Body;
 use volo_http::server::Router;
 use volo_http::server::route::{get, post};
 
 use crate::board::{Board, Target};
+use crate::dispatch::Dispatcher;
 use crate::member::Stage;
 use crate::probe::Membership;
-use crate::units::{Millis, Service, Slots};
+use crate::target::{Beat, Lives, Standing};
+use crate::units::{Instance, Millis, Service, Slots};
 
 /// Longest lease, in milliseconds.
 pub const MAX_LEASE_MS: u64 = 60_000;
 /// Largest announcement, in bytes.
 const MAX_BODY: usize = 4_096;
+/// Time for a target to tell its health; it is on the same host.
+const HEALTH: Duration = Duration::from_millis(400);
+/// Slots of a target that has answered but not announced itself: few, so that it is not buried.
+const UNTOLD_SLOTS: Slots = Slots(8);
+/// Lease of such a target: several times the usual time between two announcements.
+const UNTOLD_LEASE: Duration = Duration::from_secs(10);
 
 /// What a target says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,13 +69,29 @@
 pub struct Desk {
     board: Arc<Board>,
     membership: Arc<Membership>,
+    dispatcher: Dispatcher,
+    lives: Mutex<Lives>,
+}
+
+/// Why an announcement was not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// It contradicts itself; the text names the remedy.
+    Faulty(&'static str),
+    /// The daemon is about to stop: the target has to announce itself to the next one.
+    Draining,
 }
 
 impl Desk {
     /// A desk that writes the target on `board`.
     #[must_use]
-    pub const fn new(board: Arc<Board>, membership: Arc<Membership>) -> Self {
-        Self { board, membership }
+    pub fn new(board: Arc<Board>, membership: Arc<Membership>) -> Self {
+        Self {
+            board,
+            membership,
+            dispatcher: Dispatcher::new(Duration::ZERO),
+            lives: Mutex::default(),
+        }
     }
 
     /// The routes of this face.
@@ -91,6 +116,159 @@
             .route("/stage", get(stage))
     }
 
+    /// Takes an announcement of a target that tells its lives apart.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`]: the target may announce itself again.
+    pub async fn beat(&self, beat: Beat) -> Result<(), Refusal> {
+        let announcement = Announcement {
+            service: beat.service.clone(),
+            address: beat.address,
+            slots: beat.slots,
+            lease_ms: beat.lease,
+        };
+        if let Some(fault) = announcement.fault() {
+            return Err(Refusal::Faulty(fault));
+        }
+        let (standing, contested, leaving) = {
+            let mut lives = self.lives();
+            let contested = !lives.is_empty();
+            let standing = lives.hear(&beat.instance, beat.sequence);
+            if beat.leaving && matches!(standing, Standing::New | Standing::Current) {
+                lives.leave();
+            }
+            (standing, contested, lives.leaving())
+        };
+        match standing {
+            Standing::Stale | Standing::Past => {
+                debug!(self.board.logger, "late announcement passed over";
+                    "instance" => %beat.instance, "sequence" => beat.sequence);
+                return Ok(());
+            }
+            Standing::New => {
+                info!(self.board.logger, "target announced"; "service" => %beat.service,
+                    "instance" => %beat.instance, "sequence" => beat.sequence,
+                    "slots" => beat.slots.0);
+            }
+            Standing::Current => {}
+        }
+        if leaving {
+            self.close("target leaves", &beat.instance).await;
+            return Ok(());
+        }
+        // Two lives have claimed the address, in an order that proves nothing: ask who is there.
+        if standing == Standing::New && contested {
+            let asked = self.ask_health(beat.address, &beat.service).await;
+            if let Some(there) = asked.filter(|there| *there != beat.instance) {
+                self.lives().prove(&there);
+                return Ok(());
+            }
+        }
+        self.open(Target {
+            instance: Some(beat.instance),
+            address: beat.address,
+            service: beat.service,
+            slots: beat.slots,
+            lease_until: Instant::now() + beat.lease.duration(),
+        })
+        .await;
+        Ok(())
+    }
+
+    /// Notes an announcement that could not be read, and why.
+    pub fn unreadable(&self, problem: &str) {
+        metrics::counter!("jackdaw_bad_announcements_total").increment(1);
+        warn!(self.board.logger, "announcement refused"; "problem" => problem);
+    }
+
+    /// Notes that a life of the target ends: it gets no new work.
+    pub async fn deregister(&self, instance: &Instance) {
+        let current = {
+            let mut lives = self.lives();
+            let current = lives.is_current(instance);
+            if current {
+                lives.leave();
+            } else {
+                lives.forget(instance);
+            }
+            current
+        };
+        // A target that leaves at once may not have announced itself to this daemon yet.
+        let target = self.board.target();
+        let same = target.is_some_and(|target| target.instance.as_ref() == Some(instance));
+        if current || same {
+            self.close("target ends", instance).await;
+        }
+    }
+
+    /// Looks for the target that the settings name, when it has not announced itself yet.
+    ///
+    /// Guards against a daemon that was killed beside a healthy target: until the next
+    /// announcement the target would stand idle and its share of the work go to the others.
+    pub async fn find_target(&self, slots: Option<Slots>) {
+        let settings = &self.board.settings;
+        let (Some(address), Some(service)) = (settings.service_addr, settings.service.clone())
+        else {
+            return;
+        };
+        if !self.lives().is_empty() {
+            return;
+        }
+        let Some(instance) = self.ask_health(address, &service).await else {
+            return;
+        };
+        if !self.lives().is_empty() {
+            return;
+        }
+        self.lives().prove(&instance);
+        info!(self.board.logger, "target found"; "instance" => %instance, "slots" => ?slots);
+        self.open(Target {
+            instance: Some(instance),
+            address,
+            service,
+            slots: slots.unwrap_or(UNTOLD_SLOTS),
+            lease_until: Instant::now() + UNTOLD_LEASE,
+        })
+        .await;
+    }
+
+    /// The life that is healthy at `address`, where targets of the service tell it.
+    async fn ask_health(&self, address: SocketAddr, service: &Service) -> Option<Instance> {
+        let config = self.board.config();
+        let mut groups = config.document.groups.iter();
+        let group = groups.find(|group| group.service == *service)?;
+        let name = self.board.dialect.instance.as_ref()?;
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri(group.health_path.as_ref()?)
+            .header(http::header::HOST, address.to_string())
+            .body(Body::empty());
+        let request = request.ok()?;
+        let asking = self.dispatcher.send(address, request, true);
+        let (response, _lease) = tokio::time::timeout(HEALTH, asking).await.ok()?.ok()?;
+        let healthy = response.status().is_success();
+        let instance = response.headers().get(name).filter(|_| healthy)?;
+        instance.to_str().ok().map(Instance::from)
+    }
+
+    async fn open(&self, target: Target) {
+        self.board.set_target(Some(target));
+        self.membership.reflect().await;
+    }
+
+    async fn close(&self, event: &'static str, instance: &Instance) {
+        if self.board.target().is_some() {
+            info!(self.board.logger, "{}", event; "instance" => %instance);
+        }
+        self.board.set_target(None);
+        self.membership.reflect().await;
+    }
+
+    fn lives(&self) -> MutexGuard<'_, Lives> {
+        self.lives.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn announce(&self, body: &[u8]) -> (StatusCode, String) {
         if body.len() > MAX_BODY {
             return (
@@ -118,6 +296,7 @@
         }
         let known = self.board.target().is_some();
         let target = Target {
+            instance: None,
             address: announcement.address,
             service: announcement.service,
             slots: announcement.slots,
@@ -126,8 +305,7 @@
         if !known {
             info!(self.board.logger, "target announced"; "service" => %target.service);
         }
-        self.board.set_target(Some(target));
-        self.membership.reflect().await;
+        self.open(target).await;
         (StatusCode::OK, "announced".to_owned())
     }
 
--- a/src/board.rs
+++ b/src/board.rs
@@ -15,13 +15,14 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::dialect::Dialect;
 use crate::document::Document;
 use crate::member::{Offer, Stage};
 use crate::roster::Roster;
 use crate::route::Table;
 use crate::settings::Settings;
 use crate::telemetry::Meter;
-use crate::units::{Slots, Version};
+use crate::units::{Instance, Slots, Version};
 use crate::wire::Digest;
 
 /// The configuration of one version, compiled for the path of a request.
@@ -58,6 +59,8 @@
 /// The co-located target, as it announced itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Target {
+    /// The life that announced itself, where targets tell theirs.
+    pub instance: Option<Instance>,
     /// Where it takes calls.
     pub address: SocketAddr,
     /// What it offers.
@@ -88,6 +91,8 @@
     pub settings: Settings,
     /// Where events are written.
     pub logger: Logger,
+    /// How callers and targets spell their headers.
+    pub dialect: Dialect,
     /// Control bytes.
     pub meter: Arc<Meter>,
     config: ArcSwap<Snapshot>,
@@ -103,10 +108,11 @@
 impl Board {
     /// An empty board of a daemon that is starting.
     #[must_use]
-    pub fn new(settings: Settings, logger: Logger) -> Self {
+    pub fn new(settings: Settings, dialect: Dialect, logger: Logger) -> Self {
         Self {
             settings,
             logger,
+            dialect,
             meter: Meter::shared(),
             config: ArcSwap::from_pointee(Snapshot::compile(Version(0), Arc::default())),
             roster: ArcSwap::default(),
@@ -186,6 +192,14 @@
         self.target.store(target.map(Arc::new));
     }
 
+    /// Closes the co-located target if it is still the one that was seen failing.
+    pub fn drop_target(&self, failed: &Arc<Target>) {
+        let current = self.target.load();
+        if current.as_ref().is_some_and(|now| Arc::ptr_eq(now, failed)) {
+            self.target.compare_and_swap(&current, None);
+        }
+    }
+
     /// Where the daemon is in its life.
     #[must_use]
     pub fn stage(&self) -> Stage {
--- a/src/call.rs
+++ b/src/call.rs
@@ -10,14 +10,14 @@
 use volo_http::body::Body;
 
 use crate::board::Snapshot;
+use crate::dialect::Dialect;
+use crate::document::Group;
 use crate::outcome::Reason;
 use crate::route::Plan;
 use crate::stream;
 use crate::units::{CallKey, Millis};
 use crate::wire::Handover;
 
-/// Header by which a caller shortens the route's time-out, in milliseconds.
-pub const TIMEOUT: &str = "x-jackdaw-timeout-ms";
 /// Header with the caller's idempotency key.
 const KEY: &str = "idempotency-key";
 
@@ -26,8 +26,10 @@
 pub struct Call {
     /// What its gate needs to know.
     pub handover: Handover,
-    /// Its route, group and retry rule.
+    /// Its route and retry rule.
     pub plan: Arc<Plan>,
+    /// The group that serves it.
+    pub group: Arc<Group>,
     /// Upstreams that are not asked again.
     pub tried: Vec<SocketAddr>,
     /// Why it has no answer yet.
@@ -56,7 +58,8 @@
 }
 
 impl Call {
-    /// Matches a request that came at `began`; keeps a body of at most `limit` bytes.
+    /// Matches a request that came at `began`; keeps a body of at most `limit` bytes. `draw` is
+    /// uniform in 0 to 1 and chooses among the groups of a split route.
     ///
     /// # Errors
     ///
@@ -66,7 +69,9 @@
         config: &Snapshot,
         request: Request<Body>,
         began: Instant,
+        dialect: &Dialect,
         limit: usize,
+        draw: f64,
     ) -> Result<Self, Reason> {
         let (mut head, body) = request.into_parts();
         let text = |value: &HeaderValue| value.to_str().ok().map(str::to_owned);
@@ -77,21 +82,22 @@
         let plan = Arc::clone(found.ok_or(Reason::NoRoute)?);
         let wanted = head
             .headers
-            .get(TIMEOUT)
+            .get(&dialect.timeout)
             .and_then(text)
             .and_then(|ms| ms.parse().ok());
         let timeout = wanted.map_or(plan.route.timeout_ms, |ms: Millis| {
             ms.min(plan.route.timeout_ms)
         });
         let deadline = began + timeout.duration();
+        let group = Arc::clone(plan.group(draw));
         // Callers of different services may choose the same key.
-        let scoped = |key| CallKey(format!("{}/{key}", plan.group.service));
+        let scoped = |key| CallKey(format!("{}/{key}", group.service));
         let key = head.headers.get(KEY).and_then(text).map(scoped);
         let handover = Handover {
             id: id.to_owned(),
-            service: plan.group.service.clone(),
-            group: plan.group.name.clone(),
-            class: plan.route.class,
+            service: group.service.clone(),
+            group: group.name.clone(),
+            priority: plan.route.rank(),
             remaining: timeout,
             repeatable: plan.route.repeatable,
             key: key.filter(|_| !plan.route.repeatable),
@@ -105,6 +111,7 @@
         Ok(Call {
             handover,
             plan,
+            group,
             deadline,
             head,
             body,
--- a/src/check.rs
+++ b/src/check.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::document::{Document, Group, Retry, Route};
+use crate::document::{Bounds, Document, Group, Retry, Route};
 
 /// Longest name of a resource, in bytes.
 pub const MAX_NAME: usize = 128;
@@ -16,6 +16,8 @@
 /// Longest time-out of a route, in milliseconds.
 pub const MAX_TIMEOUT_MS: u64 = 600_000;
 const MAX_ATTEMPTS: u32 = 10;
+/// Smallest bound on a head: what the HTTP server needs, in bytes.
+const MIN_HEAD: u32 = 8_192;
 const MAX_PERCENT: u8 = 100;
 
 /// One fault of a document.
@@ -51,6 +53,7 @@
     for (index, retry) in document.retries.iter().enumerate() {
         check.retry(index, retry);
     }
+    check.bounds(&document.bounds);
     check.faults
 }
 
@@ -108,6 +111,20 @@
             problem,
             "add the group or name another one",
         );
+        for (part, share) in route.split.iter().enumerate() {
+            let known = document.groups.iter().any(|g| g.name == share.group);
+            let problem = format!("no group is named {:?}", share.group);
+            let path = at(&format!("split[{part}].group"));
+            self.require(known, path, problem, "add the group or name another one");
+        }
+        let total: u64 = route
+            .split
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
+        let fits = route.split.is_empty() || (1..=u64::from(u32::MAX)).contains(&total);
+        let problem = format!("the weights add up to {total}");
+        self.require(fits, at("split"), problem, "give a part a weight above 0");
         let known = document.retries.iter().any(|r| r.name == route.retry);
         let problem = format!("no retry rule is named {:?}", route.retry);
         self.require(
@@ -164,6 +181,17 @@
         self.require(fits, at("ejection.failures"), problem, "use 1 or more");
     }
 
+    fn bounds(&mut self, bounds: &Bounds) {
+        let at = |field: &str| format!("bounds.{field}");
+        let fits = bounds.max_head >= MIN_HEAD;
+        let problem = format!("{} bytes", bounds.max_head);
+        self.require(fits, at("max_head"), problem, "use 8192 or more");
+        for (field, span) in [("head_ms", bounds.head_ms), ("idle_ms", bounds.idle_ms)] {
+            let fits = (1..=MAX_TIMEOUT_MS).contains(&span.0);
+            self.require(fits, at(field), format!("{span} ms"), "use 1 to 600000 ms");
+        }
+    }
+
     fn retry(&mut self, index: usize, retry: &Retry) {
         let at = |field: &str| format!("retries[{index}].{field}");
         let fits = (1..=MAX_ATTEMPTS).contains(&retry.attempts);
--- a/src/config.rs
+++ b/src/config.rs
@@ -186,7 +186,8 @@
         let faults = check::document(&document);
         if !faults.is_empty() {
             warn!(self.board.logger, "refused a faulty document from a peer";
-                "version" => version.0, "faults" => faults.len());
+                "version" => version.0, "faults" => faults.len(),
+                "first" => faults.first().map(ToString::to_string));
             return Err(Error::Faults { faults });
         }
         state.fold.adopt(version, Arc::new(document), accepted);
@@ -206,7 +207,7 @@
         }
         let update = state.update(have, self.board.settings.delivery);
         let whole = matches!(update.body, Body::Whole(_));
-        let reply = wire::encode(&Reply::Update(update));
+        let reply = wire::encode(&Reply::Update(Box::new(update)));
         state.encoded.push(Encoded {
             base: have,
             reply: reply.clone(),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,37 +2,37 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 use clap::Parser;
-use http::Request;
-use slog::{info, warn};
+use slog::{error, info};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use volo_http::body::Body;
-use volo_http::server::Router;
+use tokio::sync::watch;
 
-use crate::accept::Closing;
 use crate::announce::Desk;
 use crate::board::Board;
 use crate::config::Store;
+use crate::document::Bounds;
 use crate::entry::Entry;
-use crate::error::{Error, ListenSnafu, Result};
+use crate::error::{ListenSnafu, Result};
+use crate::extension::{Extension, Face, Handles};
 use crate::gate::Gate;
 use crate::guard::Keys;
+use crate::http_server::{self, Phase};
 use crate::join::Joiner;
 use crate::log::Log;
-use crate::member::{Health, Stage};
+use crate::member::Stage;
 use crate::operator::Operator;
 use crate::peer::Links;
 use crate::probe::Membership;
 use crate::publish::Publisher;
-use crate::reader::Reader;
+use crate::reader::{Reader, Source};
 use crate::relay::Relay;
 use crate::server::Server;
 use crate::settings::Settings;
+use crate::stop::Stopping;
 use crate::telemetry;
+use crate::units::Millis;
 
 /// Exit status after a planned stop.
 pub const EXIT_STOPPED: u8 = 0;
@@ -43,9 +43,6 @@
 /// Exit status when a second signal cut the stop short.
 pub const EXIT_CUT_SHORT: u8 = 3;
 
-/// Time for which sessions are ended after an answer before the process goes.
-const LINGER: Duration = Duration::from_millis(2_500);
-
 /// Runs the program `jackdawpulley` with the arguments of this process.
 ///
 /// Returns the exit status.
@@ -78,18 +75,30 @@
         println!("the settings are right");
         return EXIT_STOPPED;
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.threads)
-        .enable_all()
-        .build();
-    let runtime = match runtime {
+    start(settings, Extension::default())
+}
+
+/// Starts threads and runs a daemon with checked settings to its end; returns the exit status.
+#[must_use]
+pub fn start(settings: Settings, extension: Extension) -> u8 {
+    // One thread needs no other to wake it: on a host that gives a daemon a part of one core,
+    // each wake-up less is time for calls.
+    let mut builder = if settings.threads == 1 {
+        tokio::runtime::Builder::new_current_thread()
+    } else {
+        tokio::runtime::Builder::new_multi_thread()
+    };
+    if settings.threads > 1 {
+        builder.worker_threads(settings.threads);
+    }
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("can't start threads: {error}; raise the limit of processes");
             return EXIT_FAILED;
         }
     };
-    match runtime.block_on(run(settings)) {
+    match runtime.block_on(run(settings, extension)) {
         Ok(status) => status,
         Err(error) => {
             eprintln!("{error}");
@@ -102,17 +111,32 @@
 ///
 /// # Errors
 ///
-/// [`Error::Listen`] when an address can't be had, [`Error::Serve`] when a server ends.
-pub async fn run(settings: Settings) -> Result<u8> {
+/// [`Error::Listen`] when an address can't be had.
+pub async fn run(settings: Settings, extension: Extension) -> Result<u8> {
     let logger = telemetry::logger(settings.logs, settings.verbose);
     info!(logger, "starting"; "peer" => %settings.peer_addr, "data_centre" => %settings.data_centre);
-    let board = Arc::new(Board::new(settings, logger));
+    let Extension {
+        origin,
+        dialect,
+        faces,
+    } = extension;
+    let board = Arc::new(Board::new(settings, dialect, logger));
     let store = Arc::new(Store::new(Arc::clone(&board)));
     let links = Arc::new(Links::new(
         board.settings.peer_addr.ip(),
         Arc::clone(&board.meter),
     ));
-    let log = Log::new(board.settings.log_addr, Arc::clone(&board.meter));
+    let (log_addr, meter) = (board.settings.log_addr, Arc::clone(&board.meter));
+    let (log, source) = match &origin {
+        None => {
+            let log = Log::new(log_addr, meter);
+            (log.clone(), Source::Log(log))
+        }
+        Some(origin) => (
+            Log::closed(log_addr, meter),
+            Source::Origin(Arc::clone(origin)),
+        ),
+    };
     let relay = Arc::new(Relay::new(
         Arc::clone(&board),
         Arc::clone(&store),
@@ -120,11 +144,7 @@
     ));
     let membership = Membership::open(Arc::clone(&board), Arc::clone(&relay)).await?;
     let membership = Arc::new(membership);
-    let reader = Arc::new(Reader::new(
-        Arc::clone(&board),
-        Arc::clone(&store),
-        log.clone(),
-    ));
+    let reader = Arc::new(Reader::new(Arc::clone(&board), Arc::clone(&store), source));
     let keys = Arc::new(Keys::new(
         Arc::clone(&board),
         Arc::clone(&links),
@@ -150,6 +170,7 @@
         keys: Arc::clone(&keys),
         metrics: telemetry::metrics(),
     });
+    let desk = Arc::new(Desk::new(Arc::clone(&board), Arc::clone(&membership)));
     let joiner = Joiner {
         board: Arc::clone(&board),
         store,
@@ -159,27 +180,62 @@
         reader: Arc::clone(&reader),
         keys: Arc::clone(&keys),
         log,
+        origin: origin.clone(),
+        desk: Arc::clone(&desk),
     };
-    let desk = Arc::new(Desk::new(Arc::clone(&board), Arc::clone(&membership)));
     let entry = Arc::new(Entry::new(Arc::clone(&board), gate));
 
     let listener = server.listen().await?;
-    let mut servers = tokio::task::JoinSet::new();
-    let faces = [
-        (board.settings.operator_addr, operator.router()),
-        (board.settings.target_addr, desk.router()),
-    ];
-    for (address, router) in faces {
-        let listener = bind(address).await?;
-        servers.spawn(serve(address, router, Closing::new(listener, None)));
-    }
-    servers.spawn(serve_calls(Arc::clone(&board), entry));
+    let phases = watch::Sender::new(Phase::Open);
+    serve_faces(&board, &desk, operator, faces).await?;
+    tokio::spawn(serve_calls(Arc::clone(&board), entry, phases.subscribe()));
     tokio::spawn(server.run(listener));
     tokio::spawn(Arc::clone(&membership).run());
     tokio::spawn(relay.run());
     tokio::spawn(reader.run());
     tokio::spawn(joiner.run());
-    stop(&board, &membership, &keys, servers).await
+    let stopping = Stopping {
+        board,
+        membership,
+        keys,
+        phases,
+        origin,
+    };
+    stopping.run().await
+}
+
+/// Serves operators, the target, and whatever the adapter adds; its faces replace our own.
+async fn serve_faces(
+    board: &Arc<Board>,
+    desk: &Arc<Desk>,
+    operator: Arc<Operator>,
+    faces: Vec<Face>,
+) -> Result<()> {
+    let handles = Handles {
+        board: Arc::clone(board),
+        desk: Arc::clone(desk),
+    };
+    let mut routers = vec![
+        (board.settings.operator_addr, operator.router()),
+        (board.settings.target_addr, Arc::clone(desk).router()),
+    ];
+    for face in faces {
+        routers.retain(|(address, _)| *address != face.address);
+        routers.push((face.address, (face.routes)(handles.clone())));
+    }
+    for (address, router) in routers {
+        let listener = bind(address).await?;
+        // Without a sender, these answer until the process is gone.
+        let phases = watch::Sender::new(Phase::Open).subscribe();
+        let routed = http_server::routed(router, address);
+        tokio::spawn(http_server::serve(
+            listener,
+            phases,
+            Bounds::default,
+            routed,
+        ));
+    }
+    Ok(())
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener> {
@@ -188,85 +244,31 @@
         .context(ListenSnafu { address })
 }
 
-/// Serves callers once the daemon is ready: until then the host refuses them, and they go on to
-/// another daemon.
-async fn serve_calls(board: Arc<Board>, entry: Arc<Entry>) -> Result<()> {
-    let mut stages = board.stages();
-    let ready = stages.wait_for(|stage| *stage != Stage::Starting).await;
-    if ready.is_ok_and(|stage| *stage == Stage::Draining) {
-        return Ok(());
+/// Serves callers. A host that another daemon can stand in for refuses them until this one is
+/// ready; where callers know no other daemon, each is told to come back.
+async fn serve_calls(board: Arc<Board>, entry: Arc<Entry>, phases: watch::Receiver<Phase>) {
+    if board.settings.accept_ms == Millis(0) {
+        let mut stages = board.stages();
+        let ready = stages.wait_for(|stage| *stage != Stage::Starting).await;
+        if ready.is_ok_and(|stage| *stage == Stage::Draining) {
+            return;
+        }
     }
-    let address = board.settings.call_addr;
-    let listener = bind(address).await?;
-    serve(
-        address,
-        calls(entry),
-        Closing::new(listener, Some(board.stages())),
-    )
-    .await
-}
-
-fn calls(entry: Arc<Entry>) -> Router {
-    Router::new().fallback(move |request: Request<Body>| {
+    let listener = match bind(board.settings.call_addr).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            error!(board.logger, "callers can't be served"; "error" => %error);
+            board.advance(Stage::Draining);
+            return;
+        }
+    };
+    let bounds = {
+        let board = Arc::clone(&board);
+        move || board.config().document.bounds
+    };
+    let handler = move |request| {
         let entry = Arc::clone(&entry);
         async move { entry.serve(request).await }
-    })
-}
-
-async fn serve(address: SocketAddr, router: Router, incoming: Closing) -> Result<()> {
-    let ended = volo_http::server::Server::new(router).run(incoming).await;
-    ended.map_err(|error| Error::Serve {
-        address,
-        reason: error.to_string(),
-    })
-}
-
-/// Waits for the order to stop, then stops without cutting a call.
-async fn stop(
-    board: &Arc<Board>,
-    membership: &Membership,
-    keys: &Keys,
-    mut servers: tokio::task::JoinSet<Result<()>>,
-) -> Result<u8> {
-    let listening = |source| Error::Listen {
-        address: board.settings.operator_addr,
-        source,
     };
-    let mut terminate = signal(SignalKind::terminate()).map_err(listening)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(listening)?;
-    let mut stages = board.stages();
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        _ = stages.wait_for(|stage| *stage == Stage::Draining) => {}
-        Some(Ok(Err(error))) = servers.join_next() => return Err(error),
-    }
-    info!(board.logger, "draining"; "in_flight" => board.in_flight());
-    board.advance(Stage::Draining);
-    let draining = async {
-        membership.reflect().await;
-        let began = Instant::now();
-        tokio::time::sleep(LINGER).await;
-        let limit = board
-            .settings
-            .drain_ms
-            .duration()
-            .saturating_sub(began.elapsed());
-        if !board.idle(limit).await {
-            warn!(board.logger, "calls are cut: the drain limit has passed";
-                "in_flight" => board.in_flight());
-        }
-        // A planned stop must not look like a loss to the guard of keys.
-        let handed = keys.hand_over().await;
-        let health = if handed { Health::Left } else { Health::Gone };
-        membership.leave(health).await;
-    };
-    tokio::select! {
-        () = draining => {
-            info!(board.logger, "stopped");
-            Ok(EXIT_STOPPED)
-        }
-        _ = terminate.recv() => Ok(EXIT_CUT_SHORT),
-        _ = interrupt.recv() => Ok(EXIT_CUT_SHORT),
-    }
+    http_server::serve(listener, phases, bounds, handler).await;
 }
--- a/src/delta.rs
+++ b/src/delta.rs
@@ -22,7 +22,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::document::{Document, Group, Retry, Route};
+use crate::document::{Bounds, Document, Group, Retry, Route};
 use crate::error::{DeltaSnafu, Result};
 
 /// Changes that lead from one document to another.
@@ -33,6 +33,7 @@
     routes: Edits<Route>,
     groups: Edits<Group>,
     retries: Edits<Retry>,
+    bounds: Option<Bounds>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -72,6 +73,7 @@
             routes: Edits::between(&old.routes, &new.routes),
             groups: Edits::between(&old.groups, &new.groups),
             retries: Edits::between(&old.retries, &new.retries),
+            bounds: (old.bounds != new.bounds).then_some(new.bounds),
         }
     }
 
@@ -82,6 +84,10 @@
             self.routes.summary("route"),
             self.groups.summary("group"),
             self.retries.summary("retry rule"),
+            self.bounds
+                .map(|_| "set bounds".to_owned())
+                .into_iter()
+                .collect(),
         ];
         kinds.concat()
     }
@@ -96,6 +102,7 @@
             routes: self.routes.apply(&base.routes),
             groups: self.groups.apply(&base.groups),
             retries: self.retries.apply(&base.retries),
+            bounds: self.bounds.unwrap_or(base.bounds),
         };
         // Guards against a base that only seems to be the same: the receiver would run a mix of
         // two documents. The hash covers the whole result, so a mix never passes.
--- a/src/document.rs
+++ b/src/document.rs
@@ -11,7 +11,7 @@
 
 use crate::check;
 use crate::error::{DocumentSnafu, Error, Result};
-use crate::units::{Millis, Percent, Service, Slots};
+use crate::units::{Millis, Percent, Priority, Service, Slots};
 use crate::wire;
 
 /// Everything that is in force at one version.
@@ -27,6 +27,9 @@
     /// How failed requests are tried again.
     #[serde(default)]
     pub retries: Vec<Retry>,
+    /// What callers may send.
+    #[serde(default)]
+    pub bounds: Bounds,
 }
 
 /// A rule that sends matching requests to a group.
@@ -45,6 +48,9 @@
     pub path: String,
     /// Name of the upstream group.
     pub group: String,
+    /// Groups that share the requests by weight, in place of `group` alone.
+    #[serde(default)]
+    pub split: Vec<Share>,
     /// Name of the retry rule.
     pub retry: String,
     /// Time until the answer's head must have come.
@@ -53,6 +59,12 @@
     /// Who goes first when there is too much to do.
     #[serde(default)]
     pub class: Class,
+    /// Rank among all routes, 0 first, in place of the class's own.
+    #[serde(default)]
+    pub priority: Option<Priority>,
+    /// Time within which an answer is of full use.
+    #[serde(default)]
+    pub latency_ms: Option<Millis>,
     /// Whether running a request twice does no harm (it is idempotent).
     #[serde(default)]
     pub repeatable: bool,
@@ -61,6 +73,30 @@
     pub guard: Guard,
 }
 
+/// One part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    /// Name of the upstream group.
+    pub group: String,
+    /// Size in relation to the other parts.
+    pub weight: u32,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Largest head of a request, in bytes.
+    pub max_head: u32,
+    /// Largest body of a request, in bytes.
+    pub max_body: u64,
+    /// Time within which the head of a request must have come.
+    pub head_ms: Millis,
+    /// Time after which an idle connection is closed.
+    pub idle_ms: Millis,
+}
+
 /// A set of upstreams that offer one service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -72,6 +108,12 @@
     /// Upper bound on a target's slots; its own word when left out.
     #[serde(default)]
     pub slots: Option<Slots>,
+    /// Connections that a target accepts; not bounded when left out.
+    #[serde(default)]
+    pub connections: Option<u32>,
+    /// Path at which a target tells whether it is healthy.
+    #[serde(default)]
+    pub health_path: Option<String>,
     /// Requests that may wait at a target for a slot.
     #[serde(default = "default_queue")]
     pub queue: u32,
@@ -164,6 +206,31 @@
     Claim,
 }
 
+impl From<Class> for Priority {
+    fn from(class: Class) -> Self {
+        Self(class as u8)
+    }
+}
+
+impl Route {
+    /// Its rank: its own where it names one, else its class's.
+    #[must_use]
+    pub fn rank(&self) -> Priority {
+        self.priority.unwrap_or_else(|| self.class.into())
+    }
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            max_head: 64 << 10,
+            max_body: 64 << 20,
+            head_ms: Millis(10_000),
+            idle_ms: Millis(60_000),
+        }
+    }
+}
+
 impl Default for Ejection {
     fn default() -> Self {
         Self {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,7 +17,7 @@
 use crate::board::{Board, Snapshot};
 use crate::call::{Call, Part};
 use crate::document::{Ejection, Retry};
-use crate::gate::{CALL, Gate, LOAD};
+use crate::gate::{Gate, LOAD};
 use crate::keys;
 use crate::member::Stage;
 use crate::outcome::{self, Fate, OUTCOME, REASON, Reason};
@@ -27,6 +27,7 @@
 use crate::roster::Upstream;
 use crate::settings::Retries;
 use crate::stream::{Held, Incoming};
+use crate::units::Service;
 use crate::wire::{self, Handover};
 
 /// Header that carries a [`Handover`] between daemons.
@@ -37,6 +38,9 @@
 /// Part of the time left after which a repeatable call is also sent to a second upstream.
 const HEDGE_SHARE: u32 = 2;
 
+/// Longest identifier of a call, in bytes.
+const MAX_ID: usize = 64;
+
 /// Takes callers' requests.
 #[derive(Debug)]
 pub struct Entry {
@@ -71,13 +75,19 @@
         let in_flight = self.board.begin();
         let config = self.board.config();
         let id = self.identify(&request);
-        let mut response = match self.prepare(&id, &config, request, began).await {
+        let named = id.as_deref().ok_or(Reason::Unnamed);
+        let prepared = match named {
+            Ok(id) => self.prepare(id, &config, request, began).await,
+            Err(reason) => Err(reason),
+        };
+        let id = id.unwrap_or_default();
+        let mut response = match prepared {
             Ok(call) => self.complete(call).await,
             Err(reason) => outcome::refusal(&id, reason),
         };
         let headers = response.headers_mut();
         if let Ok(id) = HeaderValue::from_str(&id) {
-            headers.insert(CALL, id);
+            headers.insert(&self.board.dialect.call, id);
         }
         headers.remove(LOAD);
         headers.insert(VERSION, HeaderValue::from(config.digest.version.0));
@@ -96,37 +106,54 @@
         Response::from_parts(parts, Held::wrap(body, in_flight))
     }
 
-    /// The caller's own identifier, or a new one.
-    fn identify(&self, request: &Request<Body>) -> String {
+    /// The caller's own identifier, or a new one where identifiers are not the callers' alone.
+    fn identify(&self, request: &Request<Body>) -> Option<String> {
+        let dialect = &self.board.dialect;
         let given = request
             .headers()
-            .get(CALL)
+            .get(&dialect.call)
             .and_then(|value| value.to_str().ok());
-        given.filter(|id| id.len() <= 64).map_or_else(
-            || {
-                let count = self.calls.fetch_add(1, Ordering::Relaxed);
-                format!(
-                    "{}-{count}-{:08x}",
-                    self.board.settings.call_addr,
-                    rand::random::<u32>()
-                )
-            },
-            str::to_owned,
-        )
+        let given = given.filter(|id| (1..=MAX_ID).contains(&id.len()));
+        given
+            .map(str::to_owned)
+            .or_else(|| (!dialect.echo).then(|| self.new_id()))
+    }
+
+    fn new_id(&self) -> String {
+        let count = self.calls.fetch_add(1, Ordering::Relaxed);
+        let random = rand::random::<u32>();
+        format!("{}-{count}-{random:08x}", self.board.settings.call_addr)
     }
 
     async fn prepare(
         &self,
         id: &str,
         config: &Snapshot,
-        request: Request<Body>,
+        mut request: Request<Body>,
         began: Instant,
     ) -> Result<Call, Reason> {
         if self.board.stage() == Stage::Starting {
             return Err(Reason::Starting);
         }
-        let limit = self.board.settings.kept_body;
-        Call::prepare(id, config, request, began, limit).await
+        let Board {
+            settings, dialect, ..
+        } = &*self.board;
+        if let Some(name) = &dialect.caller {
+            let service = settings.service.as_ref().map_or("", Service::as_str);
+            let value = HeaderValue::from_str(service).map_err(|_| Reason::Unnamed)?;
+            request.headers_mut().insert(name, value);
+        }
+        let draw = rand::rng().random_range(0.0..1.0);
+        Call::prepare(
+            id,
+            config,
+            request,
+            began,
+            dialect,
+            settings.kept_body,
+            draw,
+        )
+        .await
     }
 
     async fn complete(&self, mut call: Call) -> Response<Body> {
@@ -191,7 +218,7 @@
     /// waiting for the deadline would lose a read that another target could have answered.
     async fn race(&self, upstream: &Arc<Upstream>, call: &mut Call) -> Attempt {
         let rule = &Arc::clone(&call.plan).retry;
-        let ejection = &Arc::clone(&call.plan).group.ejection;
+        let ejection = &Arc::clone(&call.group).ejection;
         let mut first = Box::pin(self.attempt(upstream, call.part(), ejection));
         let simple = self.board.settings.retries == Retries::Fixed;
         if simple || !call.may_hedge() || rule.attempts < 2 {
@@ -270,7 +297,7 @@
             return owner.cloned();
         }
         let now = Instant::now();
-        let group = &call.plan.group;
+        let group = &call.group;
         let candidates: Vec<Candidate> = fresh
             .iter()
             .map(|upstream| upstream.candidate(group, now))
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -6,33 +6,37 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use slog::debug;
 use volo_http::body::Body;
 
-use crate::board::{Board, InFlight};
-use crate::dispatch::Dispatcher;
+use crate::board::{Board, InFlight, Target};
+use crate::dialect::Dialect;
+use crate::dispatch::{Dispatcher, Lease};
 use crate::document::Guard;
 use crate::guard::Keys;
 use crate::line::{Line, Permit};
 use crate::member::Stage;
-use crate::outcome::{self, Fate, OUTCOME, REFUSED, Reason};
+use crate::outcome::{self, Fate, OUTCOME, Reason};
 use crate::settings::Limits;
-use crate::stream::{self, Held};
+use crate::stream::{self, Gathered, Held};
 use crate::units::{Millis, Service};
 use crate::wire::Handover;
 
 /// Header with the requests in flight at a gate.
 pub const LOAD: &str = "x-jackdaw-load";
-/// Header with the time left for a request, in milliseconds.
-pub const REMAINING: &str = "x-jackdaw-remaining-ms";
-/// Header with the identifier of a call.
-pub const CALL: &str = "x-jackdaw-call";
 
 /// Part of the time left that a request may wait for a slot.
 const QUEUE_SHARE: u32 = 2;
+/// Largest answer that is taken in whole before its head goes on, in bytes.
+///
+/// Guards against an answer that breaks off: while its head has not gone on, the entry can ask
+/// another target, or tell the caller plainly, in place of cutting the caller's connection.
+const GATHERED: usize = 256 << 10;
 const UNLIMITED: u32 = u32::MAX;
 
 /// Bounds and dispatches the work of the co-located target.
@@ -58,7 +62,7 @@
 pub struct Admitted {
     received: Received,
     permit: Permit,
-    target: SocketAddr,
+    target: Arc<Target>,
 }
 
 impl Gate {
@@ -124,14 +128,14 @@
     }
 
     /// The target to dispatch to, checked at this very moment.
-    fn target(&self, handover: &Handover) -> Result<SocketAddr, Reason> {
+    fn target(&self, handover: &Handover) -> Result<Arc<Target>, Reason> {
         if self.board.stage() == Stage::Draining {
             return Err(Reason::Draining);
         }
         let target = self.board.target().ok_or(Reason::NoTarget)?;
         let offered = target.service == handover.service && Instant::now() < target.lease_until;
         if offered {
-            Ok(target.address)
+            Ok(target)
         } else {
             Err(Reason::NoTarget)
         }
@@ -141,9 +145,9 @@
     ///
     /// Guards against a target that has died: its lease holds for seconds, and for so long its
     /// daemon would draw calls, and hold keys, that it can't serve.
-    fn doubt_target(&self, reason: Reason) {
-        if reason == Reason::Unreachable {
-            self.board.set_target(None);
+    fn doubt_target(&self, reason: Reason, target: &Arc<Target>) {
+        if matches!(reason, Reason::Unreachable | Reason::Misdirected) {
+            self.board.drop_target(target);
         }
     }
 
@@ -203,7 +207,7 @@
         let (slots, queue) = gate.sizes(&self.handover);
         let permit = gate
             .line
-            .enter(slots, queue, self.handover.class, left / QUEUE_SHARE)
+            .enter(slots, queue, self.handover.priority, left / QUEUE_SHARE)
             .await?;
         // Guards against a gate that was frozen while the request waited: its caller has given up
         // and been told so, or its target has said good-bye. Deadline and stage are looked at
@@ -221,7 +225,7 @@
 }
 
 impl Admitted {
-    /// Sends the request to the target and waits for the head of its answer.
+    /// Sends the request to the target and waits for its answer.
     ///
     /// # Errors
     ///
@@ -234,31 +238,131 @@
             in_flight,
         } = self.received;
         let left = deadline.saturating_duration_since(Instant::now());
-        let headers = request.headers_mut();
-        stream::strip_hop_by_hop(headers);
-        headers.insert(REMAINING, HeaderValue::from(Millis::from(left).0));
-        if let Ok(id) = HeaderValue::from_str(&handover.id) {
-            headers.insert(CALL, id);
-        }
-        let answer = gate.dispatcher.send(self.target, request);
-        let response = match tokio::time::timeout(left, answer).await {
-            Ok(answer) => answer.inspect_err(|reason| gate.doubt_target(*reason))?,
-            // Dropping the exchange closes its connection, so that a late answer can't meet the
-            // next request.
-            Err(_) => return Err(Reason::TimedOut),
+        let dialect = &gate.board.dialect;
+        address(
+            request.headers_mut(),
+            dialect,
+            &handover,
+            &self.target,
+            left,
+        );
+        let exchange = async {
+            let sending = gate
+                .dispatcher
+                .send(self.target.address, request, handover.repeatable);
+            let (response, lease) = sending.await?;
+            let answer = Answer::new(response, lease, dialect, &handover.id);
+            answer.judge(gate).await
         };
-        if response.headers().contains_key(REFUSED) {
-            return Err(Reason::Shed);
-        }
-        let (mut parts, body) = response.into_parts();
-        stream::strip_hop_by_hop(&mut parts.headers);
-        parts.headers.remove(header::DATE);
+        // Dropping the exchange closes its connection, so that a late answer can't meet the next
+        // request.
+        let result = match tokio::time::timeout(left, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(Reason::TimedOut),
+        };
+        let mut response = result.inspect_err(|reason| gate.doubt_target(*reason, &self.target))?;
+        let headers = response.headers_mut();
+        stream::strip_hop_by_hop(headers);
+        headers.remove(header::DATE);
         let answered = HeaderValue::from_static("answered");
         debug_assert_eq!(Fate::Answered.to_string(), "answered");
-        parts.headers.insert(OUTCOME, answered);
+        headers.insert(OUTCOME, answered);
+        let (parts, body) = response.into_parts();
         Ok(Response::from_parts(
             parts,
             Held::wrap(body, (self.permit, in_flight)),
         ))
     }
 }
+
+/// Writes what the target has to know into the headers of its request.
+fn address(
+    headers: &mut HeaderMap,
+    dialect: &Dialect,
+    handover: &Handover,
+    target: &Target,
+    left: Duration,
+) {
+    stream::strip_hop_by_hop(headers);
+    headers.insert(&dialect.remaining, HeaderValue::from(Millis::from(left).0));
+    if let Ok(id) = HeaderValue::from_str(&handover.id) {
+        headers.insert(&dialect.call, id);
+    }
+    if let (Some(name), Some(instance)) = (&dialect.expected, &target.instance)
+        && let Ok(instance) = HeaderValue::from_str(instance.as_str())
+    {
+        // Guards against an address that was given to another target: that one would run the
+        // request. Naming the life that is meant makes it refuse.
+        headers.insert(name, instance);
+    }
+}
+
+/// What came back from the target, not looked at yet.
+#[derive(Debug)]
+struct Answer<'a> {
+    response: Response<Incoming>,
+    lease: Lease,
+    dialect: &'a Dialect,
+    id: &'a str,
+}
+
+impl<'a> Answer<'a> {
+    const fn new(
+        response: Response<Incoming>,
+        lease: Lease,
+        dialect: &'a Dialect,
+        id: &'a str,
+    ) -> Self {
+        Self {
+            response,
+            lease,
+            dialect,
+            id,
+        }
+    }
+
+    /// Takes the answer in when it is the request's own and whole.
+    async fn judge(self, gate: &Gate) -> Result<Response<Body>, Reason> {
+        if !self.is_own() {
+            gate.dispatcher.suspect();
+            return Err(Reason::Broken);
+        }
+        let misdirected = self.dialect.expected.is_some()
+            && self.response.status() == StatusCode::MISDIRECTED_REQUEST;
+        let refused = self.response.headers().contains_key(&self.dialect.refused);
+        let (parts, body) = self.response.into_parts();
+        let gathered = stream::gather(Body::from_incoming(body), GATHERED).await;
+        let body = match gathered.map_err(|_| Reason::Broken)? {
+            Gathered::Whole(bytes) => {
+                self.lease.keep();
+                Body::from_body(Full::new(bytes))
+            }
+            Gathered::Partly(body) => Held::wrap(body, self.lease),
+        };
+        if misdirected {
+            return Err(Reason::Misdirected);
+        }
+        if refused {
+            return Err(Reason::Shed);
+        }
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Whether the answer belongs to the request.
+    ///
+    /// Guards against a target that sends more than it was asked for: its surplus meets the next
+    /// request on the connection, whose caller would get an answer of somebody else. The
+    /// identifier that it repeats is that of another call.
+    fn is_own(&self) -> bool {
+        let headers = self.response.headers();
+        let text = |name| {
+            headers
+                .get(name)
+                .and_then(|v: &HeaderValue| v.to_str().ok())
+        };
+        let named = !self.dialect.echo || text(&self.dialect.call) == Some(self.id);
+        let signature = self.dialect.signature.as_ref();
+        let signed = signature.is_none_or(|name| headers.contains_key(name));
+        named && (signed || !self.response.status().is_success())
+    }
+}
--- /dev/null
+++ b/src/http_server.rs
@@ -0,0 +1,125 @@
+//! Serving HTTP/1 on one address until the daemon stops.
+//!
+//! volo-http's own accept loop takes SIGHUP for an order to stop and gives up after a fixed time,
+//! so its routers are served here, connection by connection, with hyper below it as before.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use volo::Service;
+use volo::net::Address;
+use volo_http::body::Body;
+use volo_http::context::ServerContext;
+use volo_http::server::{IntoResponse, Router};
+
+use crate::document::Bounds;
+
+/// Pause after a failed accept: it is mostly a lack of descriptors, which ends with a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time beyond the idle bound for which a connection is kept, so that a request which a caller
+/// sends within the bound does not cross the close.
+const IDLE_GRACE: Duration = Duration::from_secs(1);
+
+/// How far a server is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Takes connections.
+    Open,
+    /// Refuses new connections and still takes requests on those it has.
+    Closed,
+    /// Ends every connection after the answer that is under way.
+    Ending,
+}
+
+/// Serves `handler` on `listener`; the sizes and times are those of `bounds` at each connection.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    phases: watch::Receiver<Phase>,
+    bounds: impl Fn() -> Bounds,
+    handler: H,
+) where
+    H: Fn(Request<Body>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    let mut changes = phases.clone();
+    loop {
+        // Connections that the host has taken already go first: closing the listener would reset
+        // them, and with them requests that have been sent.
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = reach(&mut changes, Phase::Closed) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let connection = serve_one(stream, phases.clone(), bounds(), Arc::clone(&handler));
+                tokio::spawn(connection);
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_one<H, F>(
+    stream: TcpStream,
+    mut phases: watch::Receiver<Phase>,
+    bounds: Bounds,
+    handler: Arc<H>,
+) where
+    H: Fn(Request<Body>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let answer = handler(request.map(Body::from_incoming));
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    // One clock bounds both a slow head and an idle connection, so it is set to the longer.
+    let patience = bounds.head_ms.max(bounds.idle_ms).duration() + IDLE_GRACE;
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(patience)
+        .max_buf_size(usize::try_from(bounds.max_head).unwrap_or(usize::MAX));
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    // An error here is the caller's end of the connection; its requests have been dropped with it.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = reach(&mut phases, Phase::Ending) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+/// Waits for a phase; for ever when nobody can bring it about any more.
+async fn reach(phases: &mut watch::Receiver<Phase>, wanted: Phase) {
+    if phases.wait_for(|phase| *phase >= wanted).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// A handler that asks a router of volo-http.
+pub fn routed(
+    router: Router,
+    address: SocketAddr,
+) -> impl Fn(Request<Body>) -> std::pin::Pin<Box<dyn Future<Output = Response<Body>> + Send>> {
+    let router = Arc::new(router);
+    move |request| {
+        let router = Arc::clone(&router);
+        Box::pin(async move {
+            let mut context = ServerContext::new(Address::from(address));
+            router.call(&mut context, request).await.into_response()
+        })
+    }
+}
--- a/src/join.rs
+++ b/src/join.rs
@@ -4,22 +4,25 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
+use crate::announce::Desk;
 use crate::board::Board;
 use crate::config::Store;
 use crate::floor::Floor;
 use crate::guard::Keys;
 use crate::log::{Log, Stream};
 use crate::member::{Health, Member, Stage};
+use crate::origin::{self, Origin};
 use crate::peer::Links;
 use crate::probe::Membership;
 use crate::reader::Reader;
 use crate::relay::{Relay, jitter, order};
 use crate::server::JOIN;
-use crate::units::{DataCentre, Millis, Offset};
+use crate::units::{DataCentre, Millis, Offset, Version};
 use crate::wire::{Join, Welcome};
 
 /// Records of the contacts stream that a joiner looks at.
@@ -28,6 +31,8 @@
 const GREETERS: usize = 4;
 /// Pause between two rounds while no floor has been reached.
 const ROUND: Duration = Duration::from_millis(200);
+/// Time that a read waits for the first version while there is none.
+const ORIGIN_WAIT: Millis = Millis(1_500);
 /// Time between two renewals of a contact, on average.
 const RENEWAL: Duration = Duration::from_mins(2);
 /// Daemons of a data centre that keep a contact.
@@ -61,6 +66,10 @@
     pub keys: Arc<Keys>,
     /// The platform log.
     pub log: Log,
+    /// The platform, where it keeps the configuration and lists daemons.
+    pub origin: Option<Arc<dyn Origin>>,
+    /// Finds the target of a daemon that was killed.
+    pub desk: Arc<Desk>,
 }
 
 impl Joiner {
@@ -68,13 +77,89 @@
     pub async fn run(self) {
         // A whole data centre that comes back must not ask in the same instant.
         tokio::time::sleep(jitter(ROUND)).await;
-        self.reach_floor().await;
+        match self.origin.clone() {
+            Some(origin) => self.reach_origin(origin.as_ref()).await,
+            None => self.reach_floor().await,
+        }
         if self.board.stage() == Stage::Starting {
             self.board.advance(Stage::Serving);
             self.membership.reflect().await;
             info!(self.board.logger, "serving"; "version" => self.board.digest().version.0);
         }
-        self.keep_contacts().await;
+        match self.origin.clone() {
+            Some(origin) => self.keep_listed(origin.as_ref()).await,
+            None => self.keep_contacts().await,
+        }
+    }
+
+    /// Reaches the floor where the platform has accepted the versions already.
+    async fn reach_origin(&self, origin: &dyn Origin) {
+        let began = Instant::now();
+        let mut floor = Floor::default();
+        let mut earlier = None;
+        let mut listed = false;
+        let mut warned = false;
+        while self.board.stage() == Stage::Starting {
+            if !listed {
+                // Listed first, read second: of any two that start together, the later one to be
+                // listed reads the other.
+                listed = origin.list(&self.contact()).await.is_ok();
+                if let Ok(contacts) = origin.contacts().await {
+                    let peers = contacts.into_iter().map(|contact| contact.peer);
+                    self.greet_all(peers.collect(), &mut floor, &mut earlier)
+                        .await;
+                }
+            }
+            let read = self.reader.turn(ORIGIN_WAIT).await.is_ok();
+            let have = self.board.digest().version;
+            let known = have > Version(0) && have >= floor.version();
+            let patient = began.elapsed() < self.board.settings.log_patience_ms.duration();
+            if known && (read || (!patient && floor.met_by_peers(have, self.data_centres()))) {
+                break;
+            }
+            if !patient && !read && !warned {
+                warned = true;
+                warn!(
+                    self.board.logger,
+                    "no floor yet: the platform does not answer"
+                );
+            }
+            if !read {
+                tokio::time::sleep(ROUND + jitter(ROUND)).await;
+            }
+        }
+        if !self.board.settings.first_start {
+            let offer = earlier.and_then(|earlier: Member| earlier.offer);
+            self.desk.find_target(offer.map(|offer| offer.slots)).await;
+        }
+    }
+
+    /// Keeps this daemon listed, and meets those that were listed after it.
+    async fn keep_listed(&self, origin: &dyn Origin) {
+        let contact = self.contact();
+        loop {
+            let contacts = origin.contacts().await;
+            let listed = contacts.as_ref().is_ok_and(|all| all.contains(&contact));
+            if contacts.is_ok() && !listed && self.board.stage() != Stage::Draining {
+                // An error leaves it for the next round.
+                let _ = origin.list(&contact).await;
+            }
+            let roster = self.board.roster();
+            let strangers = contacts.unwrap_or_default().into_iter().map(|c| c.peer);
+            let strangers = strangers.filter(|peer| roster.member(*peer).is_none());
+            let mut earlier = None;
+            let (mut floor, strangers) = (Floor::default(), strangers.collect());
+            self.greet_all(strangers, &mut floor, &mut earlier).await;
+            tokio::time::sleep(RENEWAL / 2 + jitter(RENEWAL)).await;
+        }
+    }
+
+    fn contact(&self) -> origin::Contact {
+        let settings = &self.board.settings;
+        origin::Contact {
+            peer: settings.identity(),
+            data_centre: settings.data_centre.clone(),
+        }
     }
 
     async fn reach_floor(&self) {
@@ -107,11 +192,29 @@
 
     /// Joins through a few contacts and fetches what they have in force.
     async fn greet(&self, floor: &mut Floor, earlier: &mut Option<Member>) {
+        let contacts = self.contacts().await;
+        self.greet_all(contacts, floor, earlier).await;
+    }
+
+    /// Joins through a few of `contacts` at once and fetches what they have in force.
+    async fn greet_all(
+        &self,
+        mut contacts: Vec<SocketAddr>,
+        floor: &mut Floor,
+        earlier: &mut Option<Member>,
+    ) {
+        contacts.retain(|peer| *peer != self.board.settings.identity());
+        contacts.shuffle(&mut rand::rng());
+        contacts.truncate(GREETERS);
         let join = Join {
             member: self.membership.me(),
         };
-        for peer in self.contacts().await {
-            let Ok(welcome) = self.links.send::<_, Welcome>(peer, JOIN, &join).await else {
+        let join = &join;
+        let asking = contacts.into_iter().map(|peer| async move {
+            (peer, self.links.send::<_, Welcome>(peer, JOIN, join).await)
+        });
+        for (peer, welcome) in join_all(asking).await {
+            let Ok(welcome) = welcome else {
                 continue;
             };
             let greeter = welcome.members.first();
@@ -178,8 +281,6 @@
         contacts.sort_unstable();
         contacts.dedup();
         contacts.retain(|peer| *peer != me);
-        contacts.shuffle(&mut rand::rng());
-        contacts.truncate(GREETERS);
         contacts
     }
 
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -14,7 +14,7 @@
 //! assert_eq!(limit.leave(), Some(3));
 //! ```
 
-use crate::document::Class;
+use crate::units::Priority;
 
 /// Number of a request at its gate.
 pub type Ticket = u64;
@@ -39,8 +39,8 @@
     slots: u32,
     queue: u32,
     running: u32,
-    /// Sorted by class, then by ticket: the first is the next to run.
-    waiting: Vec<(Class, Ticket)>,
+    /// Sorted by priority, then by ticket: the first is the next to run.
+    waiting: Vec<(Priority, Ticket)>,
 }
 
 impl Limit {
@@ -75,19 +75,20 @@
     }
 
     /// Asks for a slot.
-    pub fn enter(&mut self, ticket: Ticket, class: Class) -> Admission {
+    pub fn enter(&mut self, ticket: Ticket, priority: impl Into<Priority>) -> Admission {
+        let priority = priority.into();
         if self.running < self.slots && self.waiting.is_empty() {
             self.running += 1;
             return Admission::Run;
         }
         if self.waiting.len() < self.queue as usize {
-            self.insert(class, ticket);
+            self.insert(priority, ticket);
             return Admission::Wait { shed: None };
         }
         match self.waiting.last() {
-            Some(&(lowest, loser)) if class < lowest => {
+            Some(&(lowest, loser)) if priority < lowest => {
                 self.waiting.pop();
-                self.insert(class, ticket);
+                self.insert(priority, ticket);
                 Admission::Wait { shed: Some(loser) }
             }
             _ => Admission::Shed,
@@ -117,10 +118,10 @@
         Some(self.waiting.remove(0).1)
     }
 
-    fn insert(&mut self, class: Class, ticket: Ticket) {
+    fn insert(&mut self, priority: Priority, ticket: Ticket) {
         let place = self
             .waiting
-            .partition_point(|&waiting| waiting < (class, ticket));
-        self.waiting.insert(place, (class, ticket));
+            .partition_point(|&waiting| waiting < (priority, ticket));
+        self.waiting.insert(place, (priority, ticket));
     }
 }
--- a/src/line.rs
+++ b/src/line.rs
@@ -8,9 +8,9 @@
 
 use tokio::sync::oneshot;
 
-use crate::document::Class;
 use crate::limit::{Admission, Limit, Ticket};
 use crate::outcome::Reason;
+use crate::units::Priority;
 
 /// Who runs and who waits at a gate.
 #[derive(Debug, Default)]
@@ -75,7 +75,7 @@
         self: &Arc<Self>,
         slots: u32,
         queue: u32,
-        class: Class,
+        priority: Priority,
         patience: Duration,
     ) -> Result<Permit, Reason> {
         let (waiting, signal) = {
@@ -83,7 +83,7 @@
             state.resize((slots, queue));
             state.next += 1;
             let ticket = state.next;
-            match state.limit.enter(ticket, class) {
+            match state.limit.enter(ticket, priority) {
                 Admission::Run => {
                     return Ok(Permit {
                         line: Arc::clone(self),
--- a/src/log.rs
+++ b/src/log.rs
@@ -79,6 +79,7 @@
     address: SocketAddr,
     http: http_client::Client,
     meter: Arc<Meter>,
+    closed: bool,
 }
 
 impl Log {
@@ -89,6 +90,16 @@
             address,
             http: http_client::Client::new(),
             meter,
+            closed: false,
+        }
+    }
+
+    /// A log that takes part in nothing: the platform keeps the configuration itself.
+    #[must_use]
+    pub fn closed(address: SocketAddr, meter: Arc<Meter>) -> Self {
+        Self {
+            closed: true,
+            ..Self::new(address, meter)
         }
     }
 
@@ -145,6 +156,9 @@
         body: Vec<u8>,
         patience: Duration,
     ) -> Result<(StatusCode, Vec<u8>)> {
+        if self.closed {
+            return Err(self.failed("the platform keeps the configuration: publish it there"));
+        }
         self.meter.log(HEADS + body.len());
         let answer = self
             .http
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -16,8 +16,6 @@
 pub const OUTCOME: &str = "x-jackdaw-outcome";
 /// Header that names the reason for any other outcome than `answered`.
 pub const REASON: &str = "x-jackdaw-reason";
-/// Header by which a target proves that it refused a request before running any of it.
-pub const REFUSED: &str = "x-jackdaw-refused";
 
 /// What is known about a request.
 #[derive(
@@ -45,6 +43,8 @@
     NoRoute,
     /// No target of the group takes calls.
     NoTarget,
+    /// The request names no call, and names are the callers' to give.
+    Unnamed,
     /// The daemon has no configuration yet.
     Starting,
     /// The daemon or its target is leaving.
@@ -57,6 +57,8 @@
     Expired,
     /// The target or its daemon could not be reached.
     Unreachable,
+    /// Another life of the target, or another target, has the address.
+    Misdirected,
     /// The request's key is another daemon's to run.
     Moved,
     /// No other gate could note the key, so running it would not be remembered.
@@ -101,7 +103,7 @@
     pub const fn is_absence(self) -> bool {
         matches!(
             self,
-            Self::Draining | Self::Moved | Self::NoTarget | Self::Unreachable
+            Self::Draining | Self::Misdirected | Self::Moved | Self::NoTarget | Self::Unreachable
         )
     }
 
@@ -116,15 +118,16 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TimedOut | Self::Expired => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken | Self::KeyInDoubt => StatusCode::BAD_GATEWAY,
-            Self::CallerGone => StatusCode::BAD_REQUEST,
+            Self::CallerGone | Self::Unnamed => StatusCode::BAD_REQUEST,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
     /// When asking again makes sense.
-    const fn retry_after(self) -> Option<Duration> {
+    #[must_use]
+    pub const fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoRoute | Self::CallerGone => None,
+            Self::NoRoute | Self::CallerGone | Self::Unnamed => None,
             Self::LogAway | Self::NoTarget | Self::NoWitness => Some(Duration::from_secs(2)),
             _ => Some(Duration::from_secs(1)),
         }
--- a/src/reader.rs
+++ b/src/reader.rs
@@ -4,7 +4,7 @@
 //! The duty is advisory: two readers too many cost bytes, never safety, since everyone folds alike.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use slog::{debug, info, warn};
@@ -15,12 +15,19 @@
 use crate::fold::Record;
 use crate::log::{Log, Stream};
 use crate::member::Stage;
+use crate::origin::{Origin, Release};
 use crate::relay::{jitter, order};
 use crate::settings::Delivery;
 use crate::units::{Millis, Offset};
+use crate::wire::{Body, Update};
 
 /// Time that a read waits at the log for the first record.
 const WAIT: Millis = Millis(5_000);
+/// Time that a read waits at an origin.
+///
+/// Short against the time in which a change has to be in force, since a connection that has gone
+/// silent shows only by the lack of an answer.
+const FOLLOW_WAIT: Millis = Millis(1_500);
 /// Longest pause after a failed read.
 const BACKOFF: Duration = Duration::from_secs(1);
 /// Time between two looks at the duty.
@@ -51,25 +58,50 @@
 pub struct Reader {
     board: Arc<Board>,
     store: Arc<Store>,
-    log: Log,
+    source: Source,
+    /// Where to read on in an origin; none before its newest version was read.
+    next: Mutex<Option<Offset>>,
+}
+
+/// What is read.
+#[derive(Debug, Clone)]
+pub enum Source {
+    /// The operators' edits.
+    Log(Log),
+    /// Versions that the platform has accepted.
+    Origin(Arc<dyn Origin>),
 }
 
 impl Reader {
-    /// A reader of `log` into `store`.
+    /// A reader of `source` into `store`.
     #[must_use]
-    pub const fn new(board: Arc<Board>, store: Arc<Store>, log: Log) -> Self {
-        Self { board, store, log }
+    pub const fn new(board: Arc<Board>, store: Arc<Store>, source: Source) -> Self {
+        Self {
+            board,
+            store,
+            source,
+            next: Mutex::new(None),
+        }
     }
 
     /// Reads for as long as the daemon runs.
     pub async fn run(self: Arc<Self>) {
         let mut rosters = self.board.rosters();
+        if matches!(self.source, Source::Origin(_)) {
+            // Until then the joiner reads, for itself.
+            let mut stages = self.board.stages();
+            let _ = stages.wait_for(|stage| *stage != Stage::Starting).await;
+        }
         loop {
             if duty(&self.board).is_none() {
                 let _ = tokio::time::timeout(LOOK, rosters.changed()).await;
                 continue;
             }
-            if let Err(error) = self.turn(WAIT).await {
+            let wait = match self.source {
+                Source::Log(_) => WAIT,
+                Source::Origin(_) => FOLLOW_WAIT,
+            };
+            if let Err(error) = self.turn(wait).await {
                 debug!(self.board.logger, "reading the log failed"; "error" => %error);
                 tokio::time::sleep(jitter(BACKOFF)).await;
                 continue;
@@ -84,8 +116,12 @@
     ///
     /// As [`Log::read`], but for expired records, which the fold takes note of.
     pub async fn turn(&self, wait: Millis) -> Result<Offset> {
+        let log = match &self.source {
+            Source::Log(log) => log,
+            Source::Origin(origin) => return self.follow(origin.as_ref(), wait).await,
+        };
         let from = self.store.next();
-        match self.log.read(Stream::Config, from, wait).await {
+        match log.read(Stream::Config, from, wait).await {
             Ok(page) => {
                 self.store.fold(from, &page.records);
                 Ok(page.head)
@@ -99,8 +135,41 @@
         }
     }
 
+    /// Takes the newest version of an origin, or what follows the last one taken.
+    async fn follow(&self, origin: &dyn Origin, wait: Millis) -> Result<Offset> {
+        let from = *self.next();
+        let found = match from {
+            Some(from) => origin.follow(from, wait).await,
+            None => origin.newest().await,
+        };
+        let found = match found {
+            Err(Error::Expired { .. }) => {
+                // The newest version is kept whatever else was dropped.
+                origin.newest().await?
+            }
+            found => found?,
+        };
+        if let Some(Release { version, document }) = found.release {
+            let update = Update {
+                version,
+                body: Body::Whole(document.sorted()),
+                accepted: Vec::new(),
+            };
+            self.store.accept(update)?;
+        }
+        *self.next() = Some(found.next);
+        Ok(found.next)
+    }
+
+    fn next(&self) -> MutexGuard<'_, Option<Offset>> {
+        self.next.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Keeps the accepted state inside the retention of the log.
     async fn write_checkpoint(&self) {
+        let Source::Log(log) = &self.source else {
+            return;
+        };
         let Some(rank) = duty(&self.board) else {
             return;
         };
@@ -113,7 +182,7 @@
         if let Some(checkpoint) = self.store.checkpoint() {
             let version = checkpoint.version.0;
             let record = Record::Checkpoint(checkpoint);
-            match self.log.append(Stream::Config, &record).await {
+            match log.append(Stream::Config, &record).await {
                 Ok(offset) => {
                     info!(self.board.logger, "checkpoint written";
                         "version" => version, "offset" => offset.0);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -101,7 +101,7 @@
         let Reply::Update(update) = reply else {
             return Reply::Have(self.board.digest());
         };
-        match self.store.accept(update) {
+        match self.store.accept(*update) {
             Ok(digest) => Reply::Have(digest),
             Err(_) => Reply::Need(self.board.digest()),
         }
@@ -145,7 +145,7 @@
         let mut have = self.board.digest().version;
         for _ in 0..PULL_TRIES {
             match self.links.send(peer, PULL, &Pull { have }).await? {
-                Reply::Update(update) => match self.store.accept(update) {
+                Reply::Update(update) => match self.store.accept(*update) {
                     Ok(digest) => {
                         self.pulled.store(true, Ordering::Release);
                         return Ok(digest);
--- a/src/route.rs
+++ b/src/route.rs
@@ -13,12 +13,38 @@
 pub struct Plan {
     /// The route.
     pub route: Route,
-    /// Its group.
-    pub group: Group,
+    /// Groups that share its requests; one at least.
+    pub parts: Vec<Part>,
     /// Its retry rule.
     pub retry: Retry,
 }
 
+/// A group with its part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// Size in relation to the other parts.
+    pub weight: u32,
+    /// The group.
+    pub group: Arc<Group>,
+}
+
+impl Plan {
+    /// The group for one request; `draw` is uniform in 0 to 1.
+    ///
+    /// Each request is drawn on its own, so that many daemons together keep to the weights
+    /// without a word between them.
+    #[must_use]
+    pub fn group(&self, draw: f64) -> &Arc<Group> {
+        let total: u32 = self.parts.iter().map(|part| part.weight).sum();
+        let mut rest = draw * f64::from(total);
+        let chosen = self.parts.iter().find(|part| {
+            rest -= f64::from(part.weight);
+            rest < 0.0
+        });
+        &chosen.unwrap_or(&self.parts[0]).group
+    }
+}
+
 /// Routes in the order in which they are tried.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -34,11 +60,23 @@
     #[must_use]
     pub fn compile(document: &Document) -> Self {
         let plan = |route: &Route| {
-            let group = document.group(&route.group)?.clone();
+            let part = |name: &str, weight| {
+                let group = Arc::new(document.group(name)?.clone());
+                Some(Part { weight, group })
+            };
+            let parts: Option<Vec<Part>> = if route.split.is_empty() {
+                Some(vec![part(&route.group, 1)?])
+            } else {
+                let split = route.split.iter();
+                split
+                    .map(|share| part(&share.group, share.weight))
+                    .collect()
+            };
+            let parts = parts?;
             let retry = document.retry(&route.retry)?.clone();
             Some(Arc::new(Plan {
                 route: route.clone(),
-                group,
+                parts,
                 retry,
             }))
         };
@@ -68,10 +106,13 @@
     pub fn find(&self, method: &str, host: Option<&str>, path: &str) -> Option<&Arc<Plan>> {
         let host = host.map(|host| host.split(':').next().unwrap_or(host));
         let fits = |route: &Route| {
-            route
-                .method
-                .as_deref()
-                .is_none_or(|wanted| wanted == method)
+            // A prefix that ends with a slash is met only by paths that go on from there.
+            let begins = !route.path.ends_with('/') || path.starts_with(&route.path);
+            begins
+                && route
+                    .method
+                    .as_deref()
+                    .is_none_or(|wanted| wanted == method)
                 && route
                     .host
                     .as_deref()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,7 +11,7 @@
 
 use crate::error::{Error, Result};
 use crate::pick;
-use crate::units::{DataCentre, Millis};
+use crate::units::{DataCentre, Millis, Service};
 
 /// How configuration travels.
 #[derive(
@@ -78,6 +78,12 @@
     /// Data centre of this host
     #[arg(long, env = "JACKDAW_DATA_CENTRE")]
     pub data_centre: DataCentre,
+    /// Service whose target runs on this host, when it is known before the target tells
+    #[arg(long, env = "JACKDAW_SERVICE")]
+    pub service: Option<Service>,
+    /// Address where that target takes calls
+    #[arg(long, env = "JACKDAW_SERVICE_ADDR")]
+    pub service_addr: Option<SocketAddr>,
     /// IP address and port for other daemons, TCP and UDP
     #[arg(long, env = "JACKDAW_PEER_ADDR")]
     pub peer_addr: SocketAddr,
@@ -87,7 +93,7 @@
     /// IP address and port for callers
     #[arg(long, env = "JACKDAW_CALL_ADDR")]
     pub call_addr: SocketAddr,
-    /// Loopback address and port where the co-located target announces itself
+    /// Address and port where the co-located target announces itself: loopback, or the host's own
     #[arg(long, env = "JACKDAW_TARGET_ADDR")]
     pub target_addr: SocketAddr,
     /// IP address and port for operators
@@ -129,6 +135,9 @@
     /// Time without the log after which peers decide the first version, in milliseconds
     #[arg(long, env = "JACKDAW_LOG_PATIENCE_MS", default_value_t = Millis(2_000))]
     pub log_patience_ms: Millis,
+    /// Time for which a planned stop still takes callers' new connections, in milliseconds
+    #[arg(long, env = "JACKDAW_ACCEPT_MS", default_value_t = Millis(0))]
+    pub accept_ms: Millis,
     /// Time that a planned stop waits for calls in flight, in milliseconds
     #[arg(long, env = "JACKDAW_DRAIN_MS", default_value_t = Millis(30_000))]
     pub drain_ms: Millis,
@@ -159,6 +168,9 @@
     /// Also log each call and each probe
     #[arg(long, env = "JACKDAW_VERBOSE")]
     pub verbose: bool,
+    /// Whether the whole system starts for the first time, so that no target is there yet
+    #[arg(long, env = "JACKDAW_FIRST_START", default_value_t = false, action = clap::ArgAction::Set)]
+    pub first_start: bool,
     /// Check the settings and exit: 0 when they are right, 2 when not
     #[arg(long)]
     #[serde(skip)]
@@ -228,10 +240,12 @@
                 "--peer-addr {address} over UDP: {error}; choose a free port"
             ));
         }
-        if !self.target_addr.ip().is_loopback() {
+        let ip = self.target_addr.ip();
+        if !ip.is_loopback() && ip != self.call_addr.ip() {
             let address = self.target_addr;
             faults.push(format!(
-                "--target-addr {address} is not on loopback; use 127.0.0.1"
+                "--target-addr {address} is not on loopback and not on --call-addr's host; \
+                 use 127.0.0.1"
             ));
         }
     }
--- /dev/null
+++ b/src/stop.rs
@@ -0,0 +1,107 @@
+//! The planned stop of a daemon.
+//!
+//! A daemon that is ordered to stop says so at once, still takes what its callers send for a while,
+//! ends their connections after an answer, and goes when nothing is in flight.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use slog::{info, warn};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::board::Board;
+use crate::daemon::{EXIT_CUT_SHORT, EXIT_STOPPED};
+use crate::error::{Error, Result};
+use crate::guard::Keys;
+use crate::http_server::Phase;
+use crate::member::{Health, Stage};
+use crate::origin::{Contact, Origin};
+use crate::probe::Membership;
+
+/// Time for which sessions are ended after an answer before the process goes.
+const LINGER: Duration = Duration::from_millis(2_500);
+/// Time between the last answer and the end of the process.
+const LAST_WORDS: Duration = Duration::from_millis(50);
+
+/// The planned stop.
+pub struct Stopping {
+    /// The blackboard.
+    pub board: Arc<Board>,
+    /// Tells the others.
+    pub membership: Arc<Membership>,
+    /// Hands its keys over.
+    pub keys: Arc<Keys>,
+    /// Ends the callers' connections.
+    pub phases: watch::Sender<Phase>,
+    /// The platform, where daemons are listed.
+    pub origin: Option<Arc<dyn Origin>>,
+}
+
+impl Stopping {
+    /// Waits for the order to stop, then stops without cutting a call; returns the exit status.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`] when signals can't be had.
+    pub async fn run(self) -> Result<u8> {
+        let board = &self.board;
+        let listening = |source| Error::Listen {
+            address: board.settings.operator_addr,
+            source,
+        };
+        let mut terminate = signal(SignalKind::terminate()).map_err(listening)?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(listening)?;
+        let mut hangup = signal(SignalKind::hangup()).map_err(listening)?;
+        let mut stages = board.stages();
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = stages.wait_for(|stage| *stage == Stage::Draining) => break,
+                _ = hangup.recv() => {
+                    info!(board.logger, "settings are read at the start; restart to change them");
+                }
+            }
+        }
+        info!(board.logger, "draining"; "in_flight" => board.in_flight());
+        board.advance(Stage::Draining);
+        tokio::select! {
+            () = self.drain() => {
+                info!(board.logger, "stopped");
+                Ok(EXIT_STOPPED)
+            }
+            _ = terminate.recv() => Ok(EXIT_CUT_SHORT),
+            _ = interrupt.recv() => Ok(EXIT_CUT_SHORT),
+        }
+    }
+
+    async fn drain(&self) {
+        let (board, began) = (&self.board, Instant::now());
+        self.membership.reflect().await;
+        if let Some(origin) = self.origin.clone() {
+            let settings = &board.settings;
+            let contact = Contact {
+                peer: settings.identity(),
+                data_centre: settings.data_centre.clone(),
+            };
+            // An entry that stays costs a joiner one vain try, so nothing waits for this.
+            tokio::spawn(async move { origin.unlist(&contact).await });
+        }
+        tokio::time::sleep_until((began + board.settings.accept_ms.duration()).into()).await;
+        self.phases.send_replace(Phase::Closed);
+        tokio::time::sleep_until((began + LINGER).into()).await;
+        self.phases.send_replace(Phase::Ending);
+        let limit = board.settings.drain_ms.duration();
+        if !board.idle(limit.saturating_sub(began.elapsed())).await {
+            warn!(board.logger, "calls are cut: the drain limit has passed";
+                "in_flight" => board.in_flight());
+        }
+        // A planned stop must not look like a loss to the guard of keys.
+        let handed = self.keys.hand_over().await;
+        let health = if handed { Health::Left } else { Health::Gone };
+        self.membership.leave(health).await;
+        // The last answers have been handed to the connections; they are written in this time.
+        tokio::time::sleep(LAST_WORDS).await;
+    }
+}
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -6,7 +6,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use h2::{Reason, RecvStream, SendStream};
 use http::header::{self, HeaderMap, HeaderName};
 use http_body::{Frame, SizeHint};
@@ -30,6 +30,17 @@
 
 /// Removes what belongs to one connection only.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| *name != header::HOST && *name != header::CONTENT_LENGTH)
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
     for name in HOP_BY_HOP {
         headers.remove(name);
     }
@@ -123,6 +134,62 @@
     }
 }
 
+/// A body that was taken in.
+#[derive(Debug)]
+pub enum Gathered {
+    /// All of it.
+    Whole(Bytes),
+    /// More than was allowed: what came, and the rest when it comes.
+    Partly(Body),
+}
+
+/// Takes a body in, up to `limit` bytes.
+///
+/// # Errors
+///
+/// What broke before the end.
+pub async fn gather(mut body: Body, limit: usize) -> Result<Gathered, BoxError> {
+    let mut taken = BytesMut::new();
+    while taken.len() <= limit {
+        let Some(frame) = body.frame().await else {
+            return Ok(Gathered::Whole(taken.freeze()));
+        };
+        if let Ok(data) = frame?.into_data() {
+            if taken.is_empty() && http_body::Body::is_end_stream(&body) {
+                return Ok(Gathered::Whole(data));
+            }
+            taken.extend_from_slice(&data);
+        }
+    }
+    let begun = Begun {
+        taken: Some(taken.freeze()),
+        rest: body,
+    };
+    Ok(Gathered::Partly(Body::from_body(begun)))
+}
+
+/// A body whose first part has been taken in.
+#[derive(Debug)]
+struct Begun {
+    taken: Option<Bytes>,
+    rest: Body,
+}
+
+impl http_body::Body for Begun {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if let Some(taken) = self.taken.take() {
+            return Poll::Ready(Some(Ok(Frame::data(taken))));
+        }
+        Pin::new(&mut self.rest).poll_frame(cx)
+    }
+}
+
 /// Sends a whole body over an h2 stream, at the receiver's pace.
 ///
 /// # Errors
--- a/src/units.rs
+++ b/src/units.rs
@@ -98,6 +98,11 @@
     Slots, u32
 }
 
+number! {
+    /// Rank of a request: the lowest goes first.
+    Priority, u8
+}
+
 number! {
     /// A share in percent, from 0 to 100.
     Percent, u8
@@ -113,6 +118,11 @@
     Service
 }
 
+text! {
+    /// Identifier of one life of a target, from its start to its end.
+    Instance
+}
+
 text! {
     /// Identifier of an edit, chosen by its publisher and never reused.
     EditId
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,11 +10,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::delta::Delta;
-use crate::document::{Class, Document, Guard};
+use crate::document::{Document, Guard};
 use crate::error::{FrameSnafu, Result};
 use crate::keys::{Handed, Holder};
 use crate::member::Member;
-use crate::units::{CallKey, EditId, Millis, Service, Version};
+use crate::units::{CallKey, EditId, Millis, Priority, Service, Version};
 
 /// Release of the protocol; a frame of another release is refused.
 pub const RELEASE: u8 = 1;
@@ -120,7 +120,7 @@
     /// The receiver needs another base: what it holds is named.
     Need(Digest),
     /// The content that was asked for.
-    Update(Update),
+    Update(Box<Update>),
     /// Too many transfers at once; ask again after the given time.
     Busy(Millis),
 }
@@ -187,8 +187,8 @@
     pub service: Service,
     /// Upstream group of the route.
     pub group: String,
-    /// Priority.
-    pub class: Class,
+    /// Its rank.
+    pub priority: Priority,
     /// Time left until the answer's head is due.
     pub remaining: Millis,
     /// Whether running it twice does no harm.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What several tests need.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use jackdawpulley::document::{Class, Document, Ejection, Group, Guard, Retry, Route};
+use jackdawpulley::document::{Bounds, Class, Document, Ejection, Group, Guard, Retry, Route};
 use jackdawpulley::units::{Millis, Percent, Service};
 use proptest::test_runner::{Config, RngSeed};
 
@@ -26,6 +26,7 @@
             budget: Percent(0),
             backoff_ms: Millis(number),
         }],
+        bounds: Bounds::default(),
     }
 }
 
@@ -44,9 +45,12 @@
         method: None,
         path: path.into(),
         group: group.into(),
+        split: Vec::new(),
         retry: "once".into(),
         timeout_ms: Millis(1_000),
         class: Class::Interactive,
+        priority: None,
+        latency_ms: None,
         repeatable: false,
         guard: Guard::Memory,
     }
@@ -57,6 +61,8 @@
         name: name.into(),
         service: Service::from(name),
         slots: None,
+        connections: None,
+        health_path: None,
         queue: 4,
         slow_start_ms: Millis(0),
         ejection: Ejection::default(),
--- a/trial/src/deployment.rs
+++ b/trial/src/deployment.rs
@@ -1,6 +1,6 @@
 //! The deployments that trials are modelled on, and documents for them.
 
-use jackdawpulley::document::{Class, Document, Ejection, Group, Guard, Retry, Route};
+use jackdawpulley::document::{Bounds, Class, Document, Ejection, Group, Guard, Retry, Route};
 use jackdawpulley::units::{DataCentre, Millis, Percent, Service};
 use serde::Serialize;
 use strum::{Display, EnumString};
@@ -85,6 +85,7 @@
                 .map(|(name, _)| group(name))
                 .collect(),
             retries: vec![retry("reads", 3), retry("once", 3)],
+            bounds: Bounds::default(),
         }
         .sorted()
     }
@@ -129,9 +130,12 @@
         method: None,
         path: format!("/{name}"),
         group: group.to_owned(),
+        split: Vec::new(),
         retry: retry.to_owned(),
         timeout_ms: Millis(2_000),
         class,
+        priority: None,
+        latency_ms: None,
         repeatable,
         guard: Guard::Memory,
     }
@@ -142,6 +146,8 @@
         name: name.to_owned(),
         service: Service::from(name),
         slots: None,
+        connections: None,
+        health_path: None,
         queue: 20,
         slow_start_ms: Millis(2_000),
         ejection: Ejection::default(),
@@ -175,6 +181,7 @@
             .map(|s| group(&format!("service-{s:03}")))
             .collect(),
         retries: vec![retry("reads", 3), retry("once", 3)],
+        bounds: Bounds::default(),
     }
     .sorted()
 }
--- a/trial/src/target.rs
+++ b/trial/src/target.rs
@@ -17,7 +17,7 @@
 use http_body_util::Full;
 use jackdawpulley::announce::Announcement;
 use jackdawpulley::clock;
-use jackdawpulley::outcome::REFUSED;
+use jackdawpulley::dialect::Dialect;
 use jackdawpulley::units::{Millis, Service, Slots};
 use serde::{Deserialize, Serialize};
 use tokio::signal::unix::{SignalKind, signal};
@@ -216,8 +216,9 @@
 fn shed() -> Response<Body> {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    response
-        .headers_mut()
-        .insert(REFUSED, http::HeaderValue::from_static("slots"));
+    response.headers_mut().insert(
+        Dialect::default().refused,
+        http::HeaderValue::from_static("slots"),
+    );
     response
 }
