Keep retry budgets by service with a small reserve; count hedges as attempts

Change: a budget for each service with a bounded reserve; every attempt that a target may have seen counts. Ruled out: absences, which reach no target.

--- a/src/call.rs
+++ b/src/call.rs
@@ -32,6 +32,8 @@
     pub group: Arc<Group>,
     /// Upstreams that are not asked again.
     pub tried: Vec<SocketAddr>,
+    /// Attempts that an upstream may have begun to work on.
+    pub made: u32,
     /// Why it has no answer yet.
     pub reason: Option<Reason>,
     deadline: Instant,
@@ -116,6 +118,7 @@
             head,
             body,
             tried: Vec::new(),
+            made: 0,
             reason: None,
         })
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -23,7 +23,7 @@
 use crate::outcome::{self, Fate, OUTCOME, REASON, Reason};
 use crate::peer::Failure;
 use crate::pick::{self, Candidate};
-use crate::retry::{self, Budget};
+use crate::retry::{self, Budgets};
 use crate::roster::Upstream;
 use crate::settings::Retries;
 use crate::stream::{Held, Incoming};
@@ -46,7 +46,7 @@
 pub struct Entry {
     board: Arc<Board>,
     gate: Arc<Gate>,
-    budget: Budget,
+    budgets: Budgets,
     calls: AtomicU64,
 }
 
@@ -61,10 +61,11 @@
     /// An entry that hands local work to `gate`.
     #[must_use]
     pub fn new(board: Arc<Board>, gate: Arc<Gate>) -> Self {
+        let budgets = Budgets::new(board.settings.retry_reserve);
         Self {
             board,
             gate,
-            budget: Budget::default(),
+            budgets,
             calls: AtomicU64::new(0),
         }
     }
@@ -158,14 +159,15 @@
 
     async fn complete(&self, mut call: Call) -> Response<Body> {
         let rule = &Arc::clone(&call.plan).retry;
-        self.budget.deposit_share(rule.budget);
-        let mut made = 0;
+        let budget = self.budgets.of(&call.handover.service);
+        budget.deposit_share(rule.budget);
         while let Some(upstream) = self.choose(&call) {
             let reason = match self.race(&upstream, &mut call).await {
                 Attempt::Answered(response) => return response,
                 Attempt::Failed(reason) => reason,
             };
             call.failed(reason);
+            call.made += u32::from(!reason.is_absence());
             // A key belongs to one gate: it is asked again, unless it is not there.
             if call.handover.key.is_none() || reason.is_absence() {
                 call.tried.push(upstream.peer);
@@ -182,8 +184,7 @@
                 }
                 break;
             }
-            made += 1;
-            if !self.may_retry(rule, made, &call, reason) {
+            if !self.may_retry(rule, &call, reason) {
                 break;
             }
             metrics::counter!("jackdaw_retries_total").increment(1);
@@ -193,16 +194,17 @@
         self.give_up(&call)
     }
 
-    fn may_retry(&self, rule: &Retry, made: u32, call: &Call, reason: Reason) -> bool {
+    fn may_retry(&self, rule: &Retry, call: &Call, reason: Reason) -> bool {
         let repeatable = call.handover.repeatable;
-        let allowed = retry::again(rule, made, repeatable, reason.fate(), call.left());
-        call.sendable() && allowed && self.afford(rule)
+        let allowed = retry::again(rule, call.made, repeatable, reason.fate(), call.left());
+        call.sendable() && allowed && self.afford(rule, call)
     }
 
     /// Whether the budget pays for one more request to an upstream.
-    fn afford(&self, rule: &Retry) -> bool {
+    fn afford(&self, rule: &Retry, call: &Call) -> bool {
         let fixed = self.board.settings.retries == Retries::Fixed;
-        fixed || self.budget.withdraw(rule.budget)
+        let budget = self.budgets.of(&call.handover.service);
+        fixed || budget.withdraw(rule.budget)
     }
 
     fn give_up(&self, call: &Call) -> Response<Body> {
@@ -221,7 +223,8 @@
         let ejection = &Arc::clone(&call.group).ejection;
         let mut first = Box::pin(self.attempt(upstream, call.part(), ejection));
         let simple = self.board.settings.retries == Retries::Fixed;
-        if simple || !call.may_hedge() || rule.attempts < 2 {
+        // The first one counts as made once it has failed or has company.
+        if simple || !call.may_hedge() || call.made + 2 > rule.attempts {
             return first.await;
         }
         let patience = call.left() / HEDGE_SHARE;
@@ -229,12 +232,13 @@
             return attempt;
         }
         call.tried.push(upstream.peer);
-        let second = self.choose(call).filter(|_| self.afford(rule));
+        let second = self.choose(call).filter(|_| self.afford(rule, call));
         let Some(second) = second else {
             return first.await;
         };
         metrics::counter!("jackdaw_hedges_total").increment(1);
         call.tried.push(second.peer);
+        call.made += 1;
         let second = Box::pin(self.attempt(&second, call.part(), ejection));
         let (earlier, other) = match select(first, second).await {
             Either::Left((Attempt::Failed(reason), other)) => (reason, Either::Left(other)),
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -14,36 +14,56 @@
 //! budget.deposit();
 //! ```
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
+
 use crate::document::Retry;
 use crate::outcome::Fate;
-use crate::units::Percent;
+use crate::units::{Percent, Service};
 
-/// Retries that a quiet route may do before any deposit.
-const RESERVE: i64 = 10;
+/// Retries that a quiet service may do before any deposit.
+const RESERVE: u32 = 10;
+/// Retries that are saved up at most, where no other bound is given.
+const CEILING: u32 = 20;
 /// What a retry costs; a request deposits its rule's percentage of it.
 const PRICE: i64 = 100;
-/// Most that is saved up.
-const CEILING: i64 = 1_000 * PRICE;
 
 /// Retries allowed as a share of requests.
+///
+/// Within any span of time, retries stay below the share of the requests in that span plus what
+/// was saved up before it. Guards against a quiet time that pays for a storm: the less is saved
+/// up, the closer every window keeps to its own share.
 #[derive(Debug)]
 pub struct Budget {
     /// Requests and reserve, in hundredths of a retry at 100 percent.
     balance: AtomicI64,
+    /// Most that is saved up, in the same unit.
+    ceiling: i64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
         Self {
-            balance: AtomicI64::new(RESERVE * PRICE),
+            balance: AtomicI64::new(i64::from(RESERVE) * PRICE),
+            ceiling: i64::from(CEILING) * PRICE,
         }
     }
 }
 
 impl Budget {
+    /// A budget that saves up to `reserve` retries and begins with that many.
+    #[must_use]
+    pub const fn with_reserve(reserve: u32) -> Self {
+        let reserve = reserve as i64 * PRICE;
+        Self {
+            balance: AtomicI64::new(reserve),
+            ceiling: reserve,
+        }
+    }
+
     /// Notes a first attempt under a rule of the default share.
     pub fn deposit(&self) {
         self.deposit_share(Percent(20));
@@ -51,12 +71,11 @@
 
     /// Notes a first attempt; it pays for `share` of a retry.
     pub fn deposit_share(&self, share: Percent) {
-        let paid = self
+        let save = |balance: i64| Some((balance + i64::from(share.0)).min(self.ceiling));
+        // The closure always yields a value, so this never fails.
+        let _ = self
             .balance
-            .fetch_add(i64::from(share.0), Ordering::Relaxed);
-        if paid > CEILING {
-            self.balance.store(CEILING, Ordering::Relaxed);
-        }
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, save);
     }
 
     /// Takes one retry out; `false` when the budget is spent or `share` allows none.
@@ -72,6 +91,48 @@
     }
 }
 
+/// The budgets of all services, each with its own.
+///
+/// A service that fails must not spend what the others would need.
+#[derive(Debug)]
+pub struct Budgets {
+    reserve: u32,
+    /// Sorted by service.
+    services: ArcSwap<Vec<(Service, Arc<Budget>)>>,
+}
+
+impl Budgets {
+    /// No budgets yet; each will save up to `reserve` retries.
+    #[must_use]
+    pub fn new(reserve: u32) -> Self {
+        Self {
+            reserve,
+            services: ArcSwap::default(),
+        }
+    }
+
+    /// The budget of a service.
+    #[must_use]
+    pub fn of(&self, service: &Service) -> Arc<Budget> {
+        let find = |all: &[(Service, Arc<Budget>)]| {
+            let index = all.binary_search_by(|(known, _)| known.cmp(service));
+            index.map(|index| Arc::clone(&all[index].1))
+        };
+        if let Ok(budget) = find(&self.services.load()) {
+            return budget;
+        }
+        let new = Arc::new(Budget::with_reserve(self.reserve));
+        self.services.rcu(|all| {
+            let mut all = Vec::clone(all);
+            if let Err(index) = all.binary_search_by(|(known, _)| known.cmp(service)) {
+                all.insert(index, (service.clone(), Arc::clone(&new)));
+            }
+            all
+        });
+        find(&self.services.load()).unwrap_or(new)
+    }
+}
+
 /// Whether the request may be tried once more.
 ///
 /// `made` attempts have been made, `left` is the time until the deadline, and `fate` is what is
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -159,6 +159,9 @@
     /// What bounds retries: fixed or budget
     #[arg(long, env = "JACKDAW_RETRIES", default_value_t)]
     pub retries: Retries,
+    /// Retries to each service that are saved up while there are none to do
+    #[arg(long, env = "JACKDAW_RETRY_RESERVE", default_value_t = 20)]
+    pub retry_reserve: u32,
     /// Worker threads
     #[arg(long, env = "JACKDAW_THREADS", default_value_t = 2)]
     pub threads: usize,
