Refuse for want of a configuration also while stopping; look for members that went

Change: no configuration is refused as starting at every stage; departed members are probed at once; list, configuration and peers are read side by side. Tests: returning_leaver_is_met failed first.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -193,7 +193,7 @@
     tokio::spawn(Arc::clone(&membership).run());
     tokio::spawn(relay.run());
     tokio::spawn(reader.run());
-    tokio::spawn(joiner.run());
+    tokio::spawn(Arc::new(joiner).run());
     let stopping = Stopping {
         board,
         membership,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -27,7 +27,7 @@
 use crate::roster::Upstream;
 use crate::settings::Retries;
 use crate::stream::{Held, Incoming};
-use crate::units::Service;
+use crate::units::{Service, Version};
 use crate::wire::{self, Handover};
 
 /// Header that carries a [`Handover`] between daemons.
@@ -133,7 +133,9 @@
         mut request: Request<Body>,
         began: Instant,
     ) -> Result<Call, Reason> {
-        if self.board.stage() == Stage::Starting {
+        // Guards against a daemon that is ordered to stop before it has any configuration: it
+        // knows no route, but that is no proof that there is none.
+        if self.board.stage() == Stage::Starting || config.digest.version == Version(0) {
             return Err(Reason::Starting);
         }
         let Board {
--- a/src/join.rs
+++ b/src/join.rs
@@ -4,14 +4,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures_util::future::join_all;
+use futures_util::future::{BoxFuture, join_all};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
+use tokio::sync::mpsc;
 
 use crate::announce::Desk;
 use crate::board::Board;
 use crate::config::Store;
+use crate::error::Result;
 use crate::floor::Floor;
 use crate::guard::Keys;
 use crate::log::{Log, Stream};
@@ -74,11 +76,11 @@
 
 impl Joiner {
     /// Joins, waits for the floor, then serves and keeps contacts for as long as the daemon runs.
-    pub async fn run(self) {
+    pub async fn run(self: Arc<Self>) {
         // A whole data centre that comes back must not ask in the same instant.
         tokio::time::sleep(jitter(ROUND)).await;
         match self.origin.clone() {
-            Some(origin) => self.reach_origin(origin.as_ref()).await,
+            Some(origin) => self.reach_origin(&origin).await,
             None => self.reach_floor().await,
         }
         if self.board.stage() == Stage::Starting {
@@ -93,40 +95,46 @@
     }
 
     /// Reaches the floor where the platform has accepted the versions already.
-    async fn reach_origin(&self, origin: &dyn Origin) {
-        let began = Instant::now();
+    ///
+    /// The list of daemons and the configuration are read side by side, and peers that make
+    /// themselves known are asked at once: with the platform away, nothing waits for a time-out.
+    async fn reach_origin(self: &Arc<Self>, origin: &Arc<dyn Origin>) {
+        let began = tokio::time::Instant::now();
+        let patience = began + self.board.settings.log_patience_ms.duration();
         let mut floor = Floor::default();
         let mut earlier = None;
-        let mut listed = false;
-        let mut warned = false;
+        let mut greeted = vec![self.board.settings.identity()];
+        let mut rosters = self.board.rosters();
+        let mut stages = self.board.stages();
+        let (sender, mut listed) = mpsc::channel(1);
+        tokio::spawn(Arc::clone(self).enlist(Arc::clone(origin), sender));
+        let mut reading = self.reading(Duration::ZERO);
+        let mut read = false;
         while self.board.stage() == Stage::Starting {
-            if !listed {
-                // Listed first, read second: of any two that start together, the later one to be
-                // listed reads the other.
-                listed = origin.list(&self.contact()).await.is_ok();
-                if let Ok(contacts) = origin.contacts().await {
-                    let peers = contacts.into_iter().map(|contact| contact.peer);
-                    self.greet_all(peers.collect(), &mut floor, &mut earlier)
-                        .await;
-                }
-            }
-            let read = self.reader.turn(ORIGIN_WAIT).await.is_ok();
+            let late = tokio::time::Instant::now() >= patience;
             let have = self.board.digest().version;
             let known = have > Version(0) && have >= floor.version();
-            let patient = began.elapsed() < self.board.settings.log_patience_ms.duration();
-            if known && (read || (!patient && floor.met_by_peers(have, self.data_centres()))) {
+            let peers = late && floor.met_by_peers(have, self.data_centres());
+            if known && (read || peers) {
                 break;
             }
-            if !patient && !read && !warned {
-                warned = true;
-                warn!(
-                    self.board.logger,
-                    "no floor yet: the platform does not answer"
-                );
-            }
-            if !read {
-                tokio::time::sleep(ROUND + jitter(ROUND)).await;
+            let mut strangers = Vec::new();
+            tokio::select! {
+                result = &mut reading => {
+                    read = result.is_ok();
+                    let pause = if read { Duration::ZERO } else { ROUND + jitter(ROUND) };
+                    reading = self.reading(pause);
+                }
+                Some(peers) = listed.recv() => strangers = peers,
+                _ = rosters.changed() => strangers = self.known(),
+                () = tokio::time::sleep_until(patience), if !late => {
+                    warn!(self.board.logger, "no floor yet"; "version" => have.0, "read" => read);
+                }
+                _ = stages.wait_for(|stage| *stage != Stage::Starting) => break,
             }
+            strangers.retain(|peer| !greeted.contains(peer));
+            greeted.extend(&strangers);
+            self.greet_all(strangers, &mut floor, &mut earlier).await;
         }
         if !self.board.settings.first_start {
             let offer = earlier.and_then(|earlier: Member| earlier.offer);
@@ -134,6 +142,41 @@
         }
     }
 
+    /// Reads the newest version, or waits a while for one, after a pause.
+    fn reading(self: &Arc<Self>, pause: Duration) -> BoxFuture<'static, Result<Offset>> {
+        let reader = Arc::clone(&self.reader);
+        Box::pin(async move {
+            tokio::time::sleep(pause).await;
+            reader.turn(ORIGIN_WAIT).await
+        })
+    }
+
+    /// Lists this daemon, then tells who else is listed.
+    ///
+    /// Of any two daemons that start together, the later one to be listed reads the other.
+    async fn enlist(
+        self: Arc<Self>,
+        origin: Arc<dyn Origin>,
+        found: mpsc::Sender<Vec<SocketAddr>>,
+    ) {
+        while self.board.stage() != Stage::Draining {
+            let listed = origin.list(&self.contact()).await;
+            if let (Ok(()), Ok(contacts)) = (listed, origin.contacts().await) {
+                let peers = contacts.into_iter().map(|contact| contact.peer);
+                // Whoever waited for them may have found others meanwhile.
+                let _ = found.send(peers.collect()).await;
+                return;
+            }
+            tokio::time::sleep(ROUND + jitter(ROUND)).await;
+        }
+    }
+
+    /// Members that are there, as far as known.
+    fn known(&self) -> Vec<SocketAddr> {
+        let roster = self.board.roster();
+        roster.members.iter().map(|member| member.peer).collect()
+    }
+
     /// Keeps this daemon listed, and meets those that were listed after it.
     async fn keep_listed(&self, origin: &dyn Origin) {
         let contact = self.contact();
--- a/src/view.rs
+++ b/src/view.rs
@@ -28,6 +28,8 @@
 const SPREAD: u32 = 3;
 /// Most news in one datagram.
 const MAX_NEWS: usize = 12;
+/// Time for which a member that went is looked for at every probe: it covers a restart.
+const RECENT: Duration = Duration::from_secs(30);
 /// Periods between two probes of a member that is thought to be gone.
 const REVISIT: u64 = 5;
 
@@ -358,17 +360,18 @@
         self.seq += 1;
         // Guards against a split that outlives the cut: both sides hold each other as gone and
         // would never speak again. A gone member is probed now and then until it is forgotten.
-        if self.seq.is_multiple_of(REVISIT) {
-            let gone = self
-                .entries
-                .iter()
-                .filter(|e| e.member.health == Health::Gone);
-            let gone: Vec<SocketAddr> = gone.map(|e| e.member.peer).collect();
-            if !gone.is_empty() {
-                let peer = gone[rng.random_range(0..gone.len())];
-                let revisit = self.datagram(peer, Probe::Ping { seq: 0 });
-                effects.sends.push(revisit);
-            }
+        let revisit = self.seq.is_multiple_of(REVISIT);
+        // Guards against a daemon that starts again while no list of daemons can be read: it knows
+        // nobody and refuses its callers for as long. Those who knew it look for it at first.
+        let departed = self.entries.iter().filter(|entry| {
+            let recent = now.saturating_duration_since(entry.since) < RECENT;
+            !entry.member.health.is_live() && (revisit || recent)
+        });
+        let departed: Vec<SocketAddr> = departed.map(|e| e.member.peer).collect();
+        if !departed.is_empty() {
+            let peer = departed[rng.random_range(0..departed.len())];
+            let revisit = self.datagram(peer, Probe::Ping { seq: 0 });
+            effects.sends.push(revisit);
         }
         if let Some(subject) = self.draw(rng) {
             let ping = self.ping(now, subject, None);
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -283,3 +283,22 @@
     let told = |send: &Send| send.datagram.news.contains(&dead);
     assert!(effects.sends.iter().any(told), "{:?}", effects.sends.len());
 }
+
+/// The platform's list of daemons is away when a daemon that was stopped as planned starts again,
+/// so it knows nobody. Unless the others look for it, its callers are refused until the list is
+/// back.
+#[test]
+fn returning_leaver_is_met() {
+    let mut net = Net::new(6);
+    net.settle();
+    let sends = net.views[0].leave(Health::Left, &mut net.rng);
+    net.carry(Effects {
+        sends,
+        ..Effects::default()
+    });
+    net.settle();
+    net.views[0] = View::new(member(0, 1_000), Timing::default());
+    net.settle();
+    assert_eq!(net.views[0].live().count(), COUNT - 1);
+    assert!(net.views[1].live().any(|member| member.peer == address(0)));
+}
