Place requests by the time to expect, learnt from answers

Cause: upstreams were compared by requests in flight alone; targets of one service differ threefold in speed, so slow ones got work that then missed its time, and large answers crossed data centres whenever the near targets were full. Change: a route's typical time and size and an upstream's pace and reliability are learnt from answers; the upstream with the least expected time is taken, far ones at a price a kilobyte.

--- a/src/call.rs
+++ b/src/call.rs
@@ -46,6 +46,8 @@
 pub struct Part {
     /// What the gate needs to know.
     pub handover: Handover,
+    /// Name of its route.
+    pub route: String,
     /// The request, with its body.
     pub request: Request<Body>,
     /// When the head of the answer is due.
@@ -160,6 +162,7 @@
         };
         Part {
             handover,
+            route: self.plan.route.name.clone(),
             request,
             deadline: self.deadline,
         }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,9 +3,9 @@
 //! The entry chooses an upstream for a [`Call`], hands the request to its gate, and is the only
 //! layer that tries again.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use futures_util::future::{Either, select};
 use http::{HeaderValue, Request, Response, header};
@@ -17,12 +17,13 @@
 use crate::board::{Board, Snapshot};
 use crate::call::{Call, Part};
 use crate::document::{Ejection, Retry};
-use crate::gate::{Gate, LOAD};
+use crate::gate::{Gate, LOAD, Load};
 use crate::keys;
 use crate::member::Stage;
 use crate::outcome::{self, Fate, OUTCOME, REASON, Reason};
+use crate::pace::Typical;
 use crate::peer::Failure;
-use crate::pick::{self, Candidate};
+use crate::pick::{self, Candidate, Cost};
 use crate::retry::{self, Budgets};
 use crate::roster::Upstream;
 use crate::settings::Retries;
@@ -48,6 +49,9 @@
     gate: Arc<Gate>,
     budgets: Budgets,
     calls: AtomicU64,
+    /// What the routes' requests usually need, sorted by the routes' names; held for a few
+    /// instructions.
+    typicals: Mutex<Vec<(String, Typical)>>,
 }
 
 /// What an attempt came to.
@@ -67,6 +71,7 @@
             gate,
             budgets,
             calls: AtomicU64::new(0),
+            typicals: Mutex::default(),
         }
     }
 
@@ -260,6 +265,8 @@
             return Attempt::Failed(Reason::Expired);
         }
         let service = part.handover.service.clone();
+        let route = part.route.clone();
+        let began = Instant::now();
         let exchange = async {
             if upstream.peer == self.board.settings.identity() {
                 Ok(self.gate.run(part.handover, part.request).await)
@@ -272,7 +279,7 @@
             Err(_) => Err(Reason::TimedOut),
         };
         let attempt = result.map_or_else(Attempt::Failed, judge);
-        if Self::learn(upstream, &attempt) {
+        if self.learn(upstream, &attempt, began, &route) {
             let roster = self.board.roster();
             let upstreams = roster.upstreams(&service);
             let now = Instant::now();
@@ -304,31 +311,73 @@
         }
         let now = Instant::now();
         let group = &call.group;
+        let mut rng = SmallRng::from_rng(&mut rand::rng());
+        let settings = &self.board.settings;
+        if settings.pick == pick::Policy::Expected {
+            let typical = self.typical(&call.plan.route.name);
+            let far_ms = settings.far_ms_per_kb;
+            let costs = fresh.iter().map(|u| u.cost(group, &typical, far_ms, now));
+            let costs: Vec<Cost> = costs.collect();
+            let index = pick::cheapest(&costs, &mut rng)?;
+            return Some(Arc::clone(fresh[index]));
+        }
         let candidates: Vec<Candidate> = fresh
             .iter()
             .map(|upstream| upstream.candidate(group, now))
             .collect();
-        let mut rng = SmallRng::from_rng(&mut rand::rng());
-        let index = pick::choose(self.board.settings.pick, &candidates, &mut rng)?;
+        let index = pick::choose(settings.pick, &candidates, &mut rng)?;
         Some(Arc::clone(fresh[index]))
     }
 
     /// Takes an attempt as evidence on its upstream; whether it speaks against it.
-    fn learn(upstream: &Upstream, attempt: &Attempt) -> bool {
-        match attempt {
-            Attempt::Answered(response) => {
-                let load = response.headers().get(LOAD).and_then(|v| v.to_str().ok());
-                if let Some(load) = load.and_then(|text| text.parse().ok()) {
-                    upstream.report(load);
-                }
-                let failed = response.status().is_server_error();
-                if !failed {
-                    upstream.succeeded();
+    fn learn(&self, upstream: &Upstream, attempt: &Attempt, began: Instant, route: &str) -> bool {
+        let now = Instant::now();
+        let response = match attempt {
+            Attempt::Answered(response) => response,
+            Attempt::Failed(reason) => {
+                if reason.blames_upstream() || *reason == Reason::Shed {
+                    upstream.pace().failed(now);
                 }
-                failed
+                return reason.blames_upstream();
             }
-            Attempt::Failed(reason) => reason.blames_upstream(),
+        };
+        let load = response.headers().get(LOAD).and_then(|v| v.to_str().ok());
+        let load = load.and_then(|text| text.parse::<Load>().ok());
+        if let Some(load) = load {
+            upstream.report(now, load.in_flight);
         }
+        let failed = response.status().is_server_error();
+        if failed {
+            upstream.pace().failed(now);
+        } else {
+            upstream.succeeded();
+            let waited = load.unwrap_or_default().waited.duration();
+            let work = now.saturating_duration_since(began).saturating_sub(waited);
+            let bytes = response.headers().get(header::CONTENT_LENGTH);
+            let bytes = bytes.and_then(|v| v.to_str().ok()?.parse().ok());
+            let factor = upstream.pace().factor(now);
+            let typical = self.learn_typical(route, work, factor, bytes.unwrap_or(0));
+            upstream.pace().answered(now, work, &typical);
+        }
+        failed
+    }
+
+    fn typical(&self, route: &str) -> Typical {
+        let typicals = self.typicals.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = typicals.binary_search_by(|(name, _)| name.as_str().cmp(route));
+        found.map_or_else(|_| Typical::default(), |index| typicals[index].1)
+    }
+
+    fn learn_typical(&self, route: &str, work: Duration, factor: f64, bytes: usize) -> Typical {
+        let mut typicals = self.typicals.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = typicals.binary_search_by(|(name, _)| name.as_str().cmp(route));
+        let index = found.unwrap_or_else(|index| {
+            typicals.insert(index, (route.to_owned(), Typical::default()));
+            index
+        });
+        let typical = &mut typicals[index].1;
+        typical.learn(work, factor, bytes);
+        *typical
     }
 }
 
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -4,7 +4,9 @@
 //! in flight there, bounds it, and can prove a refusal. A request moves through types: it is
 //! [`Received`], then [`Admitted`] with a slot, then answered.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -27,7 +29,7 @@
 use crate::units::{Millis, Service};
 use crate::wire::Handover;
 
-/// Header with the requests in flight at a gate.
+/// Header with a gate's [`Load`].
 pub const LOAD: &str = "x-jackdaw-load";
 
 /// Part of the time left that a request may wait for a slot.
@@ -48,6 +50,37 @@
     keys: Arc<Keys>,
 }
 
+/// What a gate tells an entry with each answer, written as two numbers with a comma.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run at the target or wait for a slot.
+    pub in_flight: u32,
+    /// Time for which the answered request waited for its slot.
+    pub waited: Millis,
+}
+
+impl fmt::Display for Load {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{},{}", self.in_flight, self.waited)
+    }
+}
+
+impl FromStr for Load {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (in_flight, waited) = text.split_once(',').unwrap_or((text, "0"));
+        Ok(Self {
+            in_flight: in_flight.parse()?,
+            waited: waited.parse()?,
+        })
+    }
+}
+
+/// Time that a request spent in the line, kept with its answer inside the gate.
+#[derive(Debug, Clone, Copy, Default)]
+struct Waited(Duration);
+
 /// A request that has reached its gate.
 #[derive(Debug)]
 pub struct Received {
@@ -63,6 +96,7 @@
     received: Received,
     permit: Permit,
     target: Arc<Target>,
+    waited: Duration,
 }
 
 impl Gate {
@@ -111,12 +145,22 @@
                 outcome::refusal(&id, reason)
             }
         };
-        let (running, waiting) = self.load();
-        let load = u64::from(running) + waiting as u64;
-        response.headers_mut().insert(LOAD, HeaderValue::from(load));
+        let waited = response.extensions().get::<Waited>().copied();
+        let load = self.report(waited.unwrap_or_default());
+        if let Ok(load) = HeaderValue::from_str(&load.to_string()) {
+            response.headers_mut().insert(LOAD, load);
+        }
         response
     }
 
+    fn report(&self, waited: Waited) -> Load {
+        let (running, waiting) = self.load();
+        Load {
+            in_flight: running + u32::try_from(waiting).unwrap_or(u32::MAX),
+            waited: Millis::from(waited.0),
+        }
+    }
+
     /// Takes a request through its life.
     ///
     /// # Errors
@@ -204,6 +248,7 @@
         if left.is_zero() {
             return Err(Reason::Expired);
         }
+        let began = Instant::now();
         let (slots, queue) = gate.sizes(&self.handover);
         let permit = gate
             .line
@@ -220,6 +265,7 @@
             received: self,
             permit,
             target,
+            waited: began.elapsed(),
         })
     }
 }
@@ -267,6 +313,7 @@
         let answered = HeaderValue::from_static("answered");
         debug_assert_eq!(Fate::Answered.to_string(), "answered");
         headers.insert(OUTCOME, answered);
+        response.extensions_mut().insert(Waited(self.waited));
         let (parts, body) = response.into_parts();
         Ok(Response::from_parts(
             parts,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod member;
 pub mod origin;
 pub mod outcome;
+pub mod pace;
 pub mod pick;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/src/pace.rs
@@ -0,0 +1,166 @@
+//! How long a request will take at an upstream, learnt from answers.
+//!
+//! Targets of one service differ in speed, some slow down when they are nearly full, and some
+//! refuse or fail for a spell. A [`Typical`] holds what a route's requests usually need, a
+//! [`Pace`] how an upstream compares with that, how full it is and how often it fails. Together
+//! they give the time to expect, which [`pick`](crate::pick) compares.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use jackdawpulley::pace::{Pace, Typical};
+//!
+//! let now = Instant::now();
+//! let (mut typical, mut slow, fast) = (Typical::default(), Pace::new(now), Pace::new(now));
+//! for _ in 0..50 {
+//!     typical.learn(Duration::from_millis(100), 1.0, 1_000);
+//!     slow.answered(now, Duration::from_millis(300), &typical);
+//! }
+//! assert!(slow.expected_ms(now, 0, 18, &typical) > 2.0 * fast.expected_ms(now, 0, 18, &typical));
+//! ```
+
+use std::time::{Duration, Instant};
+
+/// Weight of one answer in a route's averages: some fifty answers, under a second of a busy route.
+const TYPICAL_WEIGHT: f64 = 0.02;
+/// Weight of one answer in an upstream's pace: some twenty answers, so that a target that turns
+/// slow is noticed within about as many requests, and one long request does not look like it.
+const PACE_WEIGHT: f64 = 0.08;
+/// Weight of one answer or failure in an upstream's reliability.
+const RELIABILITY_WEIGHT: f64 = 0.08;
+/// Bounds of a single answer's ratio to the typical time.
+const RATIO: (f64, f64) = (0.2, 8.0);
+/// Time in which what was learnt of an upstream fades to a third. Without fresh answers it has to:
+/// a target that got a bad name gets no work, and could never show that it is well again.
+const FADING: Duration = Duration::from_secs(4);
+/// Time in which a report of load fades to a third, being overtaken by events.
+const REPORT_FADING: Duration = Duration::from_millis(700);
+/// Lowest reliability that is reckoned with.
+const LEAST_RELIABILITY: f64 = 0.15;
+/// What an own request that is younger than the last report counts: others send as well.
+const CROWD: f64 = 2.0;
+/// Part of the slots from which on a target may slow down.
+const KNEE: f64 = 0.75;
+/// Time that a route is thought to need before its first answer.
+const FIRST_GUESS_MS: f64 = 100.0;
+
+/// What the requests of one route usually need.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Typical {
+    /// Time at a target of ordinary pace, in milliseconds.
+    pub work_ms: f64,
+    /// Size of the answer, in bytes.
+    pub bytes: f64,
+    answers: u32,
+}
+
+impl Default for Typical {
+    fn default() -> Self {
+        Self {
+            work_ms: FIRST_GUESS_MS,
+            bytes: 0.0,
+            answers: 0,
+        }
+    }
+}
+
+impl Typical {
+    /// Notes an answer of an upstream whose pace is `factor`.
+    pub fn learn(&mut self, work: Duration, factor: f64, bytes: usize) {
+        self.answers = self.answers.saturating_add(1);
+        // The first answers count in full, so that the guess is soon forgotten.
+        let weight = (1.0 / f64::from(self.answers)).max(TYPICAL_WEIGHT);
+        let work_ms = work.as_secs_f64() * 1_000.0 / factor;
+        self.work_ms += weight * (work_ms - self.work_ms);
+        let bytes = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX));
+        self.bytes += weight * (bytes - self.bytes);
+    }
+}
+
+/// How one upstream does.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    /// Logarithm of its time in relation to the typical one.
+    ln_factor: f64,
+    /// Part of the requests that it answers well.
+    reliability: f64,
+    learnt: Instant,
+    /// Requests in flight there by its own word, and own ones among them.
+    load: f64,
+    own: u32,
+    reported: Instant,
+}
+
+impl Pace {
+    /// An upstream of which nothing is known.
+    #[must_use]
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            ln_factor: 0.0,
+            reliability: 1.0,
+            learnt: now,
+            load: 0.0,
+            own: 0,
+            reported: now,
+        }
+    }
+
+    /// Notes its own word on its load; `own` requests of this daemon are in flight there.
+    pub fn report(&mut self, now: Instant, load: u32, own: u32) {
+        self.load = f64::from(load);
+        self.own = own;
+        self.reported = now;
+    }
+
+    /// Notes a good answer after `work` at its target.
+    pub fn answered(&mut self, now: Instant, work: Duration, typical: &Typical) {
+        self.fade(now);
+        let ratio = work.as_secs_f64() * 1_000.0 / typical.work_ms.max(1.0);
+        let ratio = ratio.clamp(RATIO.0, RATIO.1);
+        self.ln_factor += PACE_WEIGHT * (ratio.ln() - self.ln_factor);
+        self.reliability += RELIABILITY_WEIGHT * (1.0 - self.reliability);
+    }
+
+    /// Notes a refusal, a failure or a fault: being quick with those does not count as pace.
+    pub fn failed(&mut self, now: Instant) {
+        self.fade(now);
+        self.reliability -= RELIABILITY_WEIGHT * self.reliability;
+    }
+
+    /// Its time in relation to the typical one.
+    #[must_use]
+    pub fn factor(&self, now: Instant) -> f64 {
+        (self.ln_factor * faded(now, self.learnt, FADING)).exp()
+    }
+
+    /// Time until an answer, in milliseconds, with `own` requests of this daemon in flight there.
+    #[must_use]
+    pub fn expected_ms(&self, now: Instant, own: u32, slots: u32, typical: &Typical) -> f64 {
+        let slots = f64::from(slots.max(1));
+        let load = self.load(now, own);
+        let work = typical.work_ms * self.factor(now);
+        let fill = load / slots;
+        let crowded = 1.0 + (fill.min(1.0) - KNEE).max(0.0) / (1.0 - KNEE);
+        let wait = work * (load + 1.0 - slots).max(0.0) / slots;
+        let lost = (1.0 - self.reliability) * faded(now, self.learnt, FADING);
+        (work * crowded + wait) / (1.0 - lost).max(LEAST_RELIABILITY)
+    }
+
+    /// Requests in flight there: its last word, as far as it still holds, and what was sent since.
+    fn load(&self, now: Instant, own: u32) -> f64 {
+        let since = f64::from(own.saturating_sub(self.own)) * CROWD;
+        let said = self.load * faded(now, self.reported, REPORT_FADING);
+        (said + since).max(f64::from(own))
+    }
+
+    fn fade(&mut self, now: Instant) {
+        let rest = faded(now, self.learnt, FADING);
+        self.ln_factor *= rest;
+        self.reliability = 1.0 - (1.0 - self.reliability) * rest;
+        self.learnt = now;
+    }
+}
+
+fn faded(now: Instant, since: Instant, span: Duration) -> f64 {
+    let age = now.saturating_duration_since(since).as_secs_f64();
+    (-age / span.as_secs_f64()).exp()
+}
--- a/src/pick.rs
+++ b/src/pick.rs
@@ -26,6 +26,8 @@
 
 /// Smallest share of a target that has just come.
 const FIRST_SHARE: f64 = 0.1;
+/// Largest part by which a cost is raised at random: about the error of what is known.
+const SPREAD: f64 = 0.2;
 /// Doublings after which an ejection grows no longer.
 const MAX_DOUBLINGS: u32 = 5;
 
@@ -51,6 +53,8 @@
     /// The better of two, near ones first.
     #[default]
     TwoChoices,
+    /// The one whose answer is expected first, far ones at a price.
+    Expected,
 }
 
 /// What is known of an upstream at the moment of the choice.
@@ -103,6 +107,30 @@
     Some(if better { second } else { first })
 }
 
+/// Chooses the upstream with about the least cost by index, among those that are not ejected.
+///
+/// Each cost is raised by a random part, so that entries with the same knowledge do not all choose
+/// the same upstream.
+#[must_use]
+pub fn cheapest(costs: &[Cost], rng: &mut SmallRng) -> Option<usize> {
+    let stays = costs.iter().any(|cost| !cost.ejected);
+    let candidates = costs.iter().enumerate();
+    candidates
+        .filter(|(_, cost)| !(stays && cost.ejected))
+        .map(|(index, cost)| (index, cost.ms * rng.random_range(1.0..1.0 + SPREAD)))
+        .min_by(|a, b| a.1.total_cmp(&b.1))
+        .map(|(index, _)| index)
+}
+
+/// What an upstream would cost a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Cost {
+    /// Time until its answer and the price of the way there, in milliseconds.
+    pub ms: f64,
+    /// Whether it is left alone for now.
+    pub ejected: bool,
+}
+
 /// Share of a target that came `age` ago, with a slow start over `span`.
 #[must_use]
 pub fn share(age: Duration, span: Duration) -> f64 {
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -5,15 +5,21 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use crate::document::{Ejection, Group};
 use crate::member::{Health, Member, Stage};
+use crate::pace::{Pace, Typical};
 use crate::peer::Link;
-use crate::pick::{self, Candidate, Evidence};
+use crate::pick::{self, Candidate, Cost, Evidence};
 use crate::units::{DataCentre, Service};
 
+/// Bytes in a kilobyte.
+const KB: f64 = 1_024.0;
+/// Size of the heads of a request and its answer between two daemons, in kilobytes.
+const HEADS_KB: f64 = 0.5;
+
 /// All members, sorted by address, and the upstreams of each service.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -63,6 +69,8 @@
     suspect: AtomicBool,
     own: AtomicU32,
     reported: AtomicU32,
+    /// Held for a few instructions, as the evidence is.
+    pace: Mutex<Pace>,
     /// Held for a few instructions, by the path of a request alone.
     evidence: Mutex<Evidence>,
 }
@@ -163,6 +171,7 @@
             suspect: AtomicBool::new(false),
             own: AtomicU32::new(0),
             reported: AtomicU32::new(0),
+            pace: Mutex::new(Pace::new(now)),
             evidence: Mutex::default(),
         }
     }
@@ -182,6 +191,29 @@
         }
     }
 
+    /// What it would cost a request of a route at `now`; `far_ms` is the price of each kilobyte
+    /// from another data centre.
+    #[must_use]
+    pub fn cost(&self, group: &Group, typical: &Typical, far_ms: f64, now: Instant) -> Cost {
+        let candidate = self.candidate(group, now);
+        let own = self.own.load(Ordering::Relaxed);
+        let expected = self.pace().expected_ms(now, own, candidate.slots, typical);
+        let way = if self.local {
+            0.0
+        } else {
+            far_ms * (HEADS_KB + typical.bytes / KB)
+        };
+        Cost {
+            ms: expected / candidate.share + way,
+            ejected: candidate.ejected,
+        }
+    }
+
+    /// What was learnt of its pace, to read or to add to.
+    pub fn pace(&self) -> MutexGuard<'_, Pace> {
+        self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether own evidence keeps it out at `now`.
     #[must_use]
     pub fn ejected(&self, now: Instant) -> bool {
@@ -195,8 +227,10 @@
     }
 
     /// Notes what its gate reported as in flight.
-    pub fn report(&self, load: u32) {
+    pub fn report(&self, now: Instant, load: u32) {
         self.reported.store(load, Ordering::Relaxed);
+        let own = self.own.load(Ordering::Relaxed);
+        self.pace().report(now, load, own);
     }
 
     /// Load as known here: own requests and the gate's report.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -150,9 +150,12 @@
     /// Time after which an idle connection to the target is closed, in milliseconds
     #[arg(long, env = "JACKDAW_TARGET_IDLE_MS", default_value_t = Millis(4_000))]
     pub target_idle_ms: Millis,
-    /// How an upstream is chosen: `random` or `two_choices`
+    /// How an upstream is chosen: `random`, `two_choices` or `expected`
     #[arg(long, env = "JACKDAW_PICK", default_value_t)]
     pub pick: pick::Policy,
+    /// What a kilobyte from another data centre counts when upstreams are compared, in milliseconds
+    #[arg(long, env = "JACKDAW_FAR_MS_PER_KB", default_value_t = 1.0)]
+    pub far_ms_per_kb: f64,
     /// What bounds the work at a target: off or slots
     #[arg(long, env = "JACKDAW_LIMITS", default_value_t)]
     pub limits: Limits,
--- /dev/null
+++ b/tests/pace.rs
@@ -0,0 +1,75 @@
+//! What is expected of an upstream.
+
+use std::time::{Duration, Instant};
+
+use jackdawpulley::pace::{Pace, Typical};
+use jackdawpulley::pick::{Cost, cheapest};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const SLOTS: u32 = 18;
+
+fn typical() -> Typical {
+    let mut typical = Typical::default();
+    for _ in 0..100 {
+        typical.learn(Duration::from_millis(160), 1.0, 5_000);
+    }
+    typical
+}
+
+/// A target turns five times slower for some seconds. Requests that go on landing there miss
+/// their time although the others are well: within some thirty answers it has to be avoided, and
+/// when it is well again it must get its part back.
+#[test]
+fn slow_spell_is_noticed_and_forgotten() {
+    let (now, typical) = (Instant::now(), typical());
+    let (mut slow, well) = (Pace::new(now), Pace::new(now));
+    for _ in 0..30 {
+        slow.answered(now, Duration::from_millis(800), &typical);
+    }
+    let full = |pace: &Pace, at| pace.expected_ms(at, 0, SLOTS, &typical);
+    assert!(full(&slow, now) > 3.0 * full(&well, now));
+    let later = now + Duration::from_secs(15);
+    assert!(full(&slow, later) < 1.1 * full(&well, later));
+}
+
+/// A target refuses half of its requests at once. Being quick with that must not draw more work
+/// to it, or the refusals use up the budget of retries.
+#[test]
+fn quick_refusals_attract_nothing() {
+    let (now, typical) = (Instant::now(), typical());
+    let (mut grey, well) = (Pace::new(now), Pace::new(now));
+    for _ in 0..30 {
+        grey.answered(now, Duration::from_millis(160), &typical);
+        grey.failed(now);
+    }
+    let cost = |pace: &Pace| pace.expected_ms(now, 0, SLOTS, &typical);
+    assert!(cost(&grey) > 1.7 * cost(&well));
+}
+
+#[test]
+fn full_upstream_is_expected_to_wait() {
+    let (now, typical) = (Instant::now(), typical());
+    let mut pace = Pace::new(now);
+    pace.report(now, 2 * SLOTS, 0);
+    let busy = pace.expected_ms(now, 0, SLOTS, &typical);
+    assert!(busy > 2.0 * typical.work_ms);
+    let later = now + Duration::from_secs(5);
+    assert!(pace.expected_ms(later, 0, SLOTS, &typical) < 1.1 * typical.work_ms);
+}
+
+#[test]
+fn ejected_is_chosen_only_alone() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let out = Cost {
+        ms: 1.0,
+        ejected: true,
+    };
+    let well = Cost {
+        ms: 500.0,
+        ejected: false,
+    };
+    assert_eq!(cheapest(&[out, well], &mut rng), Some(1));
+    assert_eq!(cheapest(&[out], &mut rng), Some(0));
+    assert_eq!(cheapest(&[], &mut rng), None);
+}
