Refuse at once where the wait to expect is too long

Change: each request says how long a wait it tolerates, a part of the time it can spare; a gate compares the wait to expect from its line and refuses at once; the entry asks up to three gates.

--- a/src/call.rs
+++ b/src/call.rs
@@ -18,6 +18,10 @@
 use crate::units::{CallKey, Millis};
 use crate::wire::Handover;
 
+/// Part of the time that a request can spare that it may wait for a slot.
+const TOLERATED: f64 = 0.4;
+/// Wait that is tolerated in any case: a request that is late already may use what is free.
+const LEAST_TOLERANCE: Duration = Duration::from_millis(15);
 /// Header with the caller's idempotency key.
 const KEY: &str = "idempotency-key";
 
@@ -36,6 +40,8 @@
     pub made: u32,
     /// Why it has no answer yet.
     pub reason: Option<Reason>,
+    /// When the answer is no longer of full use.
+    prompt: Instant,
     deadline: Instant,
     head: request::Parts,
     body: Payload,
@@ -93,6 +99,7 @@
             ms.min(plan.route.timeout_ms)
         });
         let deadline = began + timeout.duration();
+        let prompt = began + plan.route.latency_ms.unwrap_or(timeout).duration();
         let group = Arc::clone(plan.group(draw));
         // Callers of different services may choose the same key.
         let scoped = |key| CallKey(format!("{}/{key}", group.service));
@@ -103,6 +110,7 @@
             group: group.name.clone(),
             priority: plan.route.rank(),
             remaining: timeout,
+            tolerance: timeout,
             repeatable: plan.route.repeatable,
             key: key.filter(|_| !plan.route.repeatable),
             guard: plan.route.guard,
@@ -116,6 +124,7 @@
             handover,
             plan,
             group,
+            prompt,
             deadline,
             head,
             body,
@@ -149,8 +158,28 @@
         self.reason = Some(earlier.unwrap_or(reason));
     }
 
+    /// Longest wait for a slot with which the next attempt is still of use, when the work itself
+    /// needs `work`.
+    ///
+    /// Under load the line grows to whatever is tolerated, and stays there: everybody waits that
+    /// long. A part of the slack keeps the answers in time, since the work of half of the requests
+    /// is longer than usual.
+    #[must_use]
+    pub fn tolerance(&self, work: Duration) -> Duration {
+        let until = if self.plan.route.latency_ms.is_some() {
+            self.prompt.min(self.deadline)
+        } else {
+            self.deadline
+        };
+        let slack = until
+            .saturating_duration_since(Instant::now())
+            .saturating_sub(work);
+        (slack.mul_f64(TOLERATED)).max(LEAST_TOLERANCE)
+    }
+
     /// What the next attempt sends; a streamed body can be taken only once.
-    pub fn part(&mut self) -> Part {
+    pub fn part(&mut self, work: Duration) -> Part {
+        let tolerance = Millis::from(self.tolerance(work));
         let mut request = Request::new(self.body.take());
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
@@ -158,6 +187,7 @@
         let remaining = Millis::from(self.left());
         let handover = Handover {
             remaining,
+            tolerance,
             ..self.handover.clone()
         };
         Part {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -39,6 +39,9 @@
 /// Part of the time left after which a repeatable call is also sent to a second upstream.
 const HEDGE_SHARE: u32 = 2;
 
+/// Gates that may refuse a request for lack of room before its caller is told: the first is the
+/// one that was thought to have most, so more of them would only cost time.
+const REFUSALS: u32 = 3;
 /// Longest identifier of a call, in bytes.
 const MAX_ID: usize = 64;
 
@@ -168,13 +171,14 @@
         let rule = &Arc::clone(&call.plan).retry;
         let budget = self.budgets.of(&call.handover.service);
         budget.deposit_share(rule.budget);
+        let mut refusals = 0;
         while let Some(upstream) = self.choose(&call) {
             let reason = match self.race(&upstream, &mut call).await {
                 Attempt::Answered(response) => return response,
                 Attempt::Failed(reason) => reason,
             };
             call.failed(reason);
-            call.made += u32::from(!reason.is_absence());
+            call.made += u32::from(!reason.is_absence() && reason != Reason::Overloaded);
             // A key belongs to one gate: it is asked again, unless it is not there.
             if call.handover.key.is_none() || reason.is_absence() {
                 call.tried.push(upstream.peer);
@@ -183,10 +187,12 @@
                 // The upstream's own word goes before what the next one's view may still have.
                 call.handover.leaving.push(upstream.peer);
             }
-            if reason.is_absence() {
+            let full = reason == Reason::Overloaded && call.handover.key.is_none();
+            if reason.is_absence() || full {
                 // No target was burdened, so neither the rule's attempts nor the budget are
                 // touched; each upstream is asked only once.
-                if call.sendable() && !call.left().is_zero() {
+                refusals += u32::from(full);
+                if call.sendable() && !call.left().is_zero() && refusals < REFUSALS {
                     continue;
                 }
                 break;
@@ -228,7 +234,9 @@
     async fn race(&self, upstream: &Arc<Upstream>, call: &mut Call) -> Attempt {
         let rule = &Arc::clone(&call.plan).retry;
         let ejection = &Arc::clone(&call.group).ejection;
-        let mut first = Box::pin(self.attempt(upstream, call.part(), ejection));
+        let typical = self.typical(&call.plan.route.name);
+        let work = Duration::from_secs_f64(typical.work_ms / 1_000.0);
+        let mut first = Box::pin(self.attempt(upstream, call.part(work), ejection));
         let simple = self.board.settings.retries == Retries::Fixed;
         // The first one counts as made once it has failed or has company.
         if simple || !call.may_hedge() || call.made + 2 > rule.attempts {
@@ -246,7 +254,7 @@
         metrics::counter!("jackdaw_hedges_total").increment(1);
         call.tried.push(second.peer);
         call.made += 1;
-        let second = Box::pin(self.attempt(&second, call.part(), ejection));
+        let second = Box::pin(self.attempt(&second, call.part(work), ejection));
         let (earlier, other) = match select(first, second).await {
             Either::Left((Attempt::Failed(reason), other)) => (reason, Either::Left(other)),
             Either::Right((Attempt::Failed(reason), other)) => (reason, Either::Right(other)),
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -21,7 +21,7 @@
 use crate::dispatch::{Dispatcher, Lease};
 use crate::document::Guard;
 use crate::guard::Keys;
-use crate::line::{Line, Permit};
+use crate::line::{Bid, Line, Permit};
 use crate::member::Stage;
 use crate::outcome::{self, Fate, OUTCOME, Reason};
 use crate::settings::Limits;
@@ -249,11 +249,13 @@
             return Err(Reason::Expired);
         }
         let began = Instant::now();
+        let bid = Bid {
+            priority: self.handover.priority,
+            tolerance: self.handover.tolerance.duration(),
+            patience: left / QUEUE_SHARE,
+        };
         let (slots, queue) = gate.sizes(&self.handover);
-        let permit = gate
-            .line
-            .enter(slots, queue, self.handover.priority, left / QUEUE_SHARE)
-            .await?;
+        let permit = gate.line.enter(slots, queue, bid).await?;
         // Guards against a gate that was frozen while the request waited: its caller has given up
         // and been told so, or its target has said good-bye. Deadline and stage are looked at
         // again with the slot in hand, right before the request leaves.
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -95,6 +95,24 @@
         }
     }
 
+    /// Requests that would leave before one of `priority` that asked now: 0 while a slot is free.
+    #[must_use]
+    pub fn ahead(&self, priority: impl Into<Priority>) -> usize {
+        if self.running < self.slots && self.waiting.is_empty() {
+            return 0;
+        }
+        let priority = priority.into();
+        1 + self
+            .waiting
+            .partition_point(|&(other, _)| other <= priority)
+    }
+
+    /// Slots in all.
+    #[must_use]
+    pub const fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Gives a waiting request up; `false` when it does not wait any more.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let place = self
--- a/src/line.rs
+++ b/src/line.rs
@@ -4,7 +4,7 @@
 //! themselves back when dropped, so that a request that is given up anywhere leaks neither.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::oneshot;
 
@@ -12,6 +12,21 @@
 use crate::outcome::Reason;
 use crate::units::Priority;
 
+/// Weight of one request in the average time for which a slot is held: some thirty requests.
+const HOLD_WEIGHT: f64 = 0.03;
+
+/// What a request asks of the line.
+#[derive(Debug, Clone, Copy)]
+pub struct Bid {
+    /// Its rank.
+    pub priority: Priority,
+    /// Longest wait with which it is still of use; when a longer one is to be expected it is
+    /// refused at once, so that its caller can go elsewhere while there is time.
+    pub tolerance: Duration,
+    /// Time after which it is refused where the wait was longer than expected.
+    pub patience: Duration,
+}
+
 /// Who runs and who waits at a gate.
 #[derive(Debug, Default)]
 pub struct Line {
@@ -23,6 +38,8 @@
     limit: Limit,
     sizes: (u32, u32),
     next: Ticket,
+    /// Average time for which a slot is held, in seconds; 0 before the first was given back.
+    hold_s: f64,
     /// Sorted by ticket.
     waiters: Vec<(Ticket, oneshot::Sender<Signal>)>,
 }
@@ -40,6 +57,7 @@
             limit: Limit::new(0, 0),
             sizes: (0, 0),
             next: 0,
+            hold_s: 0.0,
             waiters: Vec::new(),
         }
     }
@@ -55,6 +73,21 @@
         }
     }
 
+    /// Wait to expect for a request of `priority` that asks now.
+    fn expected_wait(&self, priority: Priority) -> Duration {
+        let ahead = u32::try_from(self.limit.ahead(priority)).unwrap_or(u32::MAX);
+        let slots = f64::from(self.limit.slots().max(1));
+        Duration::from_secs_f64(f64::from(ahead) * self.hold_s / slots)
+    }
+
+    fn held(&mut self, time: Duration) {
+        let time = time.as_secs_f64();
+        if self.hold_s == 0.0 {
+            self.hold_s = time;
+        }
+        self.hold_s += HOLD_WEIGHT * (time - self.hold_s);
+    }
+
     fn resize(&mut self, sizes: (u32, u32)) {
         if self.sizes != sizes {
             self.sizes = sizes;
@@ -66,28 +99,29 @@
 }
 
 impl Line {
-    /// Waits up to `patience` for one of `slots`, in one of `queue` places.
+    /// Waits for one of `slots`, in one of `queue` places.
     ///
     /// # Errors
     ///
-    /// [`Reason::Overloaded`] when there is no place, or no slot in time.
+    /// [`Reason::Overloaded`] when there is no place, the wait to expect is too long, or no slot
+    /// came in time.
     pub async fn enter(
         self: &Arc<Self>,
         slots: u32,
         queue: u32,
-        priority: Priority,
-        patience: Duration,
+        bid: Bid,
     ) -> Result<Permit, Reason> {
         let (waiting, signal) = {
             let mut state = self.state();
             state.resize((slots, queue));
+            if state.expected_wait(bid.priority) > bid.tolerance {
+                return Err(Reason::Overloaded);
+            }
             state.next += 1;
             let ticket = state.next;
-            match state.limit.enter(ticket, priority) {
+            match state.limit.enter(ticket, bid.priority) {
                 Admission::Run => {
-                    return Ok(Permit {
-                        line: Arc::clone(self),
-                    });
+                    return Ok(Permit::new(self));
                 }
                 Admission::Shed => return Err(Reason::Overloaded),
                 Admission::Wait { shed } => {
@@ -107,7 +141,7 @@
                 }
             }
         };
-        waiting.wait(signal, patience).await
+        waiting.wait(signal, bid.patience).await
     }
 
     /// Requests that run and that wait.
@@ -117,6 +151,14 @@
         (state.limit.running(), state.limit.waiting())
     }
 
+    /// Gives a slot back and wakes the request that gets it.
+    fn release(&self) {
+        let mut state = self.state();
+        if let Some(ticket) = state.limit.leave() {
+            state.wake(ticket, Signal::Run);
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, LineState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -139,9 +181,7 @@
         match tokio::time::timeout(patience, signal).await {
             Ok(Ok(Signal::Run)) => {
                 self.settled = true;
-                Ok(Permit {
-                    line: Arc::clone(&self.line),
-                })
+                Ok(Permit::new(&self.line))
             }
             Ok(_) => {
                 self.settled = true;
@@ -164,9 +204,7 @@
         } else if !waited {
             // The slot was granted while the request gave up: pass it on, or it is lost for good.
             drop(state);
-            drop(Permit {
-                line: Arc::clone(&self.line),
-            });
+            self.line.release();
         }
     }
 }
@@ -175,13 +213,21 @@
 #[derive(Debug)]
 pub struct Permit {
     line: Arc<Line>,
+    since: Instant,
+}
+
+impl Permit {
+    fn new(line: &Arc<Line>) -> Self {
+        Self {
+            line: Arc::clone(line),
+            since: Instant::now(),
+        }
+    }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let mut state = self.line.state();
-        if let Some(ticket) = state.limit.leave() {
-            state.wake(ticket, Signal::Run);
-        }
+        self.line.state().held(self.since.elapsed());
+        self.line.release();
     }
 }
--- a/src/reader.rs
+++ b/src/reader.rs
@@ -98,7 +98,8 @@
                 continue;
             }
             let wait = match self.source {
-                Source::Log(_) => WAIT,
+                // A longer wait would hold back the checkpoint that is due meanwhile.
+                Source::Log(_) => WAIT.min(self.board.settings.checkpoint_ms),
                 Source::Origin(_) => FOLLOW_WAIT,
             };
             if let Err(error) = self.turn(wait).await {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -191,6 +191,8 @@
     pub priority: Priority,
     /// Time left until the answer's head is due.
     pub remaining: Millis,
+    /// Longest wait for a slot with which it is still of use.
+    pub tolerance: Millis,
     /// Whether running it twice does no harm.
     pub repeatable: bool,
     /// The caller's idempotency key.
