--- a/src/board.rs
+++ b/src/board.rs
@@ -22,7 +22,7 @@
 use crate::route::Table;
 use crate::settings::Settings;
 use crate::telemetry::Meter;
-use crate::units::{Instance, Slots, Version};
+use crate::units::{Instance, Millis, Slots, Version};
 use crate::wire::Digest;
 
 /// The configuration of one version, compiled for the path of a request.
@@ -99,6 +99,7 @@
     roster: ArcSwap<Roster>,
     target: ArcSwapOption<Target>,
     stage: AtomicU8,
+    drain_ms: AtomicU64,
     in_flight: AtomicU64,
     versions: watch::Sender<Version>,
     rosters: watch::Sender<u64>,
@@ -110,6 +111,7 @@
     #[must_use]
     pub fn new(settings: Settings, dialect: Dialect, logger: Logger) -> Self {
         Self {
+            drain_ms: AtomicU64::new(settings.drain_ms.0),
             settings,
             logger,
             dialect,
@@ -200,6 +202,17 @@
         }
     }
 
+    /// Time that a planned stop waits for calls in flight.
+    #[must_use]
+    pub fn drain(&self) -> Millis {
+        Millis(self.drain_ms.load(Ordering::Relaxed))
+    }
+
+    /// Changes that time; whether it is another one now.
+    pub fn set_drain(&self, drain: Millis) -> bool {
+        self.drain_ms.swap(drain.0, Ordering::Relaxed) != drain.0
+    }
+
     /// Where the daemon is in its life.
     #[must_use]
     pub fn stage(&self) -> Stage {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -118,6 +118,7 @@
     let Extension {
         origin,
         dialect,
+        reread,
         faces,
     } = extension;
     let board = Arc::new(Board::new(settings, dialect, logger));
@@ -200,6 +201,7 @@
         keys,
         phases,
         origin,
+        reread,
     };
     stopping.run().await
 }
--- a/src/document.rs
+++ b/src/document.rs
@@ -46,6 +46,9 @@
     pub method: Option<String>,
     /// Path prefix, matched by whole segments; the longest wins.
     pub path: String,
+    /// Whether only paths below the prefix match, and not the prefix without its last slash.
+    #[serde(default)]
+    pub below: bool,
     /// Name of the upstream group.
     pub group: String,
     /// Groups that share the requests by weight, in place of `group` alone.
--- a/src/extension.rs
+++ b/src/extension.rs
@@ -10,6 +10,7 @@
 use crate::dialect::Dialect;
 use crate::member::Stage;
 use crate::origin::Origin;
+use crate::settings::Settings;
 
 /// What a platform's adapter adds to a daemon.
 #[derive(Default)]
@@ -18,10 +19,15 @@
     pub origin: Option<Arc<dyn Origin>>,
     /// How callers and targets spell their headers.
     pub dialect: Dialect,
+    /// Reads the settings again: none when they have not changed since they were read last.
+    pub reread: Option<Reread>,
     /// More addresses that the daemon serves.
     pub faces: Vec<Face>,
 }
 
+/// Reads changed settings, or says what is wrong with them.
+pub type Reread = Box<dyn FnMut() -> Option<Result<Settings, String>> + Send>;
+
 /// An address of the daemon with what it serves.
 pub struct Face {
     /// Where it listens.
--- a/src/join.rs
+++ b/src/join.rs
@@ -24,7 +24,7 @@
 use crate::reader::Reader;
 use crate::relay::{Relay, jitter, order};
 use crate::server::JOIN;
-use crate::units::{DataCentre, Millis, Offset, Version};
+use crate::units::{DataCentre, Millis, Offset, Slots, Version};
 use crate::wire::{Join, Welcome};
 
 /// Records of the contacts stream that a joiner looks at.
@@ -35,6 +35,8 @@
 const ROUND: Duration = Duration::from_millis(200);
 /// Time that a read waits for the first version while there is none.
 const ORIGIN_WAIT: Millis = Millis(1_500);
+/// Time that a starting daemon gives its peers to be met, when it could serve already.
+const MEETING: Duration = Duration::from_millis(300);
 /// Time between two renewals of a contact, on average.
 const RENEWAL: Duration = Duration::from_mins(2);
 /// Daemons of a data centre that keep a contact.
@@ -49,6 +51,15 @@
     pub data_centre: DataCentre,
 }
 
+/// What peers remember of an earlier daemon at this address.
+#[derive(Debug, Default)]
+struct Past {
+    /// Its last entry.
+    member: Option<Member>,
+    /// Slots that its target offered.
+    slots: Option<Slots>,
+}
+
 /// Brings a daemon from its start to serving, and keeps contacts fresh.
 #[derive(Debug)]
 pub struct Joiner {
@@ -101,8 +112,9 @@
     async fn reach_origin(self: &Arc<Self>, origin: &Arc<dyn Origin>) {
         let began = tokio::time::Instant::now();
         let patience = began + self.board.settings.log_patience_ms.duration();
+        let meeting = began + MEETING;
         let mut floor = Floor::default();
-        let mut earlier = None;
+        let mut past = Past::default();
         let mut greeted = vec![self.board.settings.identity()];
         let mut rosters = self.board.rosters();
         let mut stages = self.board.stages();
@@ -114,8 +126,10 @@
             let late = tokio::time::Instant::now() >= patience;
             let have = self.board.digest().version;
             let known = have > Version(0) && have >= floor.version();
+            // Peers remember what this host's target offered, so a moment is spent on them.
+            let early = greeted.len() == 1 && tokio::time::Instant::now() < meeting;
             let peers = late && floor.met_by_peers(have, self.data_centres());
-            if known && (read || peers) {
+            if known && !early && (read || peers) {
                 break;
             }
             let mut strangers = Vec::new();
@@ -127,6 +141,7 @@
                 }
                 Some(peers) = listed.recv() => strangers = peers,
                 _ = rosters.changed() => strangers = self.known(),
+                () = tokio::time::sleep_until(meeting), if early => {}
                 () = tokio::time::sleep_until(patience), if !late => {
                     warn!(self.board.logger, "no floor yet"; "version" => have.0, "read" => read);
                 }
@@ -134,11 +149,10 @@
             }
             strangers.retain(|peer| !greeted.contains(peer));
             greeted.extend(&strangers);
-            self.greet_all(strangers, &mut floor, &mut earlier).await;
+            self.greet_all(strangers, &mut floor, &mut past).await;
         }
         if !self.board.settings.first_start {
-            let offer = earlier.and_then(|earlier: Member| earlier.offer);
-            self.desk.find_target(offer.map(|offer| offer.slots)).await;
+            self.desk.find_target(past.slots).await;
         }
     }
 
@@ -190,9 +204,9 @@
             let roster = self.board.roster();
             let strangers = contacts.unwrap_or_default().into_iter().map(|c| c.peer);
             let strangers = strangers.filter(|peer| roster.member(*peer).is_none());
-            let mut earlier = None;
+            let mut past = Past::default();
             let (mut floor, strangers) = (Floor::default(), strangers.collect());
-            self.greet_all(strangers, &mut floor, &mut earlier).await;
+            self.greet_all(strangers, &mut floor, &mut past).await;
             tokio::time::sleep(RENEWAL / 2 + jitter(RENEWAL)).await;
         }
     }
@@ -208,10 +222,10 @@
     async fn reach_floor(&self) {
         let began = Instant::now();
         let mut floor = Floor::default();
-        let mut earlier = None;
+        let mut past = Past::default();
         let mut warned = false;
         while self.board.stage() == Stage::Starting {
-            self.greet(&mut floor, &mut earlier).await;
+            self.greet(&mut floor, &mut past).await;
             let log_read = self.read_log(&mut floor).await;
             let have = self.board.digest().version;
             if log_read && floor.met_by_log(have, self.store.next()) {
@@ -234,18 +248,13 @@
     }
 
     /// Joins through a few contacts and fetches what they have in force.
-    async fn greet(&self, floor: &mut Floor, earlier: &mut Option<Member>) {
+    async fn greet(&self, floor: &mut Floor, past: &mut Past) {
         let contacts = self.contacts().await;
-        self.greet_all(contacts, floor, earlier).await;
+        self.greet_all(contacts, floor, past).await;
     }
 
     /// Joins through a few of `contacts` at once and fetches what they have in force.
-    async fn greet_all(
-        &self,
-        mut contacts: Vec<SocketAddr>,
-        floor: &mut Floor,
-        earlier: &mut Option<Member>,
-    ) {
+    async fn greet_all(&self, mut contacts: Vec<SocketAddr>, floor: &mut Floor, past: &mut Past) {
         contacts.retain(|peer| *peer != self.board.settings.identity());
         contacts.shuffle(&mut rand::rng());
         contacts.truncate(GREETERS);
@@ -263,7 +272,8 @@
             let greeter = welcome.members.first();
             let greeter = greeter.map(|m| m.data_centre.clone()).unwrap_or_default();
             floor.heard(&greeter, welcome.digest.version, welcome.ran);
-            self.look_back(&welcome.members, &join.member, earlier);
+            past.slots = welcome.slots.or(past.slots);
+            self.look_back(&welcome.members, &join.member, past);
             self.membership.learn(&welcome.members);
             if welcome.digest.version > self.board.digest().version {
                 let _ = self.relay.pull(peer).await;
@@ -272,22 +282,24 @@
     }
 
     /// Finds out how an earlier daemon at this address ended: the latest word of it counts.
-    fn look_back(&self, members: &[Member], me: &Member, earlier: &mut Option<Member>) {
+    fn look_back(&self, members: &[Member], me: &Member, past: &mut Past) {
         // Entries between the birth of this daemon and now are its own; those from the future
         // are of an earlier one whose clock was ahead.
         let own = self.membership.born()..=me.incarnation;
-        let past = members
+        let told = members
             .iter()
             .find(|known| known.peer == me.peer && !own.contains(&known.incarnation));
         let word = |member: &Member| (member.incarnation, member.health);
-        if let Some(past) = past
-            && earlier
+        if let Some(told) = told
+            && past
+                .member
                 .as_ref()
-                .is_none_or(|known| word(known) < word(past))
+                .is_none_or(|known| word(known) < word(told))
         {
-            *earlier = Some(past.clone());
+            past.member = Some(told.clone());
         }
-        let lost = earlier
+        let lost = past
+            .member
             .as_ref()
             .is_some_and(|known| known.health != Health::Left);
         self.keys.set_lived(lost);
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -140,6 +140,7 @@
     pub fn welcome(&self, join: &Join) -> Welcome {
         let mut guard = self.state();
         let ran = guard.view.ran(join.member.peer);
+        let slots = guard.view.slots(join.member.peer);
         // The view goes out as it was before the join, so that the joiner sees what is said of
         // its own address and can refute it.
         let members = guard.view.members();
@@ -150,6 +151,7 @@
             members,
             digest: self.board.digest(),
             ran,
+            slots,
         }
     }
 
--- a/src/route.rs
+++ b/src/route.rs
@@ -106,8 +106,7 @@
     pub fn find(&self, method: &str, host: Option<&str>, path: &str) -> Option<&Arc<Plan>> {
         let host = host.map(|host| host.split(':').next().unwrap_or(host));
         let fits = |route: &Route| {
-            // A prefix that ends with a slash is met only by paths that go on from there.
-            let begins = !route.path.ends_with('/') || path.starts_with(&route.path);
+            let begins = !route.below || path.starts_with(&route.path);
             begins
                 && route
                     .method
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -190,6 +190,20 @@
         self.advertise_addr.unwrap_or(self.peer_addr)
     }
 
+    /// Names of the settings that differ in `other` and are fixed while the daemon runs.
+    #[must_use]
+    pub fn differences(&self, other: &Self) -> Vec<String> {
+        let fields = |settings: &Self| match serde_json::to_value(settings) {
+            Ok(serde_json::Value::Object(fields)) => fields,
+            _ => serde_json::Map::new(),
+        };
+        let (mine, others) = (fields(self), fields(other));
+        let differs = mine.iter().filter(|(name, value)| {
+            name.as_str() != "drain_ms" && others.get(name.as_str()) != Some(value)
+        });
+        differs.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Checks all settings together.
     ///
     /// # Errors
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -13,6 +13,7 @@
 use crate::board::Board;
 use crate::daemon::{EXIT_CUT_SHORT, EXIT_STOPPED};
 use crate::error::{Error, Result};
+use crate::extension::Reread;
 use crate::guard::Keys;
 use crate::http_server::Phase;
 use crate::member::{Health, Stage};
@@ -21,6 +22,8 @@
 
 /// Time for which sessions are ended after an answer before the process goes.
 const LINGER: Duration = Duration::from_millis(2_500);
+/// Time between two looks at the settings, which may change without a word.
+const LOOK: Duration = Duration::from_secs(2);
 /// Time between the last answer and the end of the process.
 const LAST_WORDS: Duration = Duration::from_millis(50);
 
@@ -36,6 +39,8 @@
     pub phases: watch::Sender<Phase>,
     /// The platform, where daemons are listed.
     pub origin: Option<Arc<dyn Origin>>,
+    /// Reads changed settings.
+    pub reread: Option<Reread>,
 }
 
 impl Stopping {
@@ -44,7 +49,8 @@
     /// # Errors
     ///
     /// [`Error::Listen`] when signals can't be had.
-    pub async fn run(self) -> Result<u8> {
+    pub async fn run(mut self) -> Result<u8> {
+        let mut reread = self.reread.take();
         let board = &self.board;
         let listening = |source| Error::Listen {
             address: board.settings.operator_addr,
@@ -54,14 +60,18 @@
         let mut interrupt = signal(SignalKind::interrupt()).map_err(listening)?;
         let mut hangup = signal(SignalKind::hangup()).map_err(listening)?;
         let mut stages = board.stages();
+        let mut looks = tokio::time::interval(LOOK);
+        looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
                 _ = stages.wait_for(|stage| *stage == Stage::Draining) => break,
                 _ = hangup.recv() => {
-                    info!(board.logger, "settings are read at the start; restart to change them");
+                    info!(board.logger, "told to read the settings again");
+                    reload(board, reread.as_mut());
                 }
+                _ = looks.tick() => reload(board, reread.as_mut()),
             }
         }
         info!(board.logger, "draining"; "in_flight" => board.in_flight());
@@ -92,7 +102,7 @@
         self.phases.send_replace(Phase::Closed);
         tokio::time::sleep_until((began + LINGER).into()).await;
         self.phases.send_replace(Phase::Ending);
-        let limit = board.settings.drain_ms.duration();
+        let limit = board.drain().duration();
         if !board.idle(limit.saturating_sub(began.elapsed())).await {
             warn!(board.logger, "calls are cut: the drain limit has passed";
                 "in_flight" => board.in_flight());
@@ -105,3 +115,19 @@
         tokio::time::sleep(LAST_WORDS).await;
     }
 }
+
+/// Takes over what may change while the daemon runs, and names what may not.
+fn reload(board: &Board, reread: Option<&mut Reread>) {
+    match reread.and_then(|reread| reread()) {
+        None => {}
+        Some(Err(problem)) => {
+            warn!(board.logger, "settings are wrong, the old ones stay"; "problem" => problem);
+        }
+        Some(Ok(settings)) => {
+            let applied = board.set_drain(settings.drain_ms);
+            let restart = board.settings.differences(&settings);
+            info!(board.logger, "settings read again"; "drain_changed" => applied,
+                "restart_to_change" => restart.join(","));
+        }
+    }
+}
--- a/src/view.rs
+++ b/src/view.rs
@@ -17,7 +17,7 @@
 use rand::seq::SliceRandom;
 
 use crate::member::{Health, Member, Offer, Stage};
-use crate::units::{Incarnation, Version};
+use crate::units::{Incarnation, Slots, Version};
 use crate::wire::{self, Datagram, Digest, Probe};
 
 /// Daemons that probe a silent one on another's behalf.
@@ -66,6 +66,8 @@
     pub since: Instant,
     /// Highest version it is known to have run.
     pub ran: Version,
+    /// Slots that a target offered last through it, in any of its lives.
+    pub slots: Option<Slots>,
     sends: u32,
 }
 
@@ -197,6 +199,12 @@
             .map_or(Version(0), |index| self.entries[index].ran)
     }
 
+    /// Slots that a target offered last through `peer`.
+    #[must_use]
+    pub fn slots(&self, peer: SocketAddr) -> Option<Slots> {
+        self.find(peer).and_then(|index| self.entries[index].slots)
+    }
+
     /// Merges an entry that came from anywhere; `true` when it was news.
     pub fn merge(&mut self, now: Instant, member: &Member) -> bool {
         if member.peer == self.me.peer {
@@ -213,6 +221,8 @@
                 if (member.incarnation, member.health) <= old {
                     return false;
                 }
+                let offered = member.offer.as_ref().map(|offer| offer.slots);
+                entry.slots = offered.or(entry.slots);
                 entry.member = member.clone();
                 entry.since = now;
                 entry.sends = sends;
@@ -222,6 +232,7 @@
                     member: member.clone(),
                     since: now,
                     ran: Version(0),
+                    slots: member.offer.as_ref().map(|offer| offer.slots),
                     sends,
                 };
                 self.entries.insert(index, entry);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -14,7 +14,7 @@
 use crate::error::{FrameSnafu, Result};
 use crate::keys::{Handed, Holder};
 use crate::member::Member;
-use crate::units::{CallKey, EditId, Millis, Priority, Service, Version};
+use crate::units::{CallKey, EditId, Millis, Priority, Service, Slots, Version};
 
 /// Release of the protocol; a frame of another release is refused.
 pub const RELEASE: u8 = 1;
@@ -141,6 +141,8 @@
     pub digest: Digest,
     /// Highest version that the joiner's address is known to have run.
     pub ran: Version,
+    /// Slots that a target offered last through the joiner's address.
+    pub slots: Option<Slots>,
 }
 
 /// Asks a gate to note that a key is about to run elsewhere.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,6 +45,7 @@
         method: None,
         path: path.into(),
         group: group.into(),
+        below: false,
         split: Vec::new(),
         retry: "once".into(),
         timeout_ms: Millis(1_000),
--- a/trial/src/deployment.rs
+++ b/trial/src/deployment.rs
@@ -130,6 +130,7 @@
         method: None,
         path: format!("/{name}"),
         group: group.to_owned(),
+        below: false,
         split: Vec::new(),
         retry: retry.to_owned(),
         timeout_ms: Millis(2_000),
--- a/trial/src/fleet.rs
+++ b/trial/src/fleet.rs
@@ -367,6 +367,24 @@
         true
     }
 
+    /// Waits until every daemon that runs knows `count` upstreams.
+    pub async fn offers(&self, count: usize, patience: Duration) -> bool {
+        let deadline = Instant::now() + patience;
+        for index in self.running() {
+            let operator = self.hosts[index].operator();
+            let left = deadline.saturating_duration_since(Instant::now());
+            let known = until(left, || async move {
+                let state: Option<Value> = get(operator, "/state").await;
+                let all = state.and_then(|state| Some(state["upstreams"].as_array()?.len()));
+                all == Some(count)
+            });
+            if !known.await {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Publishes an edit through a daemon; the status and the JSON answer.
     ///
     /// # Errors
@@ -522,7 +540,13 @@
 }
 
 /// A part of the loopback network that no other trial uses.
-fn free_network() -> u8 {
+///
+/// # Panics
+///
+/// When none is free.
+#[must_use]
+/// A part of the loopback network that no other trial uses.
+pub fn free_network() -> u8 {
     for _ in 0..200 {
         let count = NETWORKS.fetch_add(1, Ordering::Relaxed);
         let candidate = std::process::id().wrapping_mul(7).wrapping_add(count) % 200 + 20;
--- a/trial/src/path.rs
+++ b/trial/src/path.rs
@@ -63,6 +63,11 @@
         fleet.meets(daemons, Duration::from_secs(20)).await,
         "all daemons know each other"
     );
+    // A target is a process of its own and may be up later than its daemon.
+    assert!(
+        fleet.offers(daemons, Duration::from_secs(20)).await,
+        "all daemons know every target"
+    );
     let start_ms = began.elapsed().as_millis();
 
     let (version, apply_ms) = apply(&fleet, deployment).await;
