Notice silent links by a ping; leave silent and unreachable upstreams alone

Cause: a connection that dies without a reset, or a frozen peer, took every call sent there for half of its time, until the membership dropped it; idle connections to a target that went silent together took one request each. Change: a link with waiting calls that hears nothing for 300 ms is asked, and replaced after 400 ms; its upstream is left alone for 2 s, an unreachable one for 0.5 s; a time-out closes what was idle.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -107,6 +107,14 @@
         }
     }
 
+    /// Closes the connections that have been idle since before `began`.
+    ///
+    /// Guards against connections that went silent all at once: each of them would take a request
+    /// and its whole time with it, one after the other.
+    pub fn doubt_idle(&self, began: Instant) {
+        lock(&self.pool).kept.retain(|kept| kept.since >= began);
+    }
+
     /// Notes that the target sent what nobody asked for, and closes what is kept to it.
     pub fn suspect(&self) {
         let mut pool = lock(&self.pool);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -346,6 +346,9 @@
                 if reason.blames_upstream() || *reason == Reason::Shed {
                     upstream.pace().failed(now);
                 }
+                if *reason == Reason::Unreachable {
+                    upstream.absent(now);
+                }
                 return reason.blames_upstream();
             }
         };
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -294,6 +294,7 @@
             &self.target,
             left,
         );
+        let began = Instant::now();
         let exchange = async {
             let sending = gate
                 .dispatcher
@@ -304,10 +305,11 @@
         };
         // Dropping the exchange closes its connection, so that a late answer can't meet the next
         // request.
-        let result = match tokio::time::timeout(left, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(Reason::TimedOut),
-        };
+        let result = tokio::time::timeout(left, exchange).await;
+        let result = result.unwrap_or_else(|_| {
+            gate.dispatcher.doubt_idle(began);
+            Err(Reason::TimedOut)
+        });
         let mut response = result.inspect_err(|reason| gate.doubt_target(*reason, &self.target))?;
         let headers = response.headers_mut();
         stream::strip_hop_by_hop(headers);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -16,7 +16,7 @@
 use arc_swap::ArcSwapOption;
 use bytes::{Bytes, BytesMut};
 use h2::client::SendRequest;
-use h2::{Reason, RecvStream};
+use h2::{Ping, PingPong, Reason, RecvStream};
 use http::{Method, Request, Response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -35,6 +35,13 @@
 const CONNECT: Duration = Duration::from_millis(500);
 /// Time for the answer to a control message.
 const PATIENCE: Duration = Duration::from_secs(3);
+/// Time without a byte after which a link with waiting calls is asked for a sign of life: longer
+/// than most calls, so that a busy link is never asked.
+const QUIET: Duration = Duration::from_millis(300);
+/// Time for that sign: many times the way there and back.
+const PONG: Duration = Duration::from_millis(400);
+/// Time for which a peer that went silent is left alone: about as long as processes are frozen.
+const SILENCE: Duration = Duration::from_secs(2);
 /// Time after which an idle link is closed.
 const IDLE: Duration = Duration::from_mins(1);
 
@@ -52,7 +59,11 @@
 pub struct Link {
     peer: SocketAddr,
     home: IpAddr,
-    sender: ArcSwapOption<SendRequest<Bytes>>,
+    sender: Arc<ArcSwapOption<SendRequest<Bytes>>>,
+    /// Calls that wait for the head of their answer.
+    waiting: Arc<AtomicU32>,
+    /// When the other end went silent last, in milliseconds since 1970.
+    silent_ms: Arc<AtomicU64>,
     /// When it was used last, in milliseconds since 1970.
     used_ms: AtomicU64,
     /// Held by callers of this link alone, while one of them connects.
@@ -66,7 +77,9 @@
         Self {
             peer,
             home,
-            sender: ArcSwapOption::empty(),
+            sender: Arc::default(),
+            waiting: Arc::default(),
+            silent_ms: Arc::default(),
             used_ms: AtomicU64::new(0),
             opening: tokio::sync::Mutex::new(()),
         }
@@ -91,12 +104,23 @@
         if !empty {
             tokio::spawn(stream::pump(body, stream));
         }
+        let _waiting = Waiting::begin(&self.waiting);
         response.await.map_err(|error| {
             self.sender.store(None);
             classify(&error)
         })
     }
 
+    /// Whether the other end went silent a moment ago.
+    ///
+    /// A frozen peer's host still takes connections, so that a new one proves nothing: every call
+    /// would wait for the silence to be noticed again.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        let ago_ms = clock::unix_ms().saturating_sub(self.silent_ms.load(Ordering::Relaxed));
+        ago_ms < Millis::from(SILENCE).0
+    }
+
     /// Closes the connection when no call has begun for a while; calls in flight end first.
     pub fn close_idle(&self) {
         let idle_ms = clock::unix_ms().saturating_sub(self.used_ms.load(Ordering::Relaxed));
@@ -169,15 +193,33 @@
             .set_nodelay(true)
             .map_err(|e| self.unreachable(&e.to_string()))?;
         let counted = Counted::new(stream, meter.cloned());
+        let heard = counted.heard();
         let handshake = h2::client::Builder::new()
             .initial_window_size(WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW)
             .handshake(counted);
-        let (sender, connection) = match tokio::time::timeout(CONNECT, handshake).await {
+        let (sender, mut connection) = match tokio::time::timeout(CONNECT, handshake).await {
             Ok(pair) => pair.map_err(|e| self.unreachable(&e.to_string()))?,
             Err(_) => return Err(self.unreachable("no handshake in time")),
         };
-        tokio::spawn(connection);
+        if let Some(pings) = connection.ping_pong() {
+            let (waiting, current) = (Arc::clone(&self.waiting), Arc::clone(&self.sender));
+            let silent_ms = Arc::clone(&self.silent_ms);
+            let watch = watch(pings, heard, waiting);
+            tokio::spawn(async move {
+                tokio::select! {
+                    // However it ended, the next call opens another one.
+                    _ = &mut connection => {}
+                    () = watch => {
+                        current.store(None);
+                        silent_ms.store(clock::unix_ms(), Ordering::Relaxed);
+                        metrics::counter!("jackdaw_silent_links_total").increment(1);
+                        // What is under way may still be answered, and ends with its own time.
+                        let _ = connection.await;
+                    }
+                }
+            });
+        }
         sender
             .ready()
             .await
@@ -212,6 +254,44 @@
     }
 }
 
+/// Counts a call that waits, until it is dropped.
+struct Waiting(Arc<AtomicU32>);
+
+impl Waiting {
+    fn begin(count: &Arc<AtomicU32>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Waits until the other end of a connection has gone silent.
+///
+/// Guards against a connection that is dead without a reset, or a frozen peer: calls that take it
+/// would wait for their whole time. It is asked only while calls wait and nothing was heard for a
+/// while, since a ping costs as much as a small call.
+async fn watch(mut pings: PingPong, heard: Arc<AtomicU64>, waiting: Arc<AtomicU32>) {
+    let mut looks = tokio::time::interval(QUIET);
+    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        looks.tick().await;
+        let quiet_ms = clock::unix_ms().saturating_sub(heard.load(Ordering::Relaxed));
+        if waiting.load(Ordering::Relaxed) == 0 || quiet_ms < Millis::from(QUIET).0 {
+            continue;
+        }
+        let pong = tokio::time::timeout(PONG, pings.ping(Ping::opaque())).await;
+        let heard_ms = clock::unix_ms().saturating_sub(heard.load(Ordering::Relaxed));
+        if !matches!(pong, Ok(Ok(_))) && heard_ms >= Millis::from(PONG).0 {
+            return;
+        }
+    }
+}
+
 /// Flow-control window of a stream, in bytes.
 pub const WINDOW: u32 = 64 << 10;
 /// Flow-control window of a connection, in bytes.
@@ -334,6 +414,8 @@
 pub struct Counted {
     stream: TcpStream,
     meter: Option<Arc<Meter>>,
+    /// When bytes came last, in milliseconds since 1970.
+    heard: Arc<AtomicU64>,
     /// Set once the connection turns out to carry calls, which are not control.
     calls: Arc<AtomicBool>,
 }
@@ -345,10 +427,17 @@
         Self {
             stream,
             meter,
+            heard: Arc::new(AtomicU64::new(clock::unix_ms())),
             calls: Arc::default(),
         }
     }
 
+    /// When bytes came last, in milliseconds since 1970.
+    #[must_use]
+    pub fn heard(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.heard)
+    }
+
     /// A switch that ends the counting.
     #[must_use]
     pub fn calls(&self) -> Arc<AtomicBool> {
@@ -370,6 +459,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.heard.store(clock::unix_ms(), Ordering::Relaxed);
+        }
         if let Some(meter) = self.counting() {
             meter.received(buf.filled().len() - before);
         }
--- a/src/pick.rs
+++ b/src/pick.rs
@@ -28,6 +28,8 @@
 const FIRST_SHARE: f64 = 0.1;
 /// Largest part by which a cost is raised at random: about the error of what is known.
 const SPREAD: f64 = 0.2;
+/// Time for which an upstream that can't be reached is left alone.
+const ABSENCE: Duration = Duration::from_millis(500);
 /// Doublings after which an ejection grows no longer.
 const MAX_DOUBLINGS: u32 = 5;
 
@@ -168,6 +170,14 @@
         };
     }
 
+    /// Notes that it could not be reached: it is left alone for a moment at once, since every other
+    /// request would find out as slowly.
+    pub fn absent(&mut self, now: Instant) {
+        if !self.ejected(now) {
+            self.out_until = Some(now + ABSENCE);
+        }
+    }
+
     /// Notes a failure; `out` of `total` upstreams of the group are ejected already.
     pub fn failed(&mut self, now: Instant, rule: &Ejection, out: usize, total: usize) {
         self.failures += 1;
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -187,7 +187,9 @@
             load: own.max(self.reported.load(Ordering::Relaxed)),
             slots: group.slots.map_or(slots, |bound| slots.min(bound.0)),
             share: pick::share(age, group.slow_start_ms.duration()),
-            ejected: self.suspect.load(Ordering::Relaxed) || self.ejected(now),
+            ejected: self.suspect.load(Ordering::Relaxed)
+                || self.ejected(now)
+                || self.link.is_silent(),
         }
     }
 
@@ -250,6 +252,12 @@
             .succeeded();
     }
 
+    /// Notes that it could not be reached.
+    pub fn absent(&self, now: Instant) {
+        let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
+        evidence.absent(now);
+    }
+
     /// Notes a failure; `out` of `total` upstreams of its group are ejected.
     pub fn failed(&self, now: Instant, rule: &Ejection, out: usize, total: usize) {
         let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
--- a/trial/tests/calls.rs
+++ b/trial/tests/calls.rs
@@ -154,6 +154,41 @@
     }
 }
 
+/// The daemon beside one of three targets is frozen: its host still takes connections, and nothing
+/// is ever answered on them. Reads that are sent there wait for half of their time each, again and
+/// again until the membership has dropped it. The silence has to be noticed on the link itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_gate_is_noticed_by_silence() {
+    let slow_to_suspect = ["--probe-period-ms", "20000", "--suspicion-ms", "60000"];
+    let mut fleet = fleet(&slow_to_suspect).await;
+    fleet.add(&places(3, 1)).await;
+    let version = fleet.put(0, document(1)).await;
+    assert!(fleet.converges(version, PATIENCE).await);
+    assert!(fleet.offers(3, PATIENCE).await);
+    for _ in 0..12 {
+        let answer = call(fleet.hosts[0].calls(), Method::GET, "/titles", "t").await;
+        assert_eq!(answer.expect("whole").status, StatusCode::OK);
+    }
+    fleet.hosts[2]
+        .daemon
+        .as_ref()
+        .expect("it runs")
+        .signal(Signal::STOP);
+    let mut slow = 0;
+    for _ in 0..40 {
+        let began = Instant::now();
+        let answer = call(fleet.hosts[0].calls(), Method::GET, "/titles", "t").await;
+        assert_eq!(answer.expect("whole").status, StatusCode::OK);
+        slow += u32::from(began.elapsed() > Duration::from_millis(500));
+    }
+    fleet.hosts[2]
+        .daemon
+        .as_ref()
+        .expect("it runs")
+        .signal(Signal::CONT);
+    assert!(slow <= 2, "{slow} of 40 reads waited for a frozen gate");
+}
+
 /// A target answers after the time-out of its request, while the next request is on its way. The
 /// late answer must not be taken for the next one's.
 #[tokio::test(flavor = "multi_thread")]
