Explain failed requests in the log; bound its lines; tend the metrics

Cause: a refused or failed request left no line but at debug level, on standard error; samples of histograms piled up for as long as nobody asked for the metrics. Change: a line for each failed attempt, refusal and lost or regained source on standard output, at most 40 a second, the rest counted; metrics are tended every 5 s.

--- a/src/board.rs
+++ b/src/board.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::dialect::Dialect;
 use crate::document::Document;
+use crate::lines::Throttle;
 use crate::member::{Offer, Stage};
 use crate::roster::Roster;
 use crate::route::Table;
@@ -25,6 +26,10 @@
 use crate::units::{Instance, Millis, Slots, Version};
 use crate::wire::Digest;
 
+/// Lines a second that requests may cause: at some 20 microseconds each they stay under a
+/// thousandth of a core.
+const LINES: u32 = 40;
+
 /// The configuration of one version, compiled for the path of a request.
 #[derive(Debug)]
 pub struct Snapshot {
@@ -91,6 +96,8 @@
     pub settings: Settings,
     /// Where events are written.
     pub logger: Logger,
+    /// Bounds the lines that requests cause.
+    pub lines: Throttle,
     /// How callers and targets spell their headers.
     pub dialect: Dialect,
     /// Control bytes.
@@ -114,6 +121,7 @@
             drain_ms: AtomicU64::new(settings.drain_ms.0),
             settings,
             logger,
+            lines: Throttle::new(LINES),
             dialect,
             meter: Meter::shared(),
             config: ArcSwap::from_pointee(Snapshot::compile(Version(0), Arc::default())),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::Parser;
+use metrics_exporter_prometheus::PrometheusHandle;
 use slog::{error, info};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
@@ -43,6 +45,9 @@
 /// Exit status when a second signal cut the stop short.
 pub const EXIT_CUT_SHORT: u8 = 3;
 
+/// Time between two looks after the metrics.
+const UPKEEP: Duration = Duration::from_secs(5);
+
 /// Runs the program `jackdawpulley` with the arguments of this process.
 ///
 /// Returns the exit status.
@@ -169,7 +174,7 @@
         ),
         gate: Arc::clone(&gate),
         keys: Arc::clone(&keys),
-        metrics: telemetry::metrics(),
+        metrics: recorder(),
     });
     let desk = Arc::new(Desk::new(Arc::clone(&board), Arc::clone(&membership)));
     let joiner = Joiner {
@@ -206,6 +211,22 @@
     stopping.run().await
 }
 
+/// The recorder of metrics, tended for as long as the daemon runs.
+///
+/// Guards against growth: samples of histograms are kept one by one until somebody asks for the
+/// metrics or they are tended.
+fn recorder() -> Option<PrometheusHandle> {
+    let handle = telemetry::metrics()?;
+    let tended = handle.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(UPKEEP).await;
+            tended.run_upkeep();
+        }
+    });
+    Some(handle)
+}
+
 /// Serves operators, the target, and whatever the adapter adds; its faces replace our own.
 async fn serve_faces(
     board: &Arc<Board>,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -11,7 +11,7 @@
 use http::{HeaderValue, Request, Response, header};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use slog::debug;
+use slog::{debug, info};
 use volo_http::body::Body;
 
 use crate::board::{Board, Snapshot};
@@ -28,7 +28,7 @@
 use crate::roster::Upstream;
 use crate::settings::Retries;
 use crate::stream::{Held, Incoming};
-use crate::units::{Service, Version};
+use crate::units::{Millis, Service, Version};
 use crate::wire::{self, Handover};
 
 /// Header that carries a [`Handover`] between daemons.
@@ -109,12 +109,36 @@
             .and_then(|v| v.to_str().ok())
             .unwrap_or("none")
             .to_owned();
+        let refused = headers.get(REASON).and_then(|v| v.to_str().ok());
+        if let Some(reason) = refused {
+            self.note_refusal(&id, reason, &config, began);
+        }
         metrics::counter!("jackdaw_calls_total", "outcome" => fate).increment(1);
         metrics::histogram!("jackdaw_call_seconds").record(began.elapsed().as_secs_f64());
         let (parts, body) = response.into_parts();
         Response::from_parts(parts, Held::wrap(body, in_flight))
     }
 
+    fn note_refusal(&self, id: &str, reason: &str, config: &Snapshot, began: Instant) {
+        if self.board.lines.admit(Instant::now()) {
+            info!(self.board.logger, "call refused"; "call" => id, "reason" => reason,
+                "version" => config.digest.version.0,
+                "after_ms" => Millis::from(began.elapsed()).0);
+        }
+    }
+
+    /// Notes an attempt that failed, with what decides whether there will be another one.
+    fn note_failure(&self, call: &Call, upstream: &Upstream, reason: Reason, goes_on: bool) {
+        if self.board.lines.admit(Instant::now()) {
+            let (own, reported) = upstream.load();
+            info!(self.board.logger, "attempt failed"; "call" => &call.handover.id,
+                "route" => &call.plan.route.name, "upstream" => %upstream.peer,
+                "reason" => %reason, "fate" => %reason.fate(), "made" => call.made,
+                "tried" => call.tried.len(), "left_ms" => Millis::from(call.left()).0,
+                "own" => own, "reported" => reported, "goes_on" => goes_on);
+        }
+    }
+
     /// The caller's own identifier, or a new one where identifiers are not the callers' alone.
     fn identify(&self, request: &Request<Body>) -> Option<String> {
         let dialect = &self.board.dialect;
@@ -188,17 +212,21 @@
                 call.handover.leaving.push(upstream.peer);
             }
             let full = reason == Reason::Overloaded && call.handover.key.is_none();
-            if reason.is_absence() || full {
-                // No target was burdened, so neither the rule's attempts nor the budget are
-                // touched; each upstream is asked only once.
-                refusals += u32::from(full);
-                if call.sendable() && !call.left().is_zero() && refusals < REFUSALS {
-                    continue;
-                }
+            // Where no target was burdened, neither the rule's attempts nor the budget are
+            // touched; each upstream is asked only once.
+            let free = reason.is_absence() || full;
+            refusals += u32::from(full);
+            let goes_on = if free {
+                call.sendable() && !call.left().is_zero() && refusals < REFUSALS
+            } else {
+                self.may_retry(rule, &call, reason)
+            };
+            self.note_failure(&call, &upstream, reason, goes_on);
+            if !goes_on {
                 break;
             }
-            if !self.may_retry(rule, &call, reason) {
-                break;
+            if free {
+                continue;
             }
             metrics::counter!("jackdaw_retries_total").increment(1);
             let fraction = rand::rng().random_range(0.0..1.0);
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use slog::debug;
+use slog::info;
 use volo_http::body::Body;
 
 use crate::board::{Board, InFlight, Target};
@@ -140,8 +140,15 @@
         let mut response = match result {
             Ok(response) => response,
             Err(reason) => {
-                debug!(self.board.logger, "call ended without answer";
-                    "call" => &id, "reason" => %reason);
+                if reason != Reason::Overloaded && self.board.lines.admit(Instant::now()) {
+                    let instance = self
+                        .board
+                        .target()
+                        .and_then(|target| target.instance.clone());
+                    info!(self.board.logger, "gate gave no answer"; "call" => &id,
+                        "reason" => %reason, "running" => self.load().0,
+                        "instance" => instance.map(|instance| instance.0));
+                }
                 outcome::refusal(&id, reason)
             }
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod keys;
 pub mod ledger;
 pub mod limit;
+pub mod lines;
 pub mod log;
 pub mod member;
 pub mod origin;
--- a/src/reader.rs
+++ b/src/reader.rs
@@ -87,6 +87,7 @@
     /// Reads for as long as the daemon runs.
     pub async fn run(self: Arc<Self>) {
         let mut rosters = self.board.rosters();
+        let mut lost = false;
         if matches!(self.source, Source::Origin(_)) {
             // Until then the joiner reads, for itself.
             let mut stages = self.board.stages();
@@ -103,10 +104,17 @@
                 Source::Origin(_) => FOLLOW_WAIT,
             };
             if let Err(error) = self.turn(wait).await {
-                debug!(self.board.logger, "reading the log failed"; "error" => %error);
+                if !std::mem::replace(&mut lost, true) {
+                    warn!(self.board.logger, "source lost"; "error" => %error,
+                        "version" => self.board.digest().version.0);
+                }
                 tokio::time::sleep(jitter(BACKOFF)).await;
                 continue;
             }
+            if std::mem::take(&mut lost) {
+                info!(self.board.logger, "source regained";
+                    "version" => self.board.digest().version.0);
+            }
             self.write_checkpoint().await;
         }
     }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -12,13 +12,13 @@
 /// Log lines that may wait to be written; more are dropped and counted by the drain.
 const LOG_QUEUE: usize = 4_096;
 
-/// A logger that writes to standard error without blocking its callers.
+/// A logger that writes to standard output without blocking its callers.
 pub fn logger(form: Logs, verbose: bool) -> Logger {
     let level = if verbose { Level::Debug } else { Level::Info };
     let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match form {
-        Logs::Json => Box::new(slog_json::Json::default(std::io::stderr()).fuse()),
+        Logs::Json => Box::new(slog_json::Json::default(std::io::stdout()).fuse()),
         Logs::Terminal => {
-            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let decorator = slog_term::TermDecorator::new().stdout().build();
             Box::new(slog_term::FullFormat::new(decorator).build().fuse())
         }
     };
--- a/trial/src/fleet.rs
+++ b/trial/src/fleet.rs
@@ -488,12 +488,13 @@
 
     fn spawn(&self, name: &str, args: &[&str]) -> Process {
         let path = self.logs.join(format!("{name}.log"));
-        let stderr = File::options().create(true).append(true).open(path);
+        let log = File::options().create(true).append(true).open(path).ok();
+        let copy = log.as_ref().and_then(|log| log.try_clone().ok());
         let child = Command::new(&self.program)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(stderr.map_or_else(|_| Stdio::null(), Stdio::from))
+            .stdout(log.map_or_else(Stdio::null, Stdio::from))
+            .stderr(copy.map_or_else(Stdio::null, Stdio::from))
             .spawn();
         Process {
             child: child.expect("the program can be started"),
