--- a/src/announce.rs
+++ b/src/announce.rs
@@ -28,8 +28,10 @@
 const MAX_BODY: usize = 4_096;
 /// Time for a target to tell its health; it is on the same host.
 const HEALTH: Duration = Duration::from_millis(400);
-/// Slots of a target that has answered but not announced itself: few, so that it is not buried.
-const UNTOLD_SLOTS: Slots = Slots(8);
+/// Slots of a target that has answered but not announced itself, where no peer remembers them: a
+/// usual size. A target queues or refuses by itself what it can't do, and that is no harm; with a
+/// small guess it would stand half idle after every daemon was killed, for an announcement's time.
+const UNTOLD_SLOTS: Slots = Slots(16);
 /// Lease of such a target: several times the usual time between two announcements.
 const UNTOLD_LEASE: Duration = Duration::from_secs(10);
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -150,7 +150,12 @@
     ));
     let membership = Membership::open(Arc::clone(&board), Arc::clone(&relay)).await?;
     let membership = Arc::new(membership);
-    let reader = Arc::new(Reader::new(Arc::clone(&board), Arc::clone(&store), source));
+    let reader = Arc::new(Reader::new(
+        Arc::clone(&board),
+        Arc::clone(&store),
+        source,
+        Arc::clone(&links),
+    ));
     let keys = Arc::new(Keys::new(
         Arc::clone(&board),
         Arc::clone(&links),
@@ -162,6 +167,7 @@
         gate: Arc::clone(&gate),
         keys: Arc::clone(&keys),
         relay: Arc::clone(&relay),
+        reader: Arc::clone(&reader),
         membership: Arc::clone(&membership),
     });
     let operator = Arc::new(Operator {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,6 +3,7 @@
 //! The entry chooses an upstream for a [`Call`], hands the request to its gate, and is the only
 //! layer that tries again.
 
+use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -47,6 +48,9 @@
 /// Gates that may refuse a request for lack of room before its caller is told: the first is the
 /// one that was thought to have most, so more of them would only cost time.
 const REFUSALS: u32 = 3;
+/// Times after which refused callers are told to be back, in seconds: a line of requests is worked
+/// off in less, and most callers have this much time left.
+const COME_BACK_S: Range<f64> = 0.15..0.5;
 /// Longest identifier of a call, in bytes.
 const MAX_ID: usize = 64;
 
@@ -104,6 +108,9 @@
             headers.insert(&self.board.dialect.call, id);
         }
         headers.remove(LOAD);
+        if self.board.dialect.fractions && headers.contains_key(header::RETRY_AFTER) {
+            headers.insert(header::RETRY_AFTER, come_back());
+        }
         headers.insert(VERSION, HeaderValue::from(config.digest.version.0));
         if self.board.stage() == Stage::Draining {
             // A planned stop ends a session after an answer, never within one.
@@ -425,6 +432,15 @@
     }
 }
 
+/// When a refused caller should be back, in seconds with a fraction.
+///
+/// Guards against callers that were refused together and come back together: each is told a time
+/// of its own.
+fn come_back() -> HeaderValue {
+    let seconds = rand::rng().random_range(COME_BACK_S);
+    HeaderValue::from_str(&format!("{seconds:.2}")).unwrap_or(HeaderValue::from_static("1"))
+}
+
 /// Hands a request to the gate of another host.
 async fn hand_over(upstream: &Upstream, part: Part) -> Result<Response<Body>, Reason> {
     let (mut parts, body) = part.request.into_parts();
--- a/src/join.rs
+++ b/src/join.rs
@@ -116,6 +116,9 @@
         let mut floor = Floor::default();
         let mut past = Past::default();
         let mut greeted = vec![self.board.settings.identity()];
+        greeted.extend(&self.board.settings.contacts);
+        let contacts = self.board.settings.contacts.clone();
+        self.greet_all(contacts, &mut floor, &mut past).await;
         let mut rosters = self.board.rosters();
         let mut stages = self.board.stages();
         let (sender, mut listed) = mpsc::channel(1);
--- a/src/reader.rs
+++ b/src/reader.rs
@@ -7,6 +7,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
+use rand::seq::IndexedRandom;
 use slog::{debug, info, warn};
 
 use crate::board::Board;
@@ -16,10 +18,11 @@
 use crate::log::{Log, Stream};
 use crate::member::Stage;
 use crate::origin::{Origin, Release};
+use crate::peer::Links;
 use crate::relay::{jitter, order};
 use crate::settings::Delivery;
 use crate::units::{Millis, Offset};
-use crate::wire::{Body, Update};
+use crate::wire::{self, Body, Pull, Reply, Update};
 
 /// Time that a read waits at the log for the first record.
 const WAIT: Millis = Millis(5_000);
@@ -28,6 +31,12 @@
 /// Short against the time in which a change has to be in force, since a connection that has gone
 /// silent shows only by the lack of an answer.
 const FOLLOW_WAIT: Millis = Millis(1_500);
+/// Path of a read for another daemon.
+pub const READ: &str = "/control/read";
+/// Time that such a read waits at the origin.
+const DELEGATED_WAIT: Millis = Millis(500);
+/// Longest pause before another daemon is asked to read.
+const DELEGATION: Duration = Duration::from_millis(200);
 /// Longest pause after a failed read.
 const BACKOFF: Duration = Duration::from_secs(1);
 /// Time between two looks at the duty.
@@ -59,6 +68,7 @@
     board: Arc<Board>,
     store: Arc<Store>,
     source: Source,
+    links: Arc<Links>,
     /// Where to read on in an origin; none before its newest version was read.
     next: Mutex<Option<Offset>>,
 }
@@ -75,11 +85,17 @@
 impl Reader {
     /// A reader of `source` into `store`.
     #[must_use]
-    pub const fn new(board: Arc<Board>, store: Arc<Store>, source: Source) -> Self {
+    pub const fn new(
+        board: Arc<Board>,
+        store: Arc<Store>,
+        source: Source,
+        links: Arc<Links>,
+    ) -> Self {
         Self {
             board,
             store,
             source,
+            links,
             next: Mutex::new(None),
         }
     }
@@ -108,7 +124,11 @@
                     warn!(self.board.logger, "source lost"; "error" => %error,
                         "version" => self.board.digest().version.0);
                 }
-                tokio::time::sleep(jitter(BACKOFF)).await;
+                if matches!(self.source, Source::Origin(_)) {
+                    self.delegate().await;
+                } else {
+                    tokio::time::sleep(jitter(BACKOFF)).await;
+                }
                 continue;
             }
             if std::mem::take(&mut lost) {
@@ -119,6 +139,44 @@
         }
     }
 
+    /// Has another daemon read in this one's place, once.
+    ///
+    /// Guards against a platform that turns away some hosts and serves the others: a reader among
+    /// them stays a member and keeps the duty, and its data centre would learn of no change.
+    async fn delegate(&self) {
+        tokio::time::sleep(jitter(DELEGATION)).await;
+        let roster = self.board.roster();
+        let me = self.board.settings.identity();
+        let others = roster.members.iter().map(|member| member.peer);
+        let others: Vec<SocketAddr> = others.filter(|peer| *peer != me).collect();
+        let Some(peer) = others.choose(&mut rand::rng()) else {
+            return;
+        };
+        let have = self.board.digest().version;
+        let asked = self.links.send(*peer, READ, &Pull { have }).await;
+        match asked {
+            Ok(Reply::Update(update)) => {
+                // A faulty one is refused here as from any peer, and logged there.
+                let _ = self.store.accept(*update);
+            }
+            Ok(_) => {}
+            Err(error) => debug!(self.board.logger, "delegated read failed"; "error" => %error),
+        }
+    }
+
+    /// Reads once for a daemon that the platform turns away, and answers with what is in force.
+    pub async fn read_for(&self, pull: &Pull) -> Bytes {
+        // With no success here either, what is in force may still be news to the asker.
+        if let Err(error) = self.turn(DELEGATED_WAIT).await {
+            debug!(self.board.logger, "read for another failed"; "error" => %error);
+        }
+        let digest = self.board.digest();
+        if digest.version <= pull.have {
+            return wire::encode(&Reply::Have(digest));
+        }
+        self.store.parcel(pull.have).reply
+    }
+
     /// Reads and folds one page; waits up to `wait` for its first record. Returns the log's head.
     ///
     /// # Errors
--- a/src/server.rs
+++ b/src/server.rs
@@ -19,6 +19,7 @@
 use crate::guard::{Keys, LEGACY, NOTE};
 use crate::peer::{CONNECTION_WINDOW, Counted, WINDOW, collect};
 use crate::probe::Membership;
+use crate::reader::{READ, Reader};
 use crate::relay::{PULL, PUSH, Relay};
 use crate::stream::{self, Incoming};
 use crate::wire::{self, Join, Legacy, Note, Pull, Reply};
@@ -41,6 +42,8 @@
     pub keys: Arc<Keys>,
     /// Takes and serves content.
     pub relay: Arc<Relay>,
+    /// Reads for those whom the platform turns away.
+    pub reader: Arc<Reader>,
     /// Lets joiners in.
     pub membership: Arc<Membership>,
 }
@@ -127,6 +130,7 @@
         match path {
             PUSH => Ok(wire::encode(&self.relay.take(wire::decode::<Reply>(body)?))),
             PULL => Ok(self.relay.serve(&wire::decode::<Pull>(body)?).await),
+            READ => Ok(self.reader.read_for(&wire::decode::<Pull>(body)?).await),
             JOIN => Ok(wire::encode(
                 &self.membership.welcome(&wire::decode::<Join>(body)?),
             )),
