Leave alone for half a second whoever says that it takes no calls

Change: such an answer keeps the upstream out for 0.5 s, as an unreachable one. Test: absent_one_is_left_alone.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -386,7 +386,9 @@
                 if reason.blames_upstream() || *reason == Reason::Shed {
                     upstream.pace().failed(now);
                 }
-                if *reason == Reason::Unreachable {
+                // Guards against the time that news of a leaving daemon or target take: until then
+                // every call would go there, be refused and go on to another.
+                if reason.is_absence() && *reason != Reason::Moved {
                     upstream.absent(now);
                 }
                 return reason.blames_upstream();
--- a/src/calls/pick.rs
+++ b/src/calls/pick.rs
@@ -28,7 +28,7 @@
 const FIRST_SHARE: f64 = 0.1;
 /// Largest part by which a cost is raised at random: about the error of what is known.
 const SPREAD: f64 = 0.2;
-/// Time for which an upstream that can't be reached is left alone.
+/// Time for which an upstream that is not there is left alone; the membership knows by then.
 const ABSENCE: Duration = Duration::from_millis(500);
 /// Doublings after which an ejection grows no longer.
 const MAX_DOUBLINGS: u32 = 5;
@@ -170,8 +170,8 @@
         };
     }
 
-    /// Notes that it could not be reached: it is left alone for a moment at once, since every other
-    /// request would find out as slowly.
+    /// Notes that it is not there, or takes no calls by its own word: it is left alone for a moment
+    /// at once, since every other request would find out the same way.
     pub fn absent(&mut self, now: Instant) {
         if !self.ejected(now) {
             self.out_until = Some(now + ABSENCE);
--- a/src/idempotency/keys.rs
+++ b/src/idempotency/keys.rs
@@ -5,7 +5,7 @@
 //! the holder is lost, its notes are with a survivor; whoever follows asks all survivors. A gate
 //! that cannot prove that nobody else ran the key does not run it.
 //!
-//! [`Memory`] and [`ownership`] are pure; [`Keys`](crate::guard::Keys) carries them out.
+//! [`Memory`] and [`ownership`] are pure; the gate carries them out.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -95,3 +95,15 @@
     evidence.failed(later, &rule, 0, 4);
     assert_eq!(evidence.out_until.expect("it is out") - later, 2 * first);
 }
+
+/// A daemon that stops says so to the first call, and news of it take a while to spread. The next
+/// calls must not all be sent there to hear the same; a moment later it is asked again.
+#[test]
+fn absent_one_is_left_alone() {
+    let now = Instant::now();
+    let mut evidence = Evidence::default();
+    evidence.absent(now);
+    assert!(evidence.ejected(now));
+    assert!(!evidence.ejected(now + Duration::from_secs(1)));
+    assert_eq!(evidence.ejections, 0, "it is not held against it");
+}
