--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -4,12 +4,12 @@
 //! layer that tries again.
 
 use std::ops::Range;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use futures_util::future::{Either, select};
-use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, header};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use slog::{debug, info};
@@ -18,27 +18,19 @@
 use crate::board::{Board, Snapshot};
 use crate::call::{Call, Part};
 use crate::document::{Ejection, Retry};
-use crate::error::Result;
-use crate::gate::{Gate, LOAD, Load};
+use crate::experience::Experience;
+use crate::gate::{Gate, LOAD};
+use crate::handover::hand_over;
 use crate::keys;
 use crate::member::Stage;
 use crate::outcome::{self, Fate, OUTCOME, REASON, Reason};
-use crate::pace::Typical;
-use crate::peer::Failure;
 use crate::pick::{self, Candidate, Cost};
 use crate::retry::{self, Budgets};
 use crate::roster::Upstream;
 use crate::settings::Retries;
-use crate::stream::{Held, Incoming};
+use crate::stream::Held;
 use crate::units::{Millis, Service, Version};
-use crate::wire::{self, Handover};
 
-/// Header that carries a [`Handover`] between daemons.
-pub const HANDOVER: &str = "x-jackdaw-handover";
-/// Header with the service of a call between daemons.
-const SERVICE: &str = "x-jackdaw-service";
-/// Header with the group of a call between daemons.
-const GROUP: &str = "x-jackdaw-group";
 /// Header with the version by which a call was routed.
 pub const VERSION: &str = "x-jackdaw-version";
 
@@ -61,9 +53,7 @@
     gate: Arc<Gate>,
     budgets: Budgets,
     calls: AtomicU64,
-    /// What the routes' requests usually need, sorted by the routes' names; held for a few
-    /// instructions.
-    typicals: Mutex<Vec<(String, Typical)>>,
+    experience: Experience,
 }
 
 /// What an attempt came to.
@@ -83,7 +73,7 @@
             gate,
             budgets,
             calls: AtomicU64::new(0),
-            typicals: Mutex::default(),
+            experience: Experience::default(),
         }
     }
 
@@ -274,7 +264,7 @@
     async fn race(&self, upstream: &Arc<Upstream>, call: &mut Call) -> Attempt {
         let rule = &Arc::clone(&call.plan).retry;
         let ejection = &Arc::clone(&call.group).ejection;
-        let typical = self.typical(&call.plan.route.name);
+        let typical = self.experience.typical(&call.plan.route.name);
         let work = Duration::from_secs_f64(typical.work_ms / 1_000.0);
         let mut first = Box::pin(self.attempt(upstream, call.part(work), ejection));
         let simple = self.board.settings.retries == Retries::Fixed;
@@ -327,7 +317,11 @@
             Err(_) => Err(Reason::TimedOut),
         };
         let attempt = result.map_or_else(Attempt::Failed, judge);
-        if self.learn(upstream, &attempt, began, &route) {
+        let seen = match &attempt {
+            Attempt::Answered(response) => Ok(response),
+            Attempt::Failed(reason) => Err(*reason),
+        };
+        if self.experience.learn(upstream, seen, began, &route) {
             let roster = self.board.roster();
             let upstreams = roster.upstreams(&service);
             let now = Instant::now();
@@ -362,7 +356,7 @@
         let mut rng = SmallRng::from_rng(&mut rand::rng());
         let settings = &self.board.settings;
         if settings.pick == pick::Policy::Expected {
-            let typical = self.typical(&call.plan.route.name);
+            let typical = self.experience.typical(&call.plan.route.name);
             let far_ms = settings.far_ms_per_kb;
             let costs = fresh.iter().map(|u| u.cost(group, &typical, far_ms, now));
             let costs: Vec<Cost> = costs.collect();
@@ -376,62 +370,6 @@
         let index = pick::choose(settings.pick, &candidates, &mut rng)?;
         Some(Arc::clone(fresh[index]))
     }
-
-    /// Takes an attempt as evidence on its upstream; whether it speaks against it.
-    fn learn(&self, upstream: &Upstream, attempt: &Attempt, began: Instant, route: &str) -> bool {
-        let now = Instant::now();
-        let response = match attempt {
-            Attempt::Answered(response) => response,
-            Attempt::Failed(reason) => {
-                if reason.blames_upstream() || *reason == Reason::Shed {
-                    upstream.pace().failed(now);
-                }
-                // Guards against the time that news of a leaving daemon or target take: until then
-                // every call would go there, be refused and go on to another.
-                if reason.is_absence() && *reason != Reason::Moved {
-                    upstream.absent(now);
-                }
-                return reason.blames_upstream();
-            }
-        };
-        let load = response.headers().get(LOAD).and_then(|v| v.to_str().ok());
-        let load = load.and_then(|text| text.parse::<Load>().ok());
-        if let Some(load) = load {
-            upstream.report(now, load.in_flight);
-        }
-        let failed = response.status().is_server_error();
-        if failed {
-            upstream.pace().failed(now);
-        } else {
-            upstream.succeeded();
-            let waited = load.unwrap_or_default().waited.duration();
-            let work = now.saturating_duration_since(began).saturating_sub(waited);
-            let bytes = response.headers().get(header::CONTENT_LENGTH);
-            let bytes = bytes.and_then(|v| v.to_str().ok()?.parse().ok());
-            let factor = upstream.pace().factor(now);
-            let typical = self.learn_typical(route, work, factor, bytes.unwrap_or(0));
-            upstream.pace().answered(now, work, &typical);
-        }
-        failed
-    }
-
-    fn typical(&self, route: &str) -> Typical {
-        let typicals = self.typicals.lock().unwrap_or_else(PoisonError::into_inner);
-        let found = typicals.binary_search_by(|(name, _)| name.as_str().cmp(route));
-        found.map_or_else(|_| Typical::default(), |index| typicals[index].1)
-    }
-
-    fn learn_typical(&self, route: &str, work: Duration, factor: f64, bytes: usize) -> Typical {
-        let mut typicals = self.typicals.lock().unwrap_or_else(PoisonError::into_inner);
-        let found = typicals.binary_search_by(|(name, _)| name.as_str().cmp(route));
-        let index = found.unwrap_or_else(|index| {
-            typicals.insert(index, (route.to_owned(), Typical::default()));
-            index
-        });
-        let typical = &mut typicals[index].1;
-        typical.learn(work, factor, bytes);
-        *typical
-    }
 }
 
 /// When a refused caller should be back, in seconds with a fraction.
@@ -443,73 +381,6 @@
     HeaderValue::from_str(&format!("{seconds:.2}")).unwrap_or(HeaderValue::from_static("1"))
 }
 
-/// Hands a request to the gate of another host.
-async fn hand_over(upstream: &Upstream, part: Part) -> Result<Response<Body>, Reason> {
-    let (mut parts, body) = part.request.into_parts();
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let uri = format!("http://{}{path}", upstream.peer);
-    let mut request = Request::builder().method(parts.method).uri(uri);
-    if let Some(headers) = request.headers_mut() {
-        std::mem::swap(headers, &mut parts.headers);
-        write_handover(headers, part.handover);
-    }
-    let request = request.body(()).map_err(|_| Reason::Unreachable)?;
-    let response = upstream
-        .link
-        .call(request, body)
-        .await
-        .map_err(|failure| match failure {
-            Failure::Unsent => Reason::Unreachable,
-            Failure::Broken => Reason::Broken,
-        })?;
-    let (parts, stream) = response.into_parts();
-    Ok(Response::from_parts(
-        parts,
-        Incoming::new(stream).into_body(),
-    ))
-}
-
-/// Writes what the gate needs to know.
-///
-/// Names that are the same for many calls go in headers of their own, which the connection's
-/// table of headers shrinks to a byte each.
-fn write_handover(headers: &mut HeaderMap, mut handover: Handover) {
-    let names = [
-        (SERVICE, &mut handover.service.0),
-        (GROUP, &mut handover.group),
-    ];
-    for (header, name) in names {
-        // A name that no header can carry stays where it is.
-        if let Ok(value) = HeaderValue::from_str(name) {
-            headers.insert(header, value);
-            name.clear();
-        }
-    }
-    let text = wire::to_header(&handover);
-    let value = HeaderValue::from_str(&text).expect("base64 is a header value");
-    headers.insert(HANDOVER, value);
-}
-
-/// Takes what the gate needs to know out of the headers of a call.
-///
-/// # Errors
-///
-/// [`Error::Frame`] when it does not decode.
-pub fn read_handover(headers: &mut HeaderMap) -> Result<Handover> {
-    let mut take = |name| {
-        let value: Option<HeaderValue> = headers.remove(name);
-        value.and_then(|value| value.to_str().ok().map(str::to_owned))
-    };
-    let mut handover: Handover = wire::from_header(&take(HANDOVER).unwrap_or_default())?;
-    if let Some(service) = take(SERVICE) {
-        handover.service = Service(service);
-    }
-    if let Some(group) = take(GROUP) {
-        handover.group = group;
-    }
-    Ok(handover)
-}
-
 /// Reads a gate's answer: the target's own, or a reason.
 fn judge(response: Response<Body>) -> Attempt {
     let text = |name| {
--- /dev/null
+++ b/src/calls/experience.rs
@@ -0,0 +1,91 @@
+//! What an entry learns from answers, for choosing upstreams.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use http::{Response, header};
+use volo_http::body::Body;
+
+use crate::gate::{LOAD, Load};
+use crate::outcome::Reason;
+use crate::pace::Typical;
+use crate::roster::Upstream;
+
+/// Routes that are remembered at most: far more than a document's busy ones.
+const MOST: usize = 1_024;
+
+/// What the routes' requests usually need.
+#[derive(Debug, Default)]
+pub struct Experience {
+    /// Sorted by the routes' names; held for a few instructions.
+    typicals: Mutex<Vec<(String, Typical)>>,
+}
+
+impl Experience {
+    /// Takes an attempt as evidence on its upstream; whether it speaks against it.
+    pub fn learn(
+        &self,
+        upstream: &Upstream,
+        attempt: Result<&Response<Body>, Reason>,
+        began: Instant,
+        route: &str,
+    ) -> bool {
+        let now = Instant::now();
+        let response = match attempt {
+            Ok(response) => response,
+            Err(reason) => {
+                if reason.blames_upstream() || reason == Reason::Shed {
+                    upstream.pace().failed(now);
+                }
+                // Guards against the time that news of a leaving daemon or target take: until then
+                // every call would go there, be refused and go on to another.
+                if reason.is_absence() && reason != Reason::Moved {
+                    upstream.absent(now);
+                }
+                return reason.blames_upstream();
+            }
+        };
+        let load = response.headers().get(LOAD).and_then(|v| v.to_str().ok());
+        let load = load.and_then(|text| text.parse::<Load>().ok());
+        if let Some(load) = load {
+            upstream.report(now, load.in_flight);
+        }
+        let failed = response.status().is_server_error();
+        if failed {
+            upstream.pace().failed(now);
+        } else {
+            upstream.succeeded();
+            let waited = load.unwrap_or_default().waited.duration();
+            let work = now.saturating_duration_since(began).saturating_sub(waited);
+            let bytes = response.headers().get(header::CONTENT_LENGTH);
+            let bytes = bytes.and_then(|v| v.to_str().ok()?.parse().ok());
+            let factor = upstream.pace().factor(now);
+            let typical = self.learn_typical(route, work, factor, bytes.unwrap_or(0));
+            upstream.pace().answered(now, work, &typical);
+        }
+        failed
+    }
+
+    /// What the requests of a route usually need.
+    pub fn typical(&self, route: &str) -> Typical {
+        let typicals = self.typicals.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = typicals.binary_search_by(|(name, _)| name.as_str().cmp(route));
+        found.map_or_else(|_| Typical::default(), |index| typicals[index].1)
+    }
+
+    fn learn_typical(&self, route: &str, work: Duration, factor: f64, bytes: usize) -> Typical {
+        let mut typicals = self.typicals.lock().unwrap_or_else(PoisonError::into_inner);
+        if typicals.len() == MOST {
+            // Routes that are gone are not told apart; the others are learnt again in a moment.
+            typicals.clear();
+        }
+        let found = typicals.binary_search_by(|(name, _)| name.as_str().cmp(route));
+        let index = found.unwrap_or_else(|index| {
+            typicals.insert(index, (route.to_owned(), Typical::default()));
+            index
+        });
+        let typical = &mut typicals[index].1;
+        typical.learn(work, factor, bytes);
+        *typical
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,7 +68,7 @@
 pub use membership::{announce, member, target, view};
 pub use operation::ctl;
 
-use calls::{call, dispatch, entry, gate, http_server, line, stream};
+use calls::{call, dispatch, entry, experience, gate, handover, http_server, line, stream};
 use configuration::{config, publish, reader, relay};
 use idempotency::{claim, guard, replay};
 use membership::{join, probe, roster};
--- a/src/server.rs
+++ b/src/server.rs
@@ -13,10 +13,10 @@
 use volo_http::body::Body;
 
 use crate::board::Board;
-use crate::entry::{HANDOVER, read_handover};
 use crate::error::{Error, FrameSnafu, ListenSnafu, Result};
 use crate::gate::Gate;
 use crate::guard::{Keys, LEGACY, NOTE};
+use crate::handover::{HANDOVER, read_handover};
 use crate::peer::{CONNECTION_WINDOW, Counted, WINDOW, collect};
 use crate::probe::Membership;
 use crate::reader::{READ, Reader};
