Take only networks that are free for a trial's fleet

Cause: seven daemons and targets of a test run that was killed at 20:16 lived on, and two later runs drew their networks: frozen_gate_does_not_run_late met one that did not know a new field, and starting_draining_and_gone_daemons_answer_plainly could not listen (its daemon's log: five addresses in use). The processes were ended by id. Change: a network is taken only when the addresses of its first hosts are free too.

--- a/trial/src/fleet.rs
+++ b/trial/src/fleet.rs
@@ -552,8 +552,16 @@
         let count = NETWORKS.fetch_add(1, Ordering::Relaxed);
         let candidate = std::process::id().wrapping_mul(7).wrapping_add(count) % 200 + 20;
         let network = u8::try_from(candidate).expect("below 220");
-        let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, network, 0, 1)), LOG);
-        if TcpListener::bind(address).is_ok() {
+        // Guards against daemons that a killed run has left behind: they would answer in the place
+        // of this run's own, which could not listen.
+        let ports = [(0, LOG), (1, PEER), (1, WORK), (9, LOG)];
+        let free = ports.iter().all(|(rack, port)| {
+            (1..=3).all(|host| {
+                let ip = IpAddr::V4(Ipv4Addr::new(127, network, *rack, host));
+                TcpListener::bind(SocketAddr::new(ip, *port)).is_ok()
+            })
+        });
+        if free {
             return network;
         }
     }
