Look at the target's port as well before a network is taken

reader_dies_with_the_log failed once for the same cause as the two before: a daemon left behind on 127.199 had not ended yet (its log: two addresses in use).

--- a/trial/src/fleet.rs
+++ b/trial/src/fleet.rs
@@ -554,7 +554,7 @@
         let network = u8::try_from(candidate).expect("below 220");
         // Guards against daemons that a killed run has left behind: they would answer in the place
         // of this run's own, which could not listen.
-        let ports = [(0, LOG), (1, PEER), (1, WORK), (9, LOG)];
+        let ports = [(0, LOG), (1, PEER), (1, TARGET), (1, WORK), (9, LOG)];
         let free = ports.iter().all(|(rack, port)| {
             (1..=3).all(|host| {
                 let ip = IpAddr::V4(Ipv4Addr::new(127, network, *rack, host));
