Take a slow answer of the store while it makes progress; drop what nobody used

Ruled out: the store, which answered others. Change: the time-out bounds the silence before and within an answer, not the whole of it. Test: slow_answer_is_taken_whole. Also: a caller's own header can't pass for a daemon's; running requests are bounded by a target's connections; an unused field and an unused refusal of announcements are gone.

--- a/src/calls/gate.rs
+++ b/src/calls/gate.rs
@@ -210,10 +210,12 @@
         let slots = self.board.target().map_or(1, |target| target.slots.0);
         let config = self.board.config();
         match config.document.group(&handover.group) {
-            Some(group) => (
-                group.slots.map_or(slots, |bound| slots.min(bound.0)),
-                group.queue,
-            ),
+            Some(group) => {
+                let bound = group.slots.map_or(slots, |bound| slots.min(bound.0));
+                // Each running request has a connection of its own.
+                let bound = group.connections.map_or(bound, |most| bound.min(most));
+                (bound, group.queue)
+            }
             None => (slots, slots),
         }
     }
--- a/src/calls/handover.rs
+++ b/src/calls/handover.rs
@@ -60,6 +60,8 @@
         (GROUP, &mut handover.group),
     ];
     for (header, name) in names {
+        // What a caller may have sent under this name must not be taken for ours.
+        headers.remove(header);
         // A name that no header can carry stays where it is.
         if let Ok(value) = HeaderValue::from_str(name) {
             headers.insert(header, value);
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use volo_http::body::BodyConversion;
+use http_body_util::BodyExt;
 
 /// Time to open a connection.
 const CONNECT: Duration = Duration::from_secs(1);
+/// Time without a further part of an answer after which it is given up.
+const PROGRESS: Duration = Duration::from_secs(1);
 /// Time after which an idle connection is not used again.
 const IDLE: Duration = Duration::from_secs(2);
 
@@ -45,7 +47,8 @@
         }
     }
 
-    /// Sends a request and collects its whole answer within `patience`.
+    /// Sends a request, waits up to `patience` for its answer to begin, and collects it while it
+    /// makes progress.
     ///
     /// # Errors
     ///
@@ -58,19 +61,32 @@
         body: Vec<u8>,
         patience: Duration,
     ) -> Result<(StatusCode, Vec<u8>), String> {
-        let exchange = async {
+        let asking = async {
             let request = self
                 .inner
                 .request(method, format!("http://{address}{path}"));
             let sent = request.data(body).send::<volo_http::body::Body>().await;
-            let response = sent.map_err(|error| chain(&error))?;
-            let status = response.status();
-            let body = response.into_body().into_vec().await;
-            Ok((status, body.map_err(|error| chain(&error))?))
+            sent.map_err(|error| chain(&error))
         };
-        match tokio::time::timeout(patience, exchange).await {
-            Ok(answer) => answer,
-            Err(_) => Err(format!("no answer within {} ms", patience.as_millis())),
+        let response = match tokio::time::timeout(patience, asking).await {
+            Ok(response) => response?,
+            Err(_) => return Err(format!("no answer within {} ms", patience.as_millis())),
+        };
+        let status = response.status();
+        let mut body = response.into_body();
+        let mut bytes = Vec::new();
+        // Guards against a large answer over a slow link: it takes longer than any answer should
+        // be waited for, and asked for again and again it would never come. As long as parts of
+        // it come, it is on its way.
+        loop {
+            let frame = match tokio::time::timeout(PROGRESS, body.frame()).await {
+                Ok(Some(frame)) => frame.map_err(|error| chain(error.as_ref()))?,
+                Ok(None) => return Ok((status, bytes)),
+                Err(_) => return Err(format!("the answer stopped after {} bytes", bytes.len())),
+            };
+            if let Some(data) = frame.data_ref() {
+                bytes.extend_from_slice(data);
+            }
         }
     }
 }
--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -75,14 +75,9 @@
     lives: Mutex<Lives>,
 }
 
-/// Why an announcement was not taken.
+/// Why an announcement was not taken: it contradicts itself, and the text names the remedy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// It contradicts itself; the text names the remedy.
-    Faulty(&'static str),
-    /// The daemon is about to stop: the target has to announce itself to the next one.
-    Draining,
-}
+pub struct Faulty(pub &'static str);
 
 impl Desk {
     /// A desk that writes the target on `board`.
@@ -122,8 +117,8 @@
     ///
     /// # Errors
     ///
-    /// A [`Refusal`]: the target may announce itself again.
-    pub async fn beat(&self, beat: Beat) -> Result<(), Refusal> {
+    /// [`Faulty`], and nothing is changed by it.
+    pub async fn beat(&self, beat: Beat) -> Result<(), Faulty> {
         let announcement = Announcement {
             service: beat.service.clone(),
             address: beat.address,
@@ -131,7 +126,7 @@
             lease_ms: beat.lease,
         };
         if let Some(fault) = announcement.fault() {
-            return Err(Refusal::Faulty(fault));
+            return Err(Faulty(fault));
         }
         let (standing, contested, leaving) = {
             let mut lives = self.lives();
--- a/src/membership/target.rs
+++ b/src/membership/target.rs
@@ -36,8 +36,6 @@
     pub slots: Slots,
     /// Whether it is about to end and wants no new calls.
     pub leaving: bool,
-    /// Time for which it is still slow after its start.
-    pub warmup: Millis,
     /// Orders the announcements of one life.
     pub sequence: u64,
     /// Time until it has to announce itself again.
