--- a/trial/tests/calls.rs
+++ b/trial/tests/calls.rs
@@ -159,12 +159,13 @@
 /// again until the membership has dropped it. The silence has to be noticed on the link itself.
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_gate_is_noticed_by_silence() {
-    let slow_to_suspect = ["--probe-period-ms", "20000", "--suspicion-ms", "60000"];
+    let slow_to_suspect = ["--probe-period-ms", "3000", "--suspicion-ms", "60000"];
     let mut fleet = fleet(&slow_to_suspect).await;
     fleet.add(&places(3, 1)).await;
     let version = fleet.put(0, document(1)).await;
     assert!(fleet.converges(version, PATIENCE).await);
-    assert!(fleet.offers(3, PATIENCE).await);
+    // News of the targets travel with the slow probes.
+    assert!(fleet.offers(3, Duration::from_secs(30)).await);
     for _ in 0..12 {
         let answer = call(fleet.hosts[0].calls(), Method::GET, "/titles", "t").await;
         assert_eq!(answer.expect("whole").status, StatusCode::OK);
