--- a/src/board.rs
+++ b/src/board.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::dialect::Dialect;
 use crate::document::Document;
+use crate::exchange::Digest;
 use crate::lines::Throttle;
 use crate::member::{Offer, Stage};
 use crate::roster::Roster;
@@ -24,7 +25,6 @@
 use crate::settings::Settings;
 use crate::telemetry::Meter;
 use crate::units::{Instance, Millis, Slots, Version};
-use crate::wire::Digest;
 
 /// Lines a second that requests may cause. At about 50 microseconds each, as measured on a day of
 /// overload (27.5 s of processor time with them, 26.3 s without), they stay at 0.2 % of a core.
--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -5,19 +5,21 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, header, request};
+use http::{HeaderValue, Request, Response, header, request};
 use http_body_util::{BodyExt, Full, Limited};
 use volo_http::body::Body;
 
 use crate::board::Snapshot;
 use crate::dialect::Dialect;
 use crate::document::Group;
+use crate::handover::{Handover, write_handover};
 use crate::outcome::Reason;
 use crate::patience;
+use crate::peer::Failure;
+use crate::roster::Upstream;
 use crate::route::Plan;
-use crate::stream;
+use crate::stream::{self, Incoming};
 use crate::units::{CallKey, Millis};
-use crate::wire::Handover;
 
 /// Header with the caller's idempotency key.
 const KEY: &str = "idempotency-key";
@@ -205,6 +207,39 @@
     }
 }
 
+impl Part {
+    /// Hands a request to the gate of another host.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::Unreachable`] when the gate has provably not processed it, else [`Reason::Broken`].
+    pub async fn hand_over(self, upstream: &Upstream) -> Result<Response<Body>, Reason> {
+        let (mut parts, body) = self.request.into_parts();
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let uri = format!("http://{}{path}", upstream.peer);
+        let mut request = Request::builder().method(parts.method).uri(uri);
+        if let Some(headers) = request.headers_mut() {
+            std::mem::swap(headers, &mut parts.headers);
+            write_handover(headers, self.handover);
+        }
+        let request = request.body(()).map_err(|_| Reason::Unreachable)?;
+        let response =
+            upstream
+                .link
+                .call(request, body)
+                .await
+                .map_err(|failure| match failure {
+                    Failure::Unsent => Reason::Unreachable,
+                    Failure::Broken => Reason::Broken,
+                })?;
+        let (parts, stream) = response.into_parts();
+        Ok(Response::from_parts(
+            parts,
+            Incoming::new(stream).into_body(),
+        ))
+    }
+}
+
 impl Payload {
     async fn keep(
         body: Body,
--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -6,26 +6,21 @@
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use futures_util::future::{Either, select};
 use http::{HeaderValue, Request, Response, header};
-use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
+use rand::RngExt;
 use slog::{debug, info};
 use volo_http::body::Body;
 
 use crate::board::{Board, Snapshot};
 use crate::call::{Call, Part};
+use crate::choice::{Choice, Chooser};
 use crate::document::{Ejection, Retry};
-use crate::experience::Experience;
 use crate::gate::{Gate, LOAD};
-use crate::handover::hand_over;
-use crate::keys;
 use crate::member::Stage;
 use crate::outcome::{self, Fate, OUTCOME, REASON, Reason};
-use crate::pace::Typical;
-use crate::pick::{self, Candidate, Cost};
 use crate::refusal::Refusal;
 use crate::retry::{self, Budgets};
 use crate::roster::Upstream;
@@ -55,7 +50,7 @@
     gate: Arc<Gate>,
     budgets: Budgets,
     calls: AtomicU64,
-    experience: Experience,
+    chooser: Chooser,
 }
 
 /// What an attempt came to.
@@ -65,35 +60,18 @@
     Failed(Reason),
 }
 
-/// Who gets the next attempt.
-#[derive(Debug)]
-enum Choice {
-    Upstream(Arc<Upstream>),
-    /// Those that are left have said a moment ago that they have no room.
-    Full,
-    /// None is left.
-    Nobody,
-}
-
-impl Choice {
-    fn at(upstreams: &[&Arc<Upstream>], index: Option<usize>) -> Self {
-        index.map_or(Self::Nobody, |index| {
-            Self::Upstream(Arc::clone(upstreams[index]))
-        })
-    }
-}
-
 impl Entry {
     /// An entry that hands local work to `gate`.
     #[must_use]
     pub fn new(board: Arc<Board>, gate: Arc<Gate>) -> Self {
         let budgets = Budgets::new(board.settings.retry_reserve);
+        let chooser = Chooser::new(Arc::clone(&board));
         Self {
             board,
             gate,
             budgets,
             calls: AtomicU64::new(0),
-            experience: Experience::default(),
+            chooser,
         }
     }
 
@@ -212,7 +190,7 @@
         );
         let mut call = preparing.await?;
         if let Some(given) = call.given {
-            let before = self.experience.waited(&call.plan.route.name, given);
+            let before = self.chooser.experience.waited(&call.plan.route.name, given);
             call.waited(before);
         }
         Ok(call)
@@ -224,7 +202,7 @@
         budget.deposit_share(rule.budget);
         let mut refusals = 0;
         loop {
-            let upstream = match self.choose(&call) {
+            let upstream = match self.chooser.choose(&call) {
                 Choice::Upstream(upstream) => upstream,
                 Choice::Nobody => break,
                 Choice::Full => {
@@ -297,8 +275,8 @@
     async fn race(&self, upstream: &Arc<Upstream>, call: &mut Call) -> Attempt {
         let rule = &Arc::clone(&call.plan).retry;
         let ejection = &Arc::clone(&call.group).ejection;
-        let typical = self.experience.typical(&call.plan.route.name);
-        let needs = self.needs(upstream, &typical);
+        let typical = self.chooser.experience.typical(&call.plan.route.name);
+        let needs = self.chooser.needs(upstream, &typical);
         let mut first = Box::pin(self.attempt(upstream, call.part(needs), ejection));
         let simple = self.board.settings.retries == Retries::Fixed;
         // The first one counts as made once it has failed or has company.
@@ -310,14 +288,14 @@
             return attempt;
         }
         call.tried.push(upstream.peer);
-        let second = match self.choose(call) {
+        let second = match self.chooser.choose(call) {
             Choice::Upstream(second) if self.afford(rule, call) => second,
             _ => return first.await,
         };
         metrics::counter!("jackdaw_hedges_total").increment(1);
         call.tried.push(second.peer);
         call.made += 1;
-        let needs = self.needs(&second, &typical);
+        let needs = self.chooser.needs(&second, &typical);
         let second = Box::pin(self.attempt(&second, call.part(needs), ejection));
         let (earlier, other) = match select(first, second).await {
             Either::Left((Attempt::Failed(reason), other)) => (reason, Either::Left(other)),
@@ -344,7 +322,7 @@
             if upstream.peer == self.board.settings.identity() {
                 Ok(self.gate.run(part.handover, part.request).await)
             } else {
-                hand_over(upstream, part).await
+                part.hand_over(upstream).await
             }
         };
         let result = match tokio::time::timeout(left, exchange).await {
@@ -363,7 +341,7 @@
                 tolerance: tolerance.duration(),
             });
         }
-        if self.experience.learn(upstream, seen, began, &route) {
+        if self.chooser.experience.learn(upstream, seen, began, &route) {
             let roster = self.board.roster();
             let upstreams = roster.upstreams(&service);
             let now = Instant::now();
@@ -378,64 +356,6 @@
             failed @ Attempt::Failed(_) => failed,
         }
     }
-
-    /// What a request of a route takes at an upstream of ordinary pace, with the price of the way.
-    ///
-    /// Guards against paying for the way under a load that is too much everywhere: a request that
-    /// waits for a slot far away would displace one that is near, and nobody would be better off.
-    /// It takes what is free there, and waits only as long as the price of its way leaves time.
-    fn needs(&self, upstream: &Upstream, typical: &Typical) -> Duration {
-        let settings = &self.board.settings;
-        let far_ms = settings.far_ms_per_kb * f64::from(settings.far_wait.0) / 100.0;
-        typical.work() + upstream.way(typical, far_ms)
-    }
-
-    /// Chooses the upstream for the next attempt: by key where there is one, else by load.
-    fn choose(&self, call: &Call) -> Choice {
-        let roster = self.board.roster();
-        let upstreams = roster.upstreams(&call.handover.service);
-        let fresh: Vec<&Arc<Upstream>> = upstreams
-            .iter()
-            .filter(|upstream| !call.tried.contains(&upstream.peer))
-            .collect();
-        if let Some(key) = &call.handover.key {
-            let owner = fresh
-                .into_iter()
-                .max_by_key(|upstream| keys::rank(key, upstream.peer));
-            return owner.cloned().map_or(Choice::Nobody, Choice::Upstream);
-        }
-        let now = Instant::now();
-        let typical = self.experience.typical(&call.plan.route.name);
-        if fresh.is_empty() {
-            return Choice::Nobody;
-        }
-        let priority = call.handover.priority;
-        let mut open = fresh;
-        open.retain(|upstream| {
-            let tolerance = call.tolerance(self.needs(upstream, &typical));
-            !upstream.refuses(now, priority, tolerance)
-        });
-        let fresh = open;
-        if fresh.is_empty() {
-            return Choice::Full;
-        }
-        let group = &call.group;
-        let mut rng = SmallRng::from_rng(&mut rand::rng());
-        let settings = &self.board.settings;
-        if settings.pick == pick::Policy::Expected {
-            let far_ms = settings.far_ms_per_kb;
-            let costs = fresh.iter().map(|u| u.cost(group, &typical, far_ms, now));
-            let costs: Vec<Cost> = costs.collect();
-            let index = pick::cheapest(&costs, &mut rng);
-            return Choice::at(&fresh, index);
-        }
-        let candidates: Vec<Candidate> = fresh
-            .iter()
-            .map(|upstream| upstream.candidate(group, now))
-            .collect();
-        let index = pick::choose(settings.pick, &candidates, &mut rng);
-        Choice::at(&fresh, index)
-    }
 }
 
 /// When a refused caller should be back, in seconds with a fraction.
--- a/src/calls/handover.rs
+++ b/src/calls/handover.rs
@@ -4,17 +4,15 @@
 //! many calls go in headers of their own, which the connection's table of headers shrinks to a byte
 //! each; the rest is one short text.
 
-use http::{HeaderMap, HeaderValue, Request, Response};
-use volo_http::body::Body;
+use std::net::SocketAddr;
 
-use crate::call::Part;
+use http::{HeaderMap, HeaderValue};
+use serde::{Deserialize, Serialize};
+
+use crate::document::Guard;
 use crate::error::Result;
-use crate::outcome::Reason;
-use crate::peer::Failure;
-use crate::roster::Upstream;
-use crate::stream::Incoming;
-use crate::units::Service;
-use crate::wire::{self, Handover};
+use crate::units::{CallKey, Millis, Priority, Service};
+use crate::wire;
 
 /// Header that carries a [`Handover`].
 pub const HANDOVER: &str = "x-jackdaw-handover";
@@ -23,38 +21,33 @@
 /// Header with the upstream group of the route.
 const GROUP: &str = "x-jackdaw-group";
 
-/// Hands a request to the gate of another host.
-///
-/// # Errors
-///
-/// [`Reason::Unreachable`] when the gate has provably not processed it, else [`Reason::Broken`].
-pub async fn hand_over(upstream: &Upstream, part: Part) -> Result<Response<Body>, Reason> {
-    let (mut parts, body) = part.request.into_parts();
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let uri = format!("http://{}{path}", upstream.peer);
-    let mut request = Request::builder().method(parts.method).uri(uri);
-    if let Some(headers) = request.headers_mut() {
-        std::mem::swap(headers, &mut parts.headers);
-        write_handover(headers, part.handover);
-    }
-    let request = request.body(()).map_err(|_| Reason::Unreachable)?;
-    let response = upstream
-        .link
-        .call(request, body)
-        .await
-        .map_err(|failure| match failure {
-            Failure::Unsent => Reason::Unreachable,
-            Failure::Broken => Reason::Broken,
-        })?;
-    let (parts, stream) = response.into_parts();
-    Ok(Response::from_parts(
-        parts,
-        Incoming::new(stream).into_body(),
-    ))
+/// What a gate needs to know of a call, beside the HTTP request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// Identifier of the call.
+    pub id: String,
+    /// Service that is called.
+    pub service: Service,
+    /// Upstream group of the route.
+    pub group: String,
+    /// Its rank.
+    pub priority: Priority,
+    /// Time left until the answer's head is due.
+    pub remaining: Millis,
+    /// Longest wait for a slot with which it is still of use.
+    pub tolerance: Millis,
+    /// Whether running it twice does no harm.
+    pub repeatable: bool,
+    /// The caller's idempotency key.
+    pub key: Option<CallKey>,
+    /// What keeps the key from running twice.
+    pub guard: Guard,
+    /// Gates that have told the entry themselves that they take no more calls.
+    pub leaving: Vec<SocketAddr>,
 }
 
 /// Writes what the gate needs to know.
-fn write_handover(headers: &mut HeaderMap, mut handover: Handover) {
+pub fn write_handover(headers: &mut HeaderMap, mut handover: Handover) {
     let names = [
         (SERVICE, &mut handover.service.0),
         (GROUP, &mut handover.group),
@@ -68,9 +61,7 @@
             name.clear();
         }
     }
-    let text = wire::to_header(&handover);
-    let value = HeaderValue::from_str(&text).expect("base64 is a header value");
-    headers.insert(HANDOVER, value);
+    headers.insert(HANDOVER, wire::to_header(&handover));
 }
 
 /// Takes what the gate needs to know out of the headers of a call.
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -5,6 +5,7 @@
 //! [`outcome`]. How headers are spelt is a [`dialect`].
 
 pub mod dialect;
+pub mod handover;
 pub mod limit;
 pub mod lines;
 pub mod outcome;
@@ -15,12 +16,14 @@
 pub mod retry;
 pub mod route;
 
+pub(crate) mod answer;
 pub(crate) mod call;
+pub(crate) mod choice;
 pub(crate) mod dispatch;
 pub(crate) mod entry;
 pub(crate) mod experience;
 pub(crate) mod gate;
-pub(crate) mod handover;
 pub(crate) mod http_server;
 pub(crate) mod line;
 pub(crate) mod stream;
+pub(crate) mod work;
--- a/src/configuration/check.rs
+++ b/src/configuration/check.rs
@@ -3,11 +3,11 @@
 //! All faults are found in one pass, each with the path of the field and a remedy, so that an
 //! operator mends a document once.
 
-use std::fmt;
-
-use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
 
 use crate::document::{Bounds, Document, Group, Retry, Route};
+use crate::error::{DocumentSnafu, Error, Result};
+use crate::fault::Fault;
 
 /// Longest name of a resource, in bytes.
 pub const MAX_NAME: usize = 128;
@@ -20,20 +20,21 @@
 const MIN_HEAD: u32 = 8_192;
 const MAX_PERCENT: u8 = 100;
 
-/// One fault of a document.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Fault {
-    /// Where it is, as `routes[2].group`.
-    pub path: String,
-    /// What is wrong.
-    pub problem: String,
-    /// What to do about it.
-    pub remedy: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}; {}", self.path, self.problem, self.remedy)
+impl Document {
+    /// Reads and checks a document, and sorts its resources.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Document`] when the text has another shape, [`Error::Faults`] with every fault at
+    /// once when the document contradicts itself.
+    pub fn parse(text: &[u8]) -> Result<Self> {
+        let document: Self = serde_json::from_slice(text).context(DocumentSnafu)?;
+        let faults = self::document(&document);
+        if faults.is_empty() {
+            Ok(document.sorted())
+        } else {
+            Err(Error::Faults { faults })
+        }
     }
 }
 
--- a/src/configuration/config.rs
+++ b/src/configuration/config.rs
@@ -14,11 +14,12 @@
 use crate::delta::Delta;
 use crate::document::Document;
 use crate::error::{Error, Result};
+use crate::exchange::{Body, Digest, Reply, Update};
 use crate::fold::{Base, Checkpoint, Content, Edit, Fold, Proposal, Record, Verdict};
 use crate::log::Stored;
 use crate::settings::Delivery;
 use crate::units::{EditId, Offset, Version};
-use crate::wire::{self, Body, Digest, Reply, Update};
+use crate::wire;
 
 /// Earlier versions that deltas can start from.
 const HISTORY: usize = 16;
--- a/src/configuration/document.rs
+++ b/src/configuration/document.rs
@@ -5,12 +5,9 @@
 //! resources are sorted by name, and [`Document::hash`] is taken over that order.
 
 use serde::{Deserialize, Serialize};
-use snafu::ResultExt;
 use strum::{Display, EnumString, VariantNames};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::check;
-use crate::error::{DocumentSnafu, Error, Result};
 use crate::units::{Millis, Percent, Priority, Service, Slots};
 use crate::wire;
 
@@ -265,22 +262,6 @@
 }
 
 impl Document {
-    /// Reads and checks a document, and sorts its resources.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Document`] when the text has another shape, [`Error::Faults`] with every fault at
-    /// once when the document contradicts itself.
-    pub fn parse(text: &[u8]) -> Result<Self> {
-        let document: Self = serde_json::from_slice(text).context(DocumentSnafu)?;
-        let faults = check::document(&document);
-        if faults.is_empty() {
-            Ok(document.sorted())
-        } else {
-            Err(Error::Faults { faults })
-        }
-    }
-
     /// The same resources, sorted by name.
     #[must_use]
     pub fn sorted(mut self) -> Self {
--- /dev/null
+++ b/src/configuration/exchange.rs
@@ -0,0 +1,72 @@
+//! What daemons tell each other about the configuration.
+//!
+//! A [`Digest`] says what is in force; whoever is behind sends a [`Pull`] and gets a [`Reply`].
+
+use serde::{Deserialize, Serialize};
+
+use crate::delta::Delta;
+use crate::document::Document;
+use crate::units::{EditId, Millis, Version};
+
+/// What a daemon has in force, in the fewest bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Version in force.
+    pub version: Version,
+    /// Hash of its document.
+    pub hash: u64,
+}
+
+/// Content on its way to a daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// Version that it leads to.
+    pub version: Version,
+    /// The document.
+    pub body: Body,
+    /// Edits that were accepted on the way, oldest first.
+    pub accepted: Vec<Accepted>,
+}
+
+/// An edit that was accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Its identifier.
+    pub id: EditId,
+    /// Version that it got.
+    pub version: Version,
+}
+
+/// The document of an [`Update`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// The changes from a version that the receiver is thought to hold.
+    Delta {
+        /// Version they start from.
+        base: Version,
+        /// The changes.
+        delta: Delta,
+    },
+    /// The whole document.
+    Whole(Document),
+}
+
+/// Asks a peer for what it has in force.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Pull {
+    /// Version that the asker holds.
+    pub have: Version,
+}
+
+/// Answer to a push or a pull.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Reply {
+    /// The receiver holds this now.
+    Have(Digest),
+    /// The receiver needs another base: what it holds is named.
+    Need(Digest),
+    /// The content that was asked for.
+    Update(Box<Update>),
+    /// Too many transfers at once; ask again after the given time.
+    Busy(Millis),
+}
--- a/src/configuration/fold.rs
+++ b/src/configuration/fold.rs
@@ -21,11 +21,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::check::{self, Fault};
+use crate::check;
 use crate::delta::Delta;
 use crate::document::Document;
+use crate::exchange::Accepted;
+use crate::fault::Fault;
 use crate::units::{EditId, Offset, Version};
-use crate::wire::Accepted;
 
 /// Verdicts that a fold remembers, to answer a publisher who asks again.
 pub const RECENT_EDITS: usize = 256;
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -7,6 +7,8 @@
 pub mod check;
 pub mod delta;
 pub mod document;
+pub mod exchange;
+pub mod fault;
 pub mod floor;
 pub mod fold;
 pub mod log;
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -14,6 +14,7 @@
 use crate::board::Board;
 use crate::config::Store;
 use crate::error::{Error, Result};
+use crate::exchange::{Body, Pull, Reply, Update};
 use crate::fold::Record;
 use crate::log::{Log, Stream};
 use crate::member::Stage;
@@ -22,7 +23,7 @@
 use crate::relay::{jitter, order};
 use crate::settings::Delivery;
 use crate::units::{Millis, Offset};
-use crate::wire::{self, Body, Pull, Reply, Update};
+use crate::wire;
 
 /// Time that a read waits at the log for the first record.
 const WAIT: Millis = Millis(5_000);
--- a/src/configuration/relay.rs
+++ b/src/configuration/relay.rs
@@ -18,11 +18,12 @@
 use crate::board::Board;
 use crate::config::Store;
 use crate::error::Result;
+use crate::exchange::{Digest, Pull, Reply};
 use crate::member::{Health, Member};
 use crate::peer::Links;
 use crate::settings::Delivery;
 use crate::units::{DataCentre, Millis, Version};
-use crate::wire::{self, Digest, Pull, Reply};
+use crate::wire;
 
 /// Path of a pushed update.
 pub const PUSH: &str = "/control/push";
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -14,6 +14,7 @@
 use crate::announce::Desk;
 use crate::board::Board;
 use crate::config::Store;
+use crate::contacts::Contacts;
 use crate::document::Bounds;
 use crate::entry::Entry;
 use crate::error::{ListenSnafu, Result};
@@ -25,25 +26,24 @@
 use crate::log::Log;
 use crate::member::Stage;
 use crate::operator::Operator;
+use crate::origin::Origin;
 use crate::peer::Links;
+use crate::peer::server::Server;
 use crate::probe::Membership;
 use crate::publish::Publisher;
 use crate::reader::{Reader, Source};
 use crate::relay::Relay;
-use crate::server::Server;
 use crate::settings::Settings;
 use crate::stop::Stopping;
 use crate::telemetry;
 use crate::units::Millis;
 
-/// Exit status after a planned stop.
-pub const EXIT_STOPPED: u8 = 0;
+pub use crate::stop::{EXIT_CUT_SHORT, EXIT_STOPPED};
+
 /// Exit status when the daemon failed.
 pub const EXIT_FAILED: u8 = 1;
 /// Exit status when the settings are wrong.
 pub const EXIT_SETTINGS: u8 = 2;
-/// Exit status when a second signal cut the stop short.
-pub const EXIT_CUT_SHORT: u8 = 3;
 
 /// Time between two looks after the metrics.
 const UPKEEP: Duration = Duration::from_secs(5);
@@ -132,17 +132,7 @@
         board.settings.peer_addr.ip(),
         Arc::clone(&board.meter),
     ));
-    let (log_addr, meter) = (board.settings.log_addr, Arc::clone(&board.meter));
-    let (log, source) = match &origin {
-        None => {
-            let log = Log::new(log_addr, meter);
-            (log.clone(), Source::Log(log))
-        }
-        Some(origin) => (
-            Log::closed(log_addr, meter),
-            Source::Origin(Arc::clone(origin)),
-        ),
-    };
+    let (log, source) = sources(&board, origin.as_ref());
     let relay = Arc::new(Relay::new(
         Arc::clone(&board),
         Arc::clone(&store),
@@ -183,6 +173,12 @@
         metrics: recorder(),
     });
     let desk = Arc::new(Desk::new(Arc::clone(&board), Arc::clone(&membership)));
+    let contacts = Contacts {
+        board: Arc::clone(&board),
+        log,
+        links: Arc::clone(&links),
+        membership: Arc::clone(&membership),
+    };
     let joiner = Joiner {
         board: Arc::clone(&board),
         store,
@@ -191,7 +187,7 @@
         relay: Arc::clone(&relay),
         reader: Arc::clone(&reader),
         keys: Arc::clone(&keys),
-        log,
+        contacts,
         origin: origin.clone(),
         desk: Arc::clone(&desk),
     };
@@ -217,6 +213,21 @@
     stopping.run().await
 }
 
+/// The log, which stays closed where a platform keeps the configuration, and what readers read.
+fn sources(board: &Board, origin: Option<&Arc<dyn Origin>>) -> (Log, Source) {
+    let (address, meter) = (board.settings.log_addr, Arc::clone(&board.meter));
+    match origin {
+        None => {
+            let log = Log::new(address, meter);
+            (log.clone(), Source::Log(log))
+        }
+        Some(origin) => (
+            Log::closed(address, meter),
+            Source::Origin(Arc::clone(origin)),
+        ),
+    }
+}
+
 /// The recorder of metrics, tended for as long as the daemon runs.
 ///
 /// Guards against growth: samples of histograms are kept one by one until somebody asks for the
--- a/src/idempotency/guard.rs
+++ b/src/idempotency/guard.rs
@@ -13,17 +13,17 @@
 use crate::board::Board;
 use crate::claim::Claims;
 use crate::document::Guard;
-use crate::gate::{Gate, Received};
+use crate::gates::{self, Heritage};
 use crate::keys::{
     Answer, Handed, Holder, Memory, Own, Ownership, Peer, Standing, State, ownership, proven,
 };
+use crate::keys::{Legacy, Note, Noted, Taken};
 use crate::log::Log;
-use crate::member::{Health, Member, Stage};
 use crate::outcome::{Fate, Reason};
 use crate::peer::Links;
 use crate::replay::{keep, response};
 use crate::units::{CallKey, Millis, Service};
-use crate::wire::{Legacy, Note, Noted, Taken};
+use crate::work::{Received, Work};
 
 /// Path of a [`Note`].
 pub const NOTE: &str = "/control/note";
@@ -50,8 +50,7 @@
     closed: AtomicBool,
     /// Service of the keys.
     service: Mutex<Option<Service>>,
-    /// Gates that have handed everything over and have not been seen serving since.
-    inherited: Mutex<Vec<SocketAddr>>,
+    heritage: Heritage,
 }
 
 impl Keys {
@@ -71,7 +70,7 @@
             lived: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             service: Mutex::default(),
-            inherited: Mutex::default(),
+            heritage: Heritage::default(),
         }
     }
 
@@ -92,13 +91,8 @@
         if self.closed.load(Ordering::Acquire) {
             return None;
         }
-        // A gate that notes keys serves again, in another life.
-        let mut heirs = self
-            .inherited
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        heirs.retain(|gate| *gate != note.holder.gate);
-        drop(heirs);
+        // A gate that notes keys serves again.
+        self.heritage.serves_again(note.holder.gate);
         let known = self.memory().note(Instant::now(), &note.key, note.holder);
         let lived = self.lived.load(Ordering::Acquire);
         let age = Millis::from(self.born.elapsed());
@@ -114,7 +108,7 @@
         self: &Arc<Self>,
         key: CallKey,
         received: Received,
-        gate: &Arc<Gate>,
+        work: &Arc<Work>,
     ) -> Result<Response<Body>, Reason> {
         let service = received.service().clone();
         *self.service.lock().unwrap_or_else(PoisonError::into_inner) = Some(service);
@@ -138,11 +132,11 @@
             key: key.clone(),
             settled: false,
         };
-        let (keys, gate) = (Arc::clone(self), Arc::clone(gate));
+        let (keys, work) = (Arc::clone(self), Arc::clone(work));
         let task = tokio::spawn(async move {
             let result = match received.guard() {
-                Guard::Memory => keys.run_noted(&key, received, &gate).await,
-                Guard::Claim => keys.run_claimed(&key, received, &gate).await,
+                Guard::Memory => keys.run_noted(&key, received, &work).await,
+                Guard::Claim => keys.run_claimed(&key, received, &work).await,
             };
             run.settle(result).await
         });
@@ -153,17 +147,17 @@
         &self,
         key: &CallKey,
         received: Received,
-        gate: &Gate,
+        work: &Work,
     ) -> Result<Response<Body>, Reason> {
         self.prove(&received, key).await?;
-        gate.work(received).await
+        work.run(received).await
     }
 
     async fn run_claimed(
         &self,
         key: &CallKey,
         received: Received,
-        gate: &Gate,
+        work: &Work,
     ) -> Result<Response<Body>, Reason> {
         let claims = self.claims(received.service());
         let patience = received
@@ -174,7 +168,7 @@
         let claiming = claims.claim(key);
         let claim = tokio::time::timeout(patience, claiming).await;
         let claim = claim.unwrap_or(Err(Reason::LogAway))?;
-        let result = gate.work(received).await;
+        let result = work.run(received).await;
         if let Err(reason) = &result
             && reason.fate() == Fate::NotRun
         {
@@ -279,7 +273,7 @@
             match answer {
                 Ok(noted) => answers.push(noted),
                 // It has handed over what it knew, and this gate remembers it.
-                Err(_) if self.inherited_from(peer) => {}
+                Err(_) if self.heritage.covers(peer) => {}
                 Err(_) => return Err(Reason::KeyInDoubt),
             }
         }
@@ -335,65 +329,14 @@
         }
         drop(memory);
         if legacy.complete {
-            let mut heirs = self
-                .inherited
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            heirs.retain(|gate| *gate != legacy.from.gate);
-            heirs.push(legacy.from.gate);
+            self.heritage.took_over(legacy.from.gate);
         }
         Taken
     }
 
-    /// Whether a gate has handed everything over to this one, and does not serve again yet.
-    fn inherited_from(&self, gate: SocketAddr) -> bool {
-        let heirs = self
-            .inherited
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        heirs.contains(&gate)
-    }
-
-    /// The other gates of a service, those that were lost not long ago included. Those of `leaving`
-    /// have said so themselves, whatever the view still has.
     fn peers(&self, service: &Service, leaving: &[SocketAddr]) -> Vec<Peer> {
-        let now = Instant::now();
         let me = self.board.settings.identity();
-        let roster = self.board.roster();
-        let offers = |member: &Member| {
-            let offer = member.offer.as_ref();
-            offer.is_some_and(|offer| offer.service == *service) && member.peer != me
-        };
-        let live = roster
-            .members
-            .iter()
-            .filter(|member| offers(member))
-            .map(|member| {
-                let open = member.offer.as_ref().is_some_and(|offer| offer.open);
-                let serving =
-                    open && member.stage == Stage::Serving && !leaving.contains(&member.peer);
-                let standing = if serving {
-                    Standing::Serving
-                } else {
-                    Standing::Leaving
-                };
-                Peer {
-                    address: member.peer,
-                    standing,
-                }
-            });
-        let lost = roster
-            .gone
-            .iter()
-            .filter(|departed| offers(&departed.member) && departed.member.health == Health::Gone);
-        let lost = lost.map(|departed| {
-            let ago = now.saturating_duration_since(departed.since);
-            Peer {
-                address: departed.member.peer,
-                standing: Standing::Lost(ago),
-            }
-        });
-        live.chain(lost).collect()
+        gates::others(&self.board.roster(), service, me, leaving, Instant::now())
     }
 
     fn memory(&self) -> MutexGuard<'_, Memory> {
--- a/src/idempotency/keys.rs
+++ b/src/idempotency/keys.rs
@@ -17,7 +17,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::units::{CallKey, Millis};
-use crate::wire::Noted;
 
 /// Losses among the gates of a service that its notes survive.
 const LOSSES_SURVIVED: usize = 1;
@@ -64,6 +63,41 @@
     pub holder: Holder,
 }
 
+/// Asks a gate to note that a key is about to run elsewhere.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
+    /// The key, with its service.
+    pub key: CallKey,
+    /// Gate that wants to run it.
+    pub holder: Holder,
+}
+
+/// What a leaving gate remembers, for those who stay.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Legacy {
+    /// The gate that leaves.
+    pub from: Holder,
+    /// Its keys, or a part of them.
+    pub keys: Vec<Handed>,
+    /// Whether every part has been taken by all.
+    pub complete: bool,
+}
+
+/// Answer to a [`Legacy`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Taken;
+
+/// Answer to a [`Note`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Noted {
+    /// Whether the key may have run, here or at another gate.
+    pub known: bool,
+    /// Time for which the answerer has remembered keys.
+    pub age: Millis,
+    /// Whether its address belonged to a daemon before.
+    pub lived: bool,
+}
+
 #[derive(Debug)]
 struct Remembered {
     key: CallKey,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,19 +57,22 @@
 
 mod error;
 mod peer;
-mod server;
 mod stop;
 
-pub use calls::{dialect, limit, lines, outcome, pace, patience, pick, refusal, retry, route};
-pub use configuration::{check, delta, document, floor, fold, log, origin};
+pub use calls::{
+    dialect, handover, limit, lines, outcome, pace, patience, pick, refusal, retry, route,
+};
+pub use configuration::{check, delta, document, exchange, fault, floor, fold, log, origin};
 pub use document::Document;
 pub use error::{Error, Result};
 pub use idempotency::{keys, ledger};
-pub use membership::{announce, member, target, view};
+pub use membership::{announce, datagram, entries, member, target, view};
 pub use operation::ctl;
 
-use calls::{call, dispatch, entry, experience, gate, handover, http_server, line, stream};
+use calls::{
+    answer, call, choice, dispatch, entry, experience, gate, http_server, line, stream, work,
+};
 use configuration::{config, publish, reader, relay};
-use idempotency::{claim, guard, replay};
-use membership::{join, probe, roster};
-use operation::{operator, state, survey};
+use idempotency::{claim, gates, guard, replay};
+use membership::{contacts, join, probe, roster};
+use operation::{command, operator, state, survey};
--- /dev/null
+++ b/src/membership/datagram.rs
@@ -0,0 +1,70 @@
+//! What daemons tell each other about who is there.
+//!
+//! Probes and news travel as a [`Datagram`]; a newcomer asks with a [`Join`].
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::exchange::Digest;
+use crate::member::Member;
+use crate::units::{Slots, Version};
+
+/// A membership datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// Release of the protocol.
+    pub release: u8,
+    /// Sender's own entry.
+    pub from: Member,
+    /// What the sender has in force.
+    pub digest: Digest,
+    /// What it is about.
+    pub probe: Probe,
+    /// News about other members.
+    pub news: Vec<Member>,
+}
+
+/// Purpose of a datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Probe {
+    /// Asks for a [`Probe::Pong`] with the same number.
+    Ping {
+        /// Number of the probe.
+        seq: u64,
+    },
+    /// Answers a ping.
+    Pong {
+        /// Number of the probe.
+        seq: u64,
+    },
+    /// Asks a third daemon to probe `subject`.
+    Relay {
+        /// Number of the probe.
+        seq: u64,
+        /// Whom to probe.
+        subject: SocketAddr,
+    },
+    /// Carries news only.
+    News,
+}
+
+/// Asks to become a member.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Join {
+    /// The joiner's entry.
+    pub member: Member,
+}
+
+/// Answer to a [`Join`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Welcome {
+    /// The whole view.
+    pub members: Vec<Member>,
+    /// What the answerer has in force.
+    pub digest: Digest,
+    /// Highest version that the joiner's address is known to have run.
+    pub ran: Version,
+    /// Slots that a target offered last through the joiner's address.
+    pub slots: Option<Slots>,
+}
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -6,29 +6,26 @@
 
 use futures_util::future::{BoxFuture, join_all};
 use rand::seq::SliceRandom;
-use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
 use crate::announce::Desk;
 use crate::board::Board;
 use crate::config::Store;
+use crate::contacts::{Contacts, RENEWAL};
+use crate::datagram::{Join, Welcome};
 use crate::error::Result;
 use crate::floor::Floor;
 use crate::guard::Keys;
-use crate::log::{Log, Stream};
 use crate::member::{Health, Member, Stage};
 use crate::origin::{self, Origin};
 use crate::peer::Links;
+use crate::peer::server::JOIN;
 use crate::probe::Membership;
 use crate::reader::Reader;
-use crate::relay::{Relay, jitter, order};
-use crate::server::JOIN;
+use crate::relay::{Relay, jitter};
 use crate::units::{DataCentre, Millis, Offset, Slots, Version};
-use crate::wire::{Join, Welcome};
 
-/// Records of the contacts stream that a joiner looks at.
-const CONTACTS_READ: u64 = 32;
 /// Peers that a joiner joins through.
 const GREETERS: usize = 4;
 /// Pause between two rounds while no floor has been reached.
@@ -37,19 +34,6 @@
 const ORIGIN_WAIT: Millis = Millis(1_500);
 /// Time that a starting daemon gives its peers to be met, when it could serve already.
 const MEETING: Duration = Duration::from_millis(300);
-/// Time between two renewals of a contact, on average.
-const RENEWAL: Duration = Duration::from_mins(2);
-/// Daemons of a data centre that keep a contact.
-const CONTACTS_KEPT: usize = 2;
-
-/// One record of the `contacts` stream.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Contact {
-    /// Address to join through.
-    pub peer: SocketAddr,
-    /// Its data centre.
-    pub data_centre: DataCentre,
-}
 
 /// What peers remember of an earlier daemon at this address.
 #[derive(Debug, Default)]
@@ -77,8 +61,8 @@
     pub reader: Arc<Reader>,
     /// Remembers keys.
     pub keys: Arc<Keys>,
-    /// The platform log.
-    pub log: Log,
+    /// The log's list of contacts.
+    pub contacts: Contacts,
     /// The platform, where it keeps the configuration and lists daemons.
     pub origin: Option<Arc<dyn Origin>>,
     /// Finds the target of a daemon that was killed.
@@ -101,7 +85,7 @@
         }
         match self.origin.clone() {
             Some(origin) => self.keep_listed(origin.as_ref()).await,
-            None => self.keep_contacts().await,
+            None => self.contacts.keep().await,
         }
     }
 
@@ -252,7 +236,7 @@
 
     /// Joins through a few contacts and fetches what they have in force.
     async fn greet(&self, floor: &mut Floor, past: &mut Past) {
-        let contacts = self.contacts().await;
+        let contacts = self.addresses().await;
         self.greet_all(contacts, floor, past).await;
     }
 
@@ -322,7 +306,7 @@
     }
 
     /// A few addresses to join through: known members, settings, then the log's contacts.
-    async fn contacts(&self) -> Vec<SocketAddr> {
+    async fn addresses(&self) -> Vec<SocketAddr> {
         let me = self.board.settings.identity();
         let roster = self.board.roster();
         let known = roster.members.iter().map(|member| member.peer);
@@ -330,7 +314,8 @@
             known.chain(self.board.settings.contacts.clone()).collect();
         if self.board.settings.contacts.is_empty() {
             contacts.extend(
-                self.log_contacts()
+                self.contacts
+                    .listed()
                     .await
                     .into_iter()
                     .map(|contact| contact.peer),
@@ -342,26 +327,6 @@
         contacts
     }
 
-    /// The latest contacts of the log.
-    async fn log_contacts(&self) -> Vec<Contact> {
-        let Ok(bounds) = self.log.bounds(Stream::Contacts).await else {
-            return Vec::new();
-        };
-        let from = bounds
-            .first
-            .0
-            .max(bounds.head.0.saturating_sub(CONTACTS_READ));
-        let page = self
-            .log
-            .read(Stream::Contacts, Offset(from), Millis(0))
-            .await;
-        let records = page.map(|page| page.records).unwrap_or_default();
-        records
-            .iter()
-            .filter_map(|stored| serde_json::from_str(&stored.value).ok())
-            .collect()
-    }
-
     fn data_centres(&self) -> usize {
         let roster = self.board.roster();
         let mut names: Vec<&DataCentre> = roster.members.iter().map(|m| &m.data_centre).collect();
@@ -369,49 +334,4 @@
         names.dedup();
         names.len()
     }
-
-    /// Keeps a bounded number of contacts of each data centre fresh on the log.
-    async fn keep_contacts(&self) {
-        let settings = &self.board.settings;
-        loop {
-            let order = order(&self.board.roster().members, &settings.data_centre);
-            let mine = order
-                .iter()
-                .take(CONTACTS_KEPT)
-                .any(|peer| *peer == settings.identity());
-            let contact = Contact {
-                peer: settings.identity(),
-                data_centre: settings.data_centre.clone(),
-            };
-            if mine && !self.listed(&contact).await {
-                let _ = self.log.append(Stream::Contacts, &contact).await;
-            }
-            self.meet_strangers().await;
-            tokio::time::sleep(RENEWAL / 2 + jitter(RENEWAL)).await;
-        }
-    }
-
-    async fn listed(&self, contact: &Contact) -> bool {
-        self.log_contacts().await.contains(contact)
-    }
-
-    /// Heals a split that outlived the memory of gone members: joins contacts it does not know.
-    async fn meet_strangers(&self) {
-        let roster = self.board.roster();
-        let join = Join {
-            member: self.membership.me(),
-        };
-        for contact in self.log_contacts().await {
-            if roster.member(contact.peer).is_some() || contact.peer == join.member.peer {
-                continue;
-            }
-            if let Ok(welcome) = self
-                .links
-                .send::<_, Welcome>(contact.peer, JOIN, &join)
-                .await
-            {
-                self.membership.learn(&welcome.members);
-            }
-        }
-    }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -4,10 +4,13 @@
 //! it. A [`target`] announces itself to the daemon beside it.
 
 pub mod announce;
+pub mod datagram;
+pub mod entries;
 pub mod member;
 pub mod target;
 pub mod view;
 
+pub(crate) mod contacts;
 pub(crate) mod join;
 pub(crate) mod probe;
 pub(crate) mod roster;
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -11,14 +11,16 @@
 
 use crate::board::Board;
 use crate::clock;
+use crate::datagram::{Datagram, Join, Welcome};
+use crate::entries::Entry;
 use crate::error::{ListenSnafu, Result};
 use crate::member::{Health, Member, Offer, Stage};
 use crate::relay::Relay;
 use crate::roster::{Departed, Home, Roster};
 use crate::settings::{Delivery, Settings};
 use crate::units::{Incarnation, Millis};
-use crate::view::{Effects, Entry, Send, Timing, View};
-use crate::wire::{self, Datagram, Join, Welcome};
+use crate::view::{Effects, Send, Timing, View};
+use crate::wire;
 use snafu::ResultExt;
 
 /// Ticks of the view in one probe period.
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -8,7 +8,6 @@
 //! A view is a hint for liveness and never for exclusivity: a member that was paused may still
 //! believe that it is there, and the others may believe that it is gone.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -16,18 +15,17 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 
+use crate::datagram::{Datagram, Probe};
+use crate::entries::{Entries, Entry};
+use crate::exchange::Digest;
 use crate::member::{Health, Member, Offer, Stage};
 use crate::units::{Incarnation, Slots, Version};
-use crate::wire::{self, Datagram, Digest, Probe};
+use crate::wire;
 
 /// Daemons that probe a silent one on another's behalf.
 const HELPERS: usize = 3;
 /// Daemons that a leaver says good-bye to.
 const FAREWELLS: usize = 64;
-/// Times that news is passed on, as a multiple of the logarithm of the view's size.
-const SPREAD: u32 = 3;
-/// Most news in one datagram.
-const MAX_NEWS: usize = 12;
 /// Time for which a member that went is looked for at every probe: it covers a restart.
 const RECENT: Duration = Duration::from_secs(30);
 /// Periods between two probes of a member that is thought to be gone.
@@ -57,20 +55,6 @@
     }
 }
 
-/// A member with what the view knows beside its entry.
-#[derive(Debug, Clone)]
-pub struct Entry {
-    /// Entry as it travels.
-    pub member: Member,
-    /// When its health or incarnation changed last.
-    pub since: Instant,
-    /// Highest version it is known to have run.
-    pub ran: Version,
-    /// Slots that a target offered last through it, in any of its lives.
-    pub slots: Option<Slots>,
-    sends: u32,
-}
-
 /// A datagram on its way out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Send {
@@ -107,7 +91,7 @@
 pub struct View {
     me: Member,
     digest: Digest,
-    entries: Vec<Entry>,
+    entries: Entries,
     pending: Vec<Pending>,
     round: Vec<SocketAddr>,
     seq: u64,
@@ -123,7 +107,7 @@
         Self {
             me,
             digest: Digest::default(),
-            entries: Vec::new(),
+            entries: Entries::default(),
             pending: Vec::new(),
             round: Vec::new(),
             seq: 0,
@@ -142,21 +126,18 @@
     /// All other members, gone ones included, sorted by address.
     #[must_use]
     pub fn entries(&self) -> &[Entry] {
-        &self.entries
+        self.entries.all()
     }
 
     /// The other members that are not gone.
     pub fn live(&self) -> impl Iterator<Item = &Member> {
-        self.entries
-            .iter()
-            .map(|entry| &entry.member)
-            .filter(|m| m.health.is_live())
+        self.entries.live()
     }
 
     /// Everyone, its own daemon first.
     #[must_use]
     pub fn members(&self) -> Vec<Member> {
-        let others = self.entries.iter().map(|entry| entry.member.clone());
+        let others = self.entries.all().iter().map(|entry| entry.member.clone());
         std::iter::once(self.me.clone()).chain(others).collect()
     }
 
@@ -173,7 +154,7 @@
         self.me.stage = stage;
         self.me.offer = offer;
         self.renew(self.me.incarnation);
-        let receivers = self.some_live(HELPERS, None, rng);
+        let receivers = self.entries.draw_live(HELPERS, None, rng);
         receivers
             .into_iter()
             .map(|to| self.datagram(to, Probe::News))
@@ -185,68 +166,36 @@
     pub fn leave(&mut self, health: Health, rng: &mut SmallRng) -> Vec<Send> {
         self.renew(self.me.incarnation);
         self.me.health = health;
-        let receivers = self.some_live(FAREWELLS, None, rng);
+        let receivers = self.entries.draw_live(FAREWELLS, None, rng);
         receivers
             .into_iter()
             .map(|to| self.datagram(to, Probe::News))
             .collect()
     }
 
+    /// Merges an entry that came from anywhere; `true` when it was news.
+    pub fn merge(&mut self, now: Instant, member: &Member) -> bool {
+        if member.peer == self.me.peer {
+            return self.refute(member);
+        }
+        self.entries.merge(now, member)
+    }
+
     /// Highest version that `peer` is known to have run.
     #[must_use]
     pub fn ran(&self, peer: SocketAddr) -> Version {
-        self.find(peer)
-            .map_or(Version(0), |index| self.entries[index].ran)
+        self.entries.get(peer).map_or(Version(0), |entry| entry.ran)
     }
 
     /// Slots that a target offered last through `peer`.
     #[must_use]
     pub fn slots(&self, peer: SocketAddr) -> Option<Slots> {
-        self.find(peer).and_then(|index| self.entries[index].slots)
-    }
-
-    /// Merges an entry that came from anywhere; `true` when it was news.
-    pub fn merge(&mut self, now: Instant, member: &Member) -> bool {
-        if member.peer == self.me.peer {
-            return self.refute(member);
-        }
-        let sends = self.spread();
-        match self
-            .entries
-            .binary_search_by_key(&member.peer, |entry| entry.member.peer)
-        {
-            Ok(index) => {
-                let entry = &mut self.entries[index];
-                let old = (entry.member.incarnation, entry.member.health);
-                if (member.incarnation, member.health) <= old {
-                    return false;
-                }
-                let offered = member.offer.as_ref().map(|offer| offer.slots);
-                entry.slots = offered.or(entry.slots);
-                entry.member = member.clone();
-                entry.since = now;
-                entry.sends = sends;
-            }
-            Err(index) => {
-                let entry = Entry {
-                    member: member.clone(),
-                    since: now,
-                    ran: Version(0),
-                    slots: member.offer.as_ref().map(|offer| offer.slots),
-                    sends,
-                };
-                self.entries.insert(index, entry);
-            }
-        }
-        true
+        self.entries.get(peer).and_then(|entry| entry.slots)
     }
 
     /// Notes what version a peer has in force.
     pub fn note_version(&mut self, peer: SocketAddr, version: Version) {
-        if let Some(index) = self.find(peer) {
-            let entry = &mut self.entries[index];
-            entry.ran = entry.ran.max(version);
-        }
+        self.entries.note_version(peer, version);
     }
 
     /// Lets time pass.
@@ -262,7 +211,10 @@
             self.pending.clear();
         }
         self.overdue(now, rng, &mut effects);
-        self.expire(now, &mut effects);
+        let Timing {
+            suspicion, memory, ..
+        } = self.timing;
+        effects.changed |= self.entries.expire(now, suspicion, memory);
         if self.next_probe.is_none_or(|due| due <= now) {
             // A pause of the process must not be followed by a burst of the missed probes.
             self.next_probe = Some(now + self.timing.period);
@@ -332,7 +284,7 @@
                     seq: probe.seq,
                     subject: probe.subject,
                 };
-                for helper in self.some_live(HELPERS, Some(probe.subject), rng) {
+                for helper in self.entries.draw_live(HELPERS, Some(probe.subject), rng) {
                     let request = self.datagram(helper, relay.clone());
                     effects.sends.push(request);
                 }
@@ -342,31 +294,14 @@
     }
 
     fn suspect(&mut self, now: Instant, peer: SocketAddr) -> bool {
-        let Some(index) = self.find(peer) else {
+        let Some(entry) = self.entries.get(peer) else {
             return false;
         };
-        let mut member = self.entries[index].member.clone();
+        let mut member = entry.member.clone();
         member.health = Health::Suspect;
         self.merge(now, &member)
     }
 
-    fn expire(&mut self, now: Instant, effects: &mut Effects) {
-        let sends = self.spread();
-        for entry in &mut self.entries {
-            let age = now.saturating_duration_since(entry.since);
-            if entry.member.health == Health::Suspect && age >= self.timing.suspicion {
-                entry.member.health = Health::Gone;
-                entry.since = now;
-                entry.sends = sends;
-                effects.changed = true;
-            }
-        }
-        let memory = self.timing.memory;
-        self.entries.retain(|entry| {
-            entry.member.health.is_live() || now.saturating_duration_since(entry.since) < memory
-        });
-    }
-
     fn probe_next(&mut self, now: Instant, rng: &mut SmallRng, effects: &mut Effects) {
         self.seq += 1;
         // Guards against a split that outlives the cut: both sides hold each other as gone and
@@ -374,7 +309,7 @@
         let revisit = self.seq.is_multiple_of(REVISIT);
         // Guards against a daemon that starts again while no list of daemons can be read: it knows
         // nobody and refuses its callers for as long. Those who knew it look for it at first.
-        let departed = self.entries.iter().filter(|entry| {
+        let departed = self.entries.all().iter().filter(|entry| {
             let recent = now.saturating_duration_since(entry.since) < RECENT;
             !entry.member.health.is_live() && (revisit || recent)
         });
@@ -394,10 +329,8 @@
     fn draw(&mut self, rng: &mut SmallRng) -> Option<SocketAddr> {
         for _ in 0..2 {
             while let Some(peer) = self.round.pop() {
-                if self
-                    .find(peer)
-                    .is_some_and(|i| self.entries[i].member.health.is_live())
-                {
+                let entry = self.entries.get(peer);
+                if entry.is_some_and(|entry| entry.member.health.is_live()) {
                     return Some(peer);
                 }
             }
@@ -427,52 +360,12 @@
             from: self.me.clone(),
             digest: self.digest,
             probe,
-            news: self.news(to),
+            news: self.entries.news(to),
         };
         while wire::encode(&datagram).len() > wire::MAX_DATAGRAM && datagram.news.pop().is_some() {}
         Send { to, datagram }
     }
 
-    fn news(&mut self, to: SocketAddr) -> Vec<Member> {
-        let mut news = Vec::new();
-        // The receiver hears first what is said against it, so that it can refute.
-        if let Some(index) = self.find(to)
-            && self.entries[index].member.health != Health::Alive
-        {
-            news.push(self.entries[index].member.clone());
-        }
-        // Guards against a queue: after a whole data centre has come back hundreds of entries wait
-        // to be passed on, and a death in their midst must not wait for all of them. What has
-        // been passed on least goes first.
-        let waiting = self.entries.iter().enumerate();
-        let mut waiting: Vec<(Reverse<u32>, usize)> = waiting
-            .filter(|(_, entry)| entry.sends > 0 && entry.member.peer != to)
-            .map(|(index, entry)| (Reverse(entry.sends), index))
-            .collect();
-        waiting.sort_unstable();
-        for (_, index) in waiting.into_iter().take(MAX_NEWS) {
-            self.entries[index].sends -= 1;
-            news.push(self.entries[index].member.clone());
-        }
-        news
-    }
-
-    fn some_live(
-        &self,
-        count: usize,
-        except: Option<SocketAddr>,
-        rng: &mut SmallRng,
-    ) -> Vec<SocketAddr> {
-        let live = self
-            .live()
-            .map(|m| m.peer)
-            .filter(|peer| Some(*peer) != except);
-        let mut peers: Vec<SocketAddr> = live.collect();
-        peers.shuffle(rng);
-        peers.truncate(count);
-        peers
-    }
-
     /// Answers an entry about its own daemon: `true` when it had to be refuted.
     fn refute(&mut self, member: &Member) -> bool {
         let leaving = !self.me.health.is_live();
@@ -488,15 +381,4 @@
     const fn renew(&mut self, above: Incarnation) {
         self.me.incarnation = Incarnation(above.0 + 1);
     }
-
-    fn find(&self, peer: SocketAddr) -> Option<usize> {
-        self.entries
-            .binary_search_by_key(&peer, |entry| entry.member.peer)
-            .ok()
-    }
-
-    fn spread(&self) -> u32 {
-        let size = self.entries.len() + 2;
-        SPREAD * size.ilog2().max(1)
-    }
 }
--- a/src/operation/mod.rs
+++ b/src/operation/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod ctl;
 
+pub(crate) mod command;
 pub(crate) mod operator;
 pub(crate) mod state;
 pub(crate) mod survey;
--- a/src/operation/operator.rs
+++ b/src/operation/operator.rs
@@ -13,9 +13,9 @@
 use volo_http::server::route::{get, post};
 
 use crate::board::Board;
-use crate::check::Fault;
 use crate::document::Document;
 use crate::error::{Error, Result};
+use crate::fault::Fault;
 use crate::fold::Proposal;
 use crate::gate::Gate;
 use crate::guard::Keys;
--- a/src/peer.rs
+++ b/src/peer/link.rs
@@ -1,31 +1,28 @@
-//! Connections between daemons: h2 over TCP.
+//! One daemon's connection to another: h2 over TCP.
 //!
 //! A [`Link`] is one daemon's connection to another. Control messages are single POSTs with
-//! bincode bodies; calls are ordinary requests with a [`Handover`](crate::wire::Handover) in a
+//! bincode bodies; calls are ordinary requests with a [`Handover`](crate::handover::Handover) in a
 //! header. Links for calls and links for control are separate connections, so that control bytes
 //! can be counted where they are sent.
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use bytes::{Bytes, BytesMut};
 use h2::client::SendRequest;
 use h2::{Ping, PingPong, Reason, RecvStream};
 use http::{Method, Request, Response};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 use volo_http::body::Body;
 
 use crate::clock;
 use crate::error::{Error, Result};
+use crate::peer::counted::Counted;
 use crate::stream;
 use crate::telemetry::Meter;
 use crate::units::Millis;
@@ -43,7 +40,7 @@
 /// Time for which a peer that went silent is left alone: about as long as processes are frozen.
 const SILENCE: Duration = Duration::from_secs(2);
 /// Time after which an idle link is closed.
-const IDLE: Duration = Duration::from_mins(1);
+pub const IDLE: Duration = Duration::from_mins(1);
 
 /// Why a call has no answer from its gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -327,166 +324,3 @@
     }
     Ok(body.freeze())
 }
-
-/// Links for control messages, closed when idle.
-#[derive(Debug)]
-pub struct Links {
-    home: IpAddr,
-    meter: Arc<Meter>,
-    /// Sorted by peer; never held while a message is on its way.
-    open: Mutex<Vec<Opened>>,
-}
-
-#[derive(Debug)]
-struct Opened {
-    peer: SocketAddr,
-    link: Arc<Link>,
-    used: Instant,
-}
-
-impl Links {
-    /// No links yet; they will leave from the address `home`.
-    #[must_use]
-    pub const fn new(home: IpAddr, meter: Arc<Meter>) -> Self {
-        Self {
-            home,
-            meter,
-            open: Mutex::new(Vec::new()),
-        }
-    }
-
-    /// Sends a control message and decodes its answer.
-    ///
-    /// # Errors
-    ///
-    /// As [`Link::exchange`].
-    pub async fn exchange<T: DeserializeOwned>(
-        &self,
-        peer: SocketAddr,
-        path: &str,
-        body: Bytes,
-    ) -> Result<T> {
-        let link = self.link(peer);
-        link.exchange(&self.meter, path, body).await
-    }
-
-    /// Encodes a message, sends it and decodes its answer.
-    ///
-    /// # Errors
-    ///
-    /// As [`Link::exchange`].
-    pub async fn send<M: Serialize, T: DeserializeOwned>(
-        &self,
-        peer: SocketAddr,
-        path: &str,
-        message: &M,
-    ) -> Result<T> {
-        self.exchange(peer, path, wire::encode(message)).await
-    }
-
-    fn link(&self, peer: SocketAddr) -> Arc<Link> {
-        let now = Instant::now();
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        open.retain(|opened| opened.peer == peer || now.duration_since(opened.used) < IDLE);
-        match open.binary_search_by_key(&peer, |opened| opened.peer) {
-            Ok(index) => {
-                open[index].used = now;
-                Arc::clone(&open[index].link)
-            }
-            Err(index) => {
-                let link = Arc::new(Link::new(peer, self.home));
-                open.insert(
-                    index,
-                    Opened {
-                        peer,
-                        link: Arc::clone(&link),
-                        used: now,
-                    },
-                );
-                link
-            }
-        }
-    }
-}
-
-/// A connection whose control bytes are counted.
-#[derive(Debug)]
-pub struct Counted {
-    stream: TcpStream,
-    meter: Option<Arc<Meter>>,
-    /// When bytes came last, in milliseconds since 1970.
-    heard: Arc<AtomicU64>,
-    /// Set once the connection turns out to carry calls, which are not control.
-    calls: Arc<AtomicBool>,
-}
-
-impl Counted {
-    /// Counts with `meter`, when there is one.
-    #[must_use]
-    pub fn new(stream: TcpStream, meter: Option<Arc<Meter>>) -> Self {
-        Self {
-            stream,
-            meter,
-            heard: Arc::new(AtomicU64::new(clock::unix_ms())),
-            calls: Arc::default(),
-        }
-    }
-
-    /// When bytes came last, in milliseconds since 1970.
-    #[must_use]
-    pub fn heard(&self) -> Arc<AtomicU64> {
-        Arc::clone(&self.heard)
-    }
-
-    /// A switch that ends the counting.
-    #[must_use]
-    pub fn calls(&self) -> Arc<AtomicBool> {
-        Arc::clone(&self.calls)
-    }
-
-    fn counting(&self) -> Option<&Meter> {
-        self.meter
-            .as_deref()
-            .filter(|_| !self.calls.load(Ordering::Relaxed))
-    }
-}
-
-impl AsyncRead for Counted {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.heard.store(clock::unix_ms(), Ordering::Relaxed);
-        }
-        if let Some(meter) = self.counting() {
-            meter.received(buf.filled().len() - before);
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for Counted {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let (Poll::Ready(Ok(written)), Some(meter)) = (&polled, self.counting()) {
-            meter.peer(*written);
-        }
-        polled
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- a/src/server.rs
+++ b/src/peer/server.rs
@@ -13,16 +13,20 @@
 use volo_http::body::Body;
 
 use crate::board::Board;
+use crate::datagram::Join;
 use crate::error::{Error, FrameSnafu, ListenSnafu, Result};
+use crate::exchange::{Pull, Reply};
 use crate::gate::Gate;
 use crate::guard::{Keys, LEGACY, NOTE};
 use crate::handover::{HANDOVER, read_handover};
-use crate::peer::{CONNECTION_WINDOW, Counted, WINDOW, collect};
+use crate::keys::{Legacy, Note};
+use crate::peer::counted::Counted;
+use crate::peer::link::{CONNECTION_WINDOW, WINDOW, collect};
 use crate::probe::Membership;
 use crate::reader::{READ, Reader};
 use crate::relay::{PULL, PUSH, Relay};
 use crate::stream::{self, Incoming};
-use crate::wire::{self, Join, Legacy, Note, Pull, Reply};
+use crate::wire;
 
 /// Path of a [`Join`].
 pub const JOIN: &str = "/control/join";
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -11,7 +11,6 @@
 use tokio::sync::watch;
 
 use crate::board::Board;
-use crate::daemon::{EXIT_CUT_SHORT, EXIT_STOPPED};
 use crate::error::{Error, Result};
 use crate::extension::Reread;
 use crate::guard::Keys;
@@ -20,6 +19,11 @@
 use crate::origin::{Contact, Origin};
 use crate::probe::Membership;
 
+/// Exit status after a planned stop.
+pub const EXIT_STOPPED: u8 = 0;
+/// Exit status when a second signal cut the stop short.
+pub const EXIT_CUT_SHORT: u8 = 3;
+
 /// Time for which sessions are ended after an answer before the process goes.
 const LINGER: Duration = Duration::from_millis(2_500);
 /// Time between two looks at the settings, which may change without a word.
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -6,11 +6,11 @@
 use std::time::{Duration, Instant};
 
 use common::fixed;
+use jackdawpulley::keys::Noted;
 use jackdawpulley::keys::{
     Handed, Holder, Memory, Own, Ownership, Peer, Standing, State, ownership, proven, rank,
 };
 use jackdawpulley::units::{CallKey, Millis};
-use jackdawpulley::wire::Noted;
 use proptest::prelude::*;
 
 const SPAN: Duration = Duration::from_mins(2);
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use common::fixed;
+use jackdawpulley::exchange::Digest;
 use jackdawpulley::member::{Health, Member, Stage};
 use jackdawpulley::units::{DataCentre, Incarnation, Version};
 use jackdawpulley::view::{Effects, Send, Timing, View};
-use jackdawpulley::wire::Digest;
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -3,9 +3,13 @@
 mod common;
 
 use common::{fixed, numbered};
+use jackdawpulley::datagram::{Datagram, Join};
 use jackdawpulley::delta::Delta;
+use jackdawpulley::exchange::{Body, Pull, Reply, Update};
+use jackdawpulley::handover::Handover;
+use jackdawpulley::keys::Note;
 use jackdawpulley::units::Version;
-use jackdawpulley::wire::{self, Body, Datagram, Handover, Join, Note, Pull, Reply, Update};
+use jackdawpulley::wire;
 use proptest::prelude::*;
 
 /// Decoding has to end, bounded, with a message or a typed error.
--- a/trial/src/fleet.rs
+++ b/trial/src/fleet.rs
@@ -1,122 +1,33 @@
 //! Starting, injuring and asking real processes on loopback.
 
 use std::fs::File;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use http::Method;
-use jackdawpulley::document::Document;
-use jackdawpulley::fold::{Base, Proposal};
-use jackdawpulley::units::{EditId, Version};
-use rustix::process::{Pid, Signal, kill_process};
+use jackdawpulley::units::Version;
+use rustix::process::Signal;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::deployment::Place;
+use crate::host::{CALL, Host, LOG, OPERATOR, PEER, Process, TARGET, WORK};
+use crate::loopback::free_network;
 use crate::net::Net;
 use crate::platform::{Faults, Stats};
-use crate::session::{self, Answer, Failure};
+use crate::session::{self, Answer};
 use crate::target::Run;
 
-const PEER: u16 = 7001;
-const CALL: u16 = 7002;
-const TARGET: u16 = 7003;
-const OPERATOR: u16 = 7004;
-const WORK: u16 = 7005;
-const LOG: u16 = 7000;
-/// Tries to publish on what a daemon says is in force.
-const PUT_TRIES: usize = 5;
 /// Pause between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// A process of a trial; killed when dropped.
-#[derive(Debug)]
-pub struct Process {
-    child: Child,
-}
-
-impl Process {
-    /// Its identifier.
-    #[must_use]
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Sends it a signal.
-    pub fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        if let Some(pid) = pid {
-            let _ = kill_process(pid, signal);
-        }
-    }
-
-    /// Ends it at once.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Its exit status, once it has ended.
-    pub fn ended(&mut self) -> Option<ExitStatus> {
-        self.child.try_wait().ok().flatten()
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-/// One host: a daemon and, mostly, a target.
-#[derive(Debug)]
-pub struct Host {
-    /// Where it is and what it offers.
-    pub place: Place,
-    /// Its address.
-    pub ip: IpAddr,
-    /// Address behind the stand-in network, when there is one.
-    pub inner: IpAddr,
-    /// Its daemon, while it runs.
-    pub daemon: Option<Process>,
-    /// Its target, while it runs.
-    pub target: Option<Process>,
-}
-
-impl Host {
-    /// Address for other daemons.
-    #[must_use]
-    pub const fn peer(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, PEER)
-    }
-
-    /// Address for callers.
-    #[must_use]
-    pub const fn calls(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, CALL)
-    }
-
-    /// Address for operators.
-    #[must_use]
-    pub const fn operator(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, OPERATOR)
-    }
-
-    /// Address where the target takes calls.
-    #[must_use]
-    pub const fn work(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, WORK)
-    }
-}
-
 /// Everything that a trial runs.
 #[derive(Debug)]
 pub struct Fleet {
-    program: PathBuf,
+    pub(crate) program: PathBuf,
     network: u8,
     logs: PathBuf,
     options: Vec<String>,
@@ -130,8 +41,6 @@
     pub hosts: Vec<Host>,
 }
 
-static NETWORKS: AtomicU32 = AtomicU32::new(0);
-
 impl Fleet {
     /// Starts the log; `options` are passed to every daemon.
     ///
@@ -385,73 +294,6 @@
         true
     }
 
-    /// Publishes an edit through a daemon; the status and the JSON answer.
-    ///
-    /// # Errors
-    ///
-    /// Why there is no whole answer.
-    ///
-    /// # Panics
-    ///
-    /// Never: an edit is plain data.
-    pub async fn publish(&self, index: usize, edit: &Proposal) -> Result<(u16, Value), Failure> {
-        let body = serde_json::to_string(edit).expect("plain data is JSON");
-        let answer =
-            session::once(self.hosts[index].operator(), Method::POST, "/config", &body).await?;
-        let value = serde_json::from_slice(&answer.body).unwrap_or_default();
-        Ok((answer.status.as_u16(), value))
-    }
-
-    /// Publishes a document on whatever is in force and returns its version.
-    ///
-    /// A daemon that is a moment behind names the version to publish on.
-    ///
-    /// # Panics
-    ///
-    /// When it is not accepted.
-    pub async fn put(&self, index: usize, document: Document) -> Version {
-        let mut base = self.version(index).await.unwrap_or_default();
-        for _ in 0..PUT_TRIES {
-            let id = EditId(format!("trial-{:016x}", rand::random::<u64>()));
-            let edit = Proposal {
-                id,
-                base: Base::Version(base),
-                document: document.clone(),
-            };
-            let (status, answer) = self
-                .publish(index, &edit)
-                .await
-                .expect("the daemon answers");
-            if let (409, Some(current)) = (status, answer["current"].as_u64()) {
-                base = Version(current);
-                continue;
-            }
-            assert_eq!(status, 200, "the edit is accepted: {answer}");
-            let version = answer["version"].as_u64();
-            return Version(version.expect("an accepted edit has a version"));
-        }
-        panic!("no base fits: version {base} is said to be in force");
-    }
-
-    /// Runs `jackdawctl` and returns its exit status and standard output.
-    ///
-    /// # Panics
-    ///
-    /// When it can't be started.
-    pub async fn ctl(&self, index: usize, args: &[&str]) -> (Option<i32>, String) {
-        let daemon = self.hosts[index].operator().to_string();
-        let mut command = tokio::process::Command::new(&self.program);
-        command
-            .args(["ctl", "--json", "--daemon", &daemon])
-            .args(args)
-            .stderr(Stdio::null());
-        let output = command.output().await.expect("the program can be started");
-        (
-            output.status.code(),
-            String::from_utf8_lossy(&output.stdout).into_owned(),
-        )
-    }
-
     /// What all targets have run, across their restarts.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -496,9 +338,7 @@
             .stdout(log.map_or_else(Stdio::null, Stdio::from))
             .stderr(copy.map_or_else(Stdio::null, Stdio::from))
             .spawn();
-        Process {
-            child: child.expect("the program can be started"),
-        }
+        Process::new(child.expect("the program can be started"))
     }
 }
 
@@ -539,31 +379,3 @@
 fn lines(text: &str) -> Vec<String> {
     text.lines().map(str::to_owned).collect()
 }
-
-/// A part of the loopback network that no other trial uses.
-///
-/// # Panics
-///
-/// When none is free.
-#[must_use]
-/// A part of the loopback network that no other trial uses.
-pub fn free_network() -> u8 {
-    for _ in 0..200 {
-        let count = NETWORKS.fetch_add(1, Ordering::Relaxed);
-        let candidate = std::process::id().wrapping_mul(7).wrapping_add(count) % 200 + 20;
-        let network = u8::try_from(candidate).expect("below 220");
-        // Guards against daemons that a killed run has left behind: they would answer in the place
-        // of this run's own, which could not listen.
-        let ports = [(0, LOG), (1, PEER), (1, TARGET), (1, WORK), (9, LOG)];
-        let free = ports.iter().all(|(rack, port)| {
-            (1..=3).all(|host| {
-                let ip = IpAddr::V4(Ipv4Addr::new(127, network, *rack, host));
-                TcpListener::bind(SocketAddr::new(ip, *port)).is_ok()
-            })
-        });
-        if free {
-            return network;
-        }
-    }
-    panic!("no part of the loopback network is free");
-}
--- a/trial/src/inject.rs
+++ b/trial/src/inject.rs
@@ -125,7 +125,7 @@
     leavings
 }
 
-async fn stop(process: Option<crate::fleet::Process>) {
+async fn stop(process: Option<crate::host::Process>) {
     let Some(mut process) = process else {
         return;
     };
--- /dev/null
+++ b/trial/src/loopback.rs
@@ -0,0 +1,35 @@
+//! Parts of the loopback network, one for each trial.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use crate::host::{LOG, PEER, TARGET, WORK};
+
+static NETWORKS: AtomicU32 = AtomicU32::new(0);
+
+/// A part of the loopback network that no other trial uses.
+///
+/// # Panics
+///
+/// When none is free.
+#[must_use]
+pub fn free_network() -> u8 {
+    for _ in 0..200 {
+        let count = NETWORKS.fetch_add(1, Ordering::Relaxed);
+        let candidate = std::process::id().wrapping_mul(7).wrapping_add(count) % 200 + 20;
+        let network = u8::try_from(candidate).expect("below 220");
+        // Guards against daemons that a killed run has left behind: they would answer in the place
+        // of this run's own, which could not listen.
+        let ports = [(0, LOG), (1, PEER), (1, TARGET), (1, WORK), (9, LOG)];
+        let free = ports.iter().all(|(rack, port)| {
+            (1..=3).all(|host| {
+                let ip = IpAddr::V4(Ipv4Addr::new(127, network, *rack, host));
+                TcpListener::bind(SocketAddr::new(ip, *port)).is_ok()
+            })
+        });
+        if free {
+            return network;
+        }
+    }
+    panic!("no part of the loopback network is free");
+}
--- /dev/null
+++ b/trial/src/publish.rs
@@ -0,0 +1,84 @@
+//! Publishing through the daemons of a fleet, by their interface and by the operator's command.
+
+use std::process::Stdio;
+
+use http::Method;
+use jackdawpulley::document::Document;
+use jackdawpulley::fold::{Base, Proposal};
+use jackdawpulley::units::{EditId, Version};
+use serde_json::Value;
+
+use crate::fleet::Fleet;
+use crate::session::{self, Failure};
+
+/// Tries to publish on what a daemon says is in force.
+const PUT_TRIES: usize = 5;
+
+impl Fleet {
+    /// Publishes an edit through a daemon; the status and the JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no whole answer.
+    ///
+    /// # Panics
+    ///
+    /// Never: an edit is plain data.
+    pub async fn publish(&self, index: usize, edit: &Proposal) -> Result<(u16, Value), Failure> {
+        let body = serde_json::to_string(edit).expect("plain data is JSON");
+        let answer =
+            session::once(self.hosts[index].operator(), Method::POST, "/config", &body).await?;
+        let value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        Ok((answer.status.as_u16(), value))
+    }
+
+    /// Publishes a document on whatever is in force and returns its version.
+    ///
+    /// A daemon that is a moment behind names the version to publish on.
+    ///
+    /// # Panics
+    ///
+    /// When it is not accepted.
+    pub async fn put(&self, index: usize, document: Document) -> Version {
+        let mut base = self.version(index).await.unwrap_or_default();
+        for _ in 0..PUT_TRIES {
+            let id = EditId(format!("trial-{:016x}", rand::random::<u64>()));
+            let edit = Proposal {
+                id,
+                base: Base::Version(base),
+                document: document.clone(),
+            };
+            let (status, answer) = self
+                .publish(index, &edit)
+                .await
+                .expect("the daemon answers");
+            if let (409, Some(current)) = (status, answer["current"].as_u64()) {
+                base = Version(current);
+                continue;
+            }
+            assert_eq!(status, 200, "the edit is accepted: {answer}");
+            let version = answer["version"].as_u64();
+            return Version(version.expect("an accepted edit has a version"));
+        }
+        panic!("no base fits: version {base} is said to be in force");
+    }
+
+    /// Runs `jackdawctl` and returns its exit status and standard output.
+    ///
+    /// # Panics
+    ///
+    /// When it can't be started.
+    pub async fn ctl(&self, index: usize, args: &[&str]) -> (Option<i32>, String) {
+        let daemon = self.hosts[index].operator().to_string();
+        let mut command = tokio::process::Command::new(&self.program);
+        command
+            .args(["ctl", "--json", "--daemon", &daemon])
+            .args(args)
+            .stderr(Stdio::null());
+        let output = command.output().await.expect("the program can be started");
+        (
+            output.status.code(),
+            String::from_utf8_lossy(&output.stdout).into_owned(),
+        )
+    }
+}
--- a/trial/tests/common/fake.rs
+++ b/trial/tests/common/fake.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::Method;
-use jackdaw_trial::fleet::Host;
+use jackdaw_trial::host::Host;
 use jackdaw_trial::session;
 use jackdawpulley::announce::Announcement;
 use jackdawpulley::units::{Millis, Slots};
--- a/trial/tests/hostile.rs
+++ b/trial/tests/hostile.rs
@@ -19,6 +19,8 @@
     let mut fleet = fleet(&[]).await;
     fleet.add(&places(2, 1)).await;
     assert!(fleet.meets(2, PATIENCE).await);
+    // A target is a process of its own and may be up later than its daemon.
+    assert!(fleet.offers(2, PATIENCE).await);
     let version = fleet.put(0, document(1)).await;
     assert!(fleet.converges(version, PATIENCE).await);
     fleet
--- a/trial/tests/idempotency.rs
+++ b/trial/tests/idempotency.rs
@@ -68,7 +68,7 @@
             let doors: Vec<SocketAddr> = fleet
                 .hosts
                 .iter()
-                .map(jackdaw_trial::fleet::Host::calls)
+                .map(jackdaw_trial::host::Host::calls)
                 .collect();
             let early: Vec<_> = doors
                 .iter()
