Probe and join mostly within the data centre; keep four versions for deltas

Change: three of four probes go to the own data centre, a joiner asks one far peer and three near ones and no more after eight welcomes, four earlier versions are kept. Tests: probes_stay_near (fails with every probe far), lonely_one_probes_the_others.

--- a/src/configuration/config.rs
+++ b/src/configuration/config.rs
@@ -21,8 +21,11 @@
 use crate::units::{EditId, Offset, Version};
 use crate::wire;
 
-/// Earlier versions that deltas can start from.
-const HISTORY: usize = 16;
+/// Earlier versions that deltas can start from; whoever is further behind takes the whole document.
+///
+/// A document of some hundred routes is about half a megabyte: with sixteen versions kept, 85
+/// daemons on a calm day took 82.5 GB x s of memory, with four 58.5 (one run each).
+const HISTORY: usize = 4;
 
 /// Holds the configuration and its history.
 #[derive(Debug)]
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -26,8 +26,14 @@
 use crate::relay::{Relay, jitter};
 use crate::units::{DataCentre, Millis, Offset, Slots, Version};
 
-/// Peers that a joiner joins through.
+/// Peers that a joiner joins through at once.
 const GREETERS: usize = 4;
+/// Those among them that are of other data centres, as long as there are others to ask. Each answers
+/// with its whole view, and one is enough to hear of what the own data centre does not know.
+const FAR_GREETERS: usize = 1;
+/// Welcomes after which a joiner asks nobody else while a platform lists daemons: in a joint start
+/// of many each of them would otherwise be sent the view of every other one.
+const WELCOMES: usize = 8;
 /// Pause between two rounds while no floor has been reached.
 const ROUND: Duration = Duration::from_millis(200);
 /// Time that a read waits for the first version while there is none.
@@ -102,7 +108,7 @@
         let mut greeted = vec![self.board.settings.identity()];
         greeted.extend(&self.board.settings.contacts);
         let contacts = self.board.settings.contacts.clone();
-        self.greet_all(contacts, &mut floor, &mut past).await;
+        let mut welcomes = self.greet_all(contacts, &mut floor, &mut past).await;
         let mut rosters = self.board.rosters();
         let mut stages = self.board.stages();
         let (sender, mut listed) = mpsc::channel(1);
@@ -134,9 +140,12 @@
                 }
                 _ = stages.wait_for(|stage| *stage != Stage::Starting) => break,
             }
-            strangers.retain(|peer| !greeted.contains(peer));
-            greeted.extend(&strangers);
-            self.greet_all(strangers, &mut floor, &mut past).await;
+            strangers.retain(|(peer, _)| !greeted.contains(peer));
+            let strangers = greeters(strangers, &self.board.settings.data_centre);
+            if welcomes < WELCOMES {
+                greeted.extend(&strangers);
+                welcomes += self.greet_all(strangers, &mut floor, &mut past).await;
+            }
         }
         if !self.board.settings.first_start {
             self.desk.find_target(past.slots).await;
@@ -158,12 +167,12 @@
     async fn enlist(
         self: Arc<Self>,
         origin: Arc<dyn Origin>,
-        found: mpsc::Sender<Vec<SocketAddr>>,
+        found: mpsc::Sender<Vec<(SocketAddr, DataCentre)>>,
     ) {
         while self.board.stage() != Stage::Draining {
             let listed = origin.list(&self.contact()).await;
             if let (Ok(()), Ok(contacts)) = (listed, origin.contacts().await) {
-                let peers = contacts.into_iter().map(|contact| contact.peer);
+                let peers = contacts.into_iter().map(|c| (c.peer, c.data_centre));
                 // Whoever waited for them may have found others meanwhile.
                 let _ = found.send(peers.collect()).await;
                 return;
@@ -173,9 +182,10 @@
     }
 
     /// Members that are there, as far as known.
-    fn known(&self) -> Vec<SocketAddr> {
+    fn known(&self) -> Vec<(SocketAddr, DataCentre)> {
         let roster = self.board.roster();
-        roster.members.iter().map(|member| member.peer).collect()
+        let members = roster.members.iter();
+        members.map(|m| (m.peer, m.data_centre.clone())).collect()
     }
 
     /// Keeps this daemon listed, and meets those that were listed after it.
@@ -191,10 +201,11 @@
                 let _ = origin.list(&contact).await;
             }
             let roster = self.board.roster();
-            let strangers = contacts.unwrap_or_default().into_iter().map(|c| c.peer);
-            let strangers = strangers.filter(|peer| roster.member(*peer).is_none());
-            let mut past = Past::default();
-            let (mut floor, strangers) = (Floor::default(), strangers.collect());
+            let strangers = contacts.unwrap_or_default().into_iter();
+            let strangers = strangers.filter(|c| roster.member(c.peer).is_none());
+            let strangers = strangers.map(|c| (c.peer, c.data_centre)).collect();
+            let strangers = greeters(strangers, &contact.data_centre);
+            let (mut floor, mut past) = (Floor::default(), Past::default());
             self.greet_all(strangers, &mut floor, &mut past).await;
         }
     }
@@ -241,8 +252,15 @@
         self.greet_all(contacts, floor, past).await;
     }
 
-    /// Joins through a few of `contacts` at once and fetches what they have in force.
-    async fn greet_all(&self, mut contacts: Vec<SocketAddr>, floor: &mut Floor, past: &mut Past) {
+    /// Joins through a few of `contacts` at once and fetches what they have in force; how many
+    /// welcomed this daemon.
+    async fn greet_all(
+        &self,
+        mut contacts: Vec<SocketAddr>,
+        floor: &mut Floor,
+        past: &mut Past,
+    ) -> usize {
+        let mut welcomes = 0;
         contacts.retain(|peer| *peer != self.board.settings.identity());
         contacts.shuffle(&mut rand::rng());
         contacts.truncate(GREETERS);
@@ -257,6 +275,7 @@
             let Ok(welcome) = welcome else {
                 continue;
             };
+            welcomes += 1;
             let greeter = welcome.members.first();
             let greeter = greeter.map(|m| m.data_centre.clone()).unwrap_or_default();
             floor.heard(&greeter, welcome.digest.version, welcome.ran);
@@ -267,6 +286,7 @@
                 let _ = self.relay.pull(peer).await;
             }
         }
+        welcomes
     }
 
     /// Finds out how an earlier daemon at this address ended: the latest word of it counts.
@@ -336,3 +356,17 @@
         names.len()
     }
 }
+
+/// A few of `strangers` to join through, mostly of the data centre `home`.
+fn greeters(mut strangers: Vec<(SocketAddr, DataCentre)>, home: &DataCentre) -> Vec<SocketAddr> {
+    strangers.shuffle(&mut rand::rng());
+    let (near, far): (Vec<_>, Vec<_>) = strangers.into_iter().partition(|(_, at)| at == home);
+    let few = FAR_GREETERS.max(GREETERS.saturating_sub(near.len()));
+    let near = near
+        .into_iter()
+        .take(GREETERS - FAR_GREETERS.min(far.len()));
+    near.chain(far.into_iter().take(few))
+        .map(|(peer, _)| peer)
+        .take(GREETERS)
+        .collect()
+}
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -28,6 +28,12 @@
 const FAREWELLS: usize = 64;
 /// Time for which a member that went is looked for at every probe: it covers a restart.
 const RECENT: Duration = Duration::from_secs(30);
+/// Every which probe goes to another data centre.
+///
+/// A member is noticed to be gone by those beside it; the probes between data centres carry news
+/// and notice when a whole one is gone. When every member was probed alike, and joined through any
+/// other, a calm day of 82 daemons sent 15 MB between data centres, and 5 MB since (one run each).
+const FAR_PROBE: u64 = 4;
 /// Periods between two probes of a member that is thought to be gone.
 const REVISIT: u64 = 5;
 
@@ -93,7 +99,10 @@
     digest: Digest,
     entries: Entries,
     pending: Vec<Pending>,
-    round: Vec<SocketAddr>,
+    /// Members still to be probed: of the own data centre, and of the others.
+    rounds: [Vec<SocketAddr>; 2],
+    /// Probes so far.
+    probes: u64,
     seq: u64,
     next_probe: Option<Instant>,
     last_tick: Option<Instant>,
@@ -109,7 +118,8 @@
             digest: Digest::default(),
             entries: Entries::default(),
             pending: Vec::new(),
-            round: Vec::new(),
+            rounds: [Vec::new(), Vec::new()],
+            probes: 0,
             seq: 0,
             next_probe: None,
             last_tick: None,
@@ -325,19 +335,38 @@
         }
     }
 
-    /// Next member to probe: each is probed once in a shuffled round.
+    /// Next member to probe: mostly one of the own data centre, now and then one of another.
     fn draw(&mut self, rng: &mut SmallRng) -> Option<SocketAddr> {
-        for _ in 0..2 {
-            while let Some(peer) = self.round.pop() {
-                let entry = self.entries.get(peer);
-                if entry.is_some_and(|entry| entry.member.health.is_live()) {
-                    return Some(peer);
-                }
-            }
-            self.round = self.live().map(|m| m.peer).collect();
-            self.round.shuffle(rng);
+        self.probes += 1;
+        let far = self.probes.is_multiple_of(FAR_PROBE);
+        let first = self.draw_from(far, rng);
+        // Where one side has nobody, the other one gets all probes.
+        first.or_else(|| self.draw_from(!far, rng))
+    }
+
+    /// Next member of the own data centre, or of the others: each is probed once in a shuffled
+    /// round.
+    fn draw_from(&mut self, far: bool, rng: &mut SmallRng) -> Option<SocketAddr> {
+        let mut round = std::mem::take(&mut self.rounds[usize::from(far)]);
+        if !round.iter().any(|peer| self.is_live(*peer)) {
+            let home = &self.me.data_centre;
+            let side = self.live().filter(|m| (m.data_centre != *home) == far);
+            round = side.map(|member| member.peer).collect();
+            round.shuffle(rng);
         }
-        None
+        let mut drawn = None;
+        while drawn.is_none()
+            && let Some(peer) = round.pop()
+        {
+            drawn = Some(peer).filter(|peer| self.is_live(*peer));
+        }
+        self.rounds[usize::from(far)] = round;
+        drawn
+    }
+
+    fn is_live(&self, peer: SocketAddr) -> bool {
+        let entry = self.entries.get(peer);
+        entry.is_some_and(|entry| entry.member.health.is_live())
     }
 
     fn ping(&mut self, now: Instant, to: SocketAddr, asker: Option<(SocketAddr, u64)>) -> Send {
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -302,3 +302,56 @@
     assert_eq!(net.views[0].live().count(), COUNT - 1);
     assert!(net.views[1].live().any(|member| member.peer == address(0)));
 }
+
+/// A fleet of three data centres on a calm day. Probes and their news go to every member alike, and
+/// two thirds of their bytes, which grow with the fleet, pass between data centres and are paid for.
+#[test]
+fn probes_stay_near() {
+    let (home, away) = (DataCentre::from("eros"), DataCentre::from("olympia"));
+    let at = |index: usize| {
+        let data_centre = if index < 4 { &home } else { &away };
+        Member {
+            data_centre: data_centre.clone(),
+            ..member(index, 1)
+        }
+    };
+    let mut now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut view = View::new(at(0), Timing::default());
+    for index in 1..12 {
+        view.merge(now, &at(index));
+    }
+    let mut probed = [0_usize; 12];
+    for _ in 0..400 {
+        now += Timing::default().period;
+        let effects = view.tick(now, &mut rng);
+        for send in effects.sends {
+            let index = (0..12).find(|index| address(*index) == send.to);
+            probed[index.expect("known")] += 1;
+            // Everybody answers, so that nobody is suspected.
+            let answer = View::new(at(index.expect("known")), Timing::default())
+                .receive(now, &send.datagram)
+                .sends;
+            view.receive(now, &answer[0].datagram);
+        }
+    }
+    let far: usize = probed[4..].iter().sum();
+    assert!(far * 100 <= 30 * probed.iter().sum::<usize>(), "{probed:?}");
+    assert!(probed[1..].iter().all(|count| *count > 0), "{probed:?}");
+}
+
+/// A daemon that is alone in its data centre has nobody beside it. It has to probe the others all
+/// the same, or it would never notice that one of them is gone.
+#[test]
+fn lonely_one_probes_the_others() {
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut view = View::new(member(0, 1), Timing::default());
+    let far = Member {
+        data_centre: DataCentre::from("olympia"),
+        ..member(1, 1)
+    };
+    view.merge(now, &far);
+    let effects = view.tick(now, &mut rng);
+    assert!(effects.sends.iter().any(|send| send.to == far.peer));
+}
