Tell the other data centres of each version

The reader's own log shows versions 10 and 34 with nothing between, 4.84 to 7.42 s. Ruled out: deltas over fewer kept versions (the daemon had no newer digest at all), the reader's duty. Change: 0 to 200 ms after a version is in force each reader tells two members of every other data centre what it has, in a datagram of some 100 bytes; whoever is behind fetches it. Who is asked to read for another answers at once when what it has is news already. A gate's refusal to an entry has no body.

--- a/src/calls/gate.rs
+++ b/src/calls/gate.rs
@@ -92,7 +92,7 @@
                         "reason" => %reason, "running" => self.load().0,
                         "instance" => instance.map(|instance| instance.0));
                 }
-                outcome::refusal(&id, reason)
+                outcome::notice(reason)
             }
         };
         let waited = response.extensions().get::<Waited>().copied();
--- a/src/calls/outcome.rs
+++ b/src/calls/outcome.rs
@@ -148,6 +148,19 @@
     pub reason: Reason,
 }
 
+/// The response that tells an entry why its gate has no answer.
+///
+/// It has no body: the entry writes the caller's, and under overload a gate refuses several requests
+/// for each one that it runs.
+#[must_use]
+pub fn notice(reason: Reason) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = reason.status();
+    let headers = response.headers_mut();
+    headers.insert(REASON, value(&reason.to_string()));
+    response
+}
+
 /// The response that tells a caller why there is no answer.
 #[must_use]
 pub fn refusal(id: &str, reason: Reason) -> Response<Body> {
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -167,8 +167,11 @@
 
     /// Reads once for a daemon that the platform turns away, and answers with what is in force.
     pub async fn read_for(&self, pull: &Pull) -> Bytes {
-        // With no success here either, what is in force may still be news to the asker.
-        if let Err(error) = self.turn(DELEGATED_WAIT).await {
+        // What is in force here may be news to the asker already, and the platform may turn this
+        // daemon away as well, which shows only by its silence.
+        if self.board.digest().version <= pull.have
+            && let Err(error) = self.turn(DELEGATED_WAIT).await
+        {
             debug!(self.board.logger, "read for another failed"; "error" => %error);
         }
         let digest = self.board.digest();
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -15,7 +15,8 @@
 use crate::entries::Entry;
 use crate::error::{ListenSnafu, Result};
 use crate::member::{Health, Member, Offer, Stage};
-use crate::relay::Relay;
+use crate::reader::duty;
+use crate::relay::{Relay, jitter};
 use crate::roster::{Departed, Home, Roster};
 use crate::settings::{Delivery, Settings};
 use crate::units::{Incarnation, Millis};
@@ -25,6 +26,9 @@
 
 /// Ticks of the view in one probe period.
 const TICKS: u64 = 5;
+/// Longest time that readers of other data centres get to read a version themselves, before they are
+/// told of it: many times what a read takes.
+const HEAD_START: Duration = Duration::from_millis(200);
 
 /// Keeps the membership view.
 #[derive(Debug)]
@@ -74,6 +78,8 @@
     pub async fn run(self: Arc<Self>) {
         let receiver = Arc::clone(&self);
         tokio::spawn(async move { receiver.receive().await });
+        let announcer = Arc::clone(&self);
+        tokio::spawn(async move { announcer.announce().await });
         let period = self.board.settings.probe_period_ms;
         let mut ticks = tokio::time::interval(Millis((period.0 / TICKS).max(1)).duration());
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -93,6 +99,25 @@
         }
     }
 
+    /// Tells the other data centres of each version, while reading is this daemon's duty.
+    async fn announce(&self) {
+        let mut versions = self.board.versions();
+        while versions.changed().await.is_ok() {
+            tokio::time::sleep(jitter(HEAD_START)).await;
+            versions.borrow_and_update();
+            if self.board.settings.delivery == Delivery::Poll || duty(&self.board).is_none() {
+                continue;
+            }
+            let sends = {
+                let mut guard = self.state();
+                let State { view, rng } = &mut *guard;
+                view.set_digest(self.board.digest());
+                view.announce(rng)
+            };
+            self.send(sends).await;
+        }
+    }
+
     fn close_idle_links(&self) {
         for (_, upstream) in self.board.roster().all() {
             upstream.link.close_idle();
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -19,7 +19,7 @@
 use crate::entries::{Entries, Entry};
 use crate::exchange::Digest;
 use crate::member::{Health, Member, Offer, Stage};
-use crate::units::{Incarnation, Slots, Version};
+use crate::units::{DataCentre, Incarnation, Slots, Version};
 use crate::wire;
 
 /// Daemons that probe a silent one on another's behalf.
@@ -28,6 +28,9 @@
 const FAREWELLS: usize = 64;
 /// Time for which a member that went is looked for at every probe: it covers a restart.
 const RECENT: Duration = Duration::from_secs(30);
+/// Members of each other data centre that hear of a version from a reader: one may be gone without
+/// anybody knowing it yet.
+const HEARERS: usize = 2;
 /// Every which probe goes to another data centre.
 ///
 /// A member is noticed to be gone by those beside it; the probes between data centres carry news
@@ -191,6 +194,36 @@
         self.entries.merge(now, member)
     }
 
+    /// Tells a few members of each other data centre what its own daemon has in force; whoever is
+    /// behind fetches it.
+    ///
+    /// Guards against a platform that turns the reader of a data centre away, in silence: that one
+    /// notices after seconds, and whom it asks in its place may be turned away as well. Probes
+    /// between data centres are too rare to carry the news in time.
+    pub fn announce(&mut self, rng: &mut SmallRng) -> Vec<Send> {
+        let home = &self.me.data_centre;
+        let far = self.live().filter(|member| member.data_centre != *home);
+        let mut far: Vec<(DataCentre, SocketAddr)> =
+            far.map(|m| (m.data_centre.clone(), m.peer)).collect();
+        far.shuffle(rng);
+        far.sort_by(|a, b| a.0.cmp(&b.0));
+        let few = far.chunk_by(|a, b| a.0 == b.0);
+        let few = few.flat_map(|members| members.iter().take(HEARERS));
+        let receivers: Vec<SocketAddr> = few.map(|(_, peer)| *peer).collect();
+        let datagram = Datagram {
+            release: wire::RELEASE,
+            from: self.me.clone(),
+            digest: self.digest,
+            probe: Probe::News,
+            news: Vec::new(),
+        };
+        let send = |to| Send {
+            to,
+            datagram: datagram.clone(),
+        };
+        receivers.into_iter().map(send).collect()
+    }
+
     /// Highest version that `peer` is known to have run.
     #[must_use]
     pub fn ran(&self, peer: SocketAddr) -> Version {
