--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -1,8 +1,9 @@
 //! Calls: the path of a request from its caller to a target and back.
 //!
-//! The entry finds the [`route`] of a request, [`pick`]s an upstream by its [`pace`] and hands the request
-//! to the gate, whose [`limit`] bounds the work. Only the entry may [`retry`]; the caller is told the
-//! [`outcome`]. How headers are spelt is a [`dialect`].
+//! The entry finds the [`route`] of a request, [`pick`]s an upstream by its [`pace`] and hands the
+//! request over ([`handover`]) to the gate, whose [`limit`] bounds the work. How long a request may wait
+//! there is its [`patience`]; a [`refusal`] is remembered for a moment. Only the entry may [`retry`];
+//! the caller is told the [`outcome`]. How headers are spelt is a [`dialect`].
 
 pub mod dialect;
 pub mod handover;
