--- a/src/calls/handover.rs
+++ b/src/calls/handover.rs
@@ -68,7 +68,7 @@
 ///
 /// # Errors
 ///
-/// [`Error::Frame`] when it does not decode.
+/// [`Error::Frame`](crate::Error::Frame) when it does not decode.
 pub fn read_handover(headers: &mut HeaderMap) -> Result<Handover> {
     let mut take = |name| {
         let value: Option<HeaderValue> = headers.remove(name);
