Look twice for calls in flight before a stopped daemon goes

Change: 200 ms pass between the last connection and the look at what is in flight, and there is a second look before the process ends. Not shown: a test that fails first.

--- a/src/stop.rs
+++ b/src/stop.rs
@@ -28,6 +28,9 @@
 const LINGER: Duration = Duration::from_millis(2_500);
 /// Time between two looks at the settings, which may change without a word.
 const LOOK: Duration = Duration::from_secs(2);
+/// Time in which the first request on a connection that was taken last has come: many times the way
+/// from a caller.
+const FIRST_WORDS: Duration = Duration::from_millis(200);
 /// Time between the last answer and the end of the process.
 const LAST_WORDS: Duration = Duration::from_millis(50);
 
@@ -104,19 +107,36 @@
         }
         tokio::time::sleep_until((began + board.settings.accept_ms.duration()).into()).await;
         self.phases.send_replace(Phase::Closed);
+        // Guards against a connection that was taken at the last moment: its request has not come
+        // yet, so nothing is in flight, and it would be read and cut a moment later.
+        tokio::time::sleep(FIRST_WORDS).await;
         tokio::time::sleep_until((began + LINGER).into()).await;
         self.phases.send_replace(Phase::Ending);
-        let limit = board.drain().duration();
-        if !board.idle(limit.saturating_sub(began.elapsed())).await {
-            warn!(board.logger, "calls are cut: the drain limit has passed";
-                "in_flight" => board.in_flight());
-        }
+        self.answer_all(began).await;
         // A planned stop must not look like a loss to the guard of keys.
         let handed = self.keys.hand_over().await;
         let health = if handed { Health::Left } else { Health::Gone };
         self.membership.leave(health).await;
-        // The last answers have been handed to the connections; they are written in this time.
-        tokio::time::sleep(LAST_WORDS).await;
+        // What came meanwhile is answered as well.
+        self.answer_all(began).await;
+    }
+
+    /// Waits until every call has its answer, and the answers are written, within the drain limit.
+    async fn answer_all(&self, began: Instant) {
+        let board = &self.board;
+        loop {
+            let limit = board.drain().duration().saturating_sub(began.elapsed());
+            if !board.idle(limit).await {
+                warn!(board.logger, "calls are cut: the drain limit has passed";
+                    "in_flight" => board.in_flight());
+                return;
+            }
+            // The last answers have been handed to the connections; they are written in this time.
+            tokio::time::sleep(LAST_WORDS).await;
+            if board.in_flight() == 0 {
+                return;
+            }
+        }
     }
 }
 
