Tell lives of one name apart by their birth, and pass over unreadable records

Cause: a target may start again under the name that it had; its heartbeats, counted anew, were taken for late ones of the life before, and a late farewell took the next life out. One record of another writer among the operators' failed the whole read. A heartbeat of a service that nobody names took the place of the target. Ruled out: reading a smaller sequence as a restart, since late heartbeats have one as well. Change: a life is its name and birth; births order lives of one name only. Entries forget what they learnt when the birth changes.

--- a/src/board.rs
+++ b/src/board.rs
@@ -24,7 +24,7 @@
 use crate::route::Table;
 use crate::settings::Settings;
 use crate::telemetry::Meter;
-use crate::units::{Instance, Millis, Slots, Version};
+use crate::units::{Birth, Instance, Millis, Slots, Version};
 
 /// Lines a second that requests may cause. At about 50 microseconds each, as measured on a day of
 /// overload (27.5 s of processor time with them, 26.3 s without), they stay at 0.2 % of a core.
@@ -66,6 +66,8 @@
 pub struct Target {
     /// The life that announced itself, where targets tell theirs.
     pub instance: Option<Instance>,
+    /// When that life began, where targets tell it.
+    pub born: Option<Birth>,
     /// Where it takes calls.
     pub address: SocketAddr,
     /// What it offers.
@@ -84,6 +86,7 @@
         Offer {
             service: self.service.clone(),
             slots: self.slots,
+            born: self.born,
             open: true,
         }
     }
--- a/src/configuration/origin.rs
+++ b/src/configuration/origin.rs
@@ -29,6 +29,8 @@
     pub release: Option<Release>,
     /// Where to read on.
     pub next: Offset,
+    /// What was wrong with records that could not be read; the others hold all the same.
+    pub faults: Vec<String>,
 }
 
 /// A daemon as listed on the platform.
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -72,6 +72,8 @@
     links: Arc<Links>,
     /// Where to read on in an origin; none before its newest version was read.
     next: Mutex<Option<Offset>>,
+    /// The last fault of a record that was written to the log.
+    fault: Mutex<Option<String>>,
 }
 
 /// What is read.
@@ -98,6 +100,7 @@
             source,
             links,
             next: Mutex::new(None),
+            fault: Mutex::new(None),
         }
     }
 
@@ -222,6 +225,7 @@
             }
             found => found?,
         };
+        self.note_faults(&found.faults);
         if let Some(Release { version, document }) = found.release {
             let update = Update {
                 version,
@@ -234,6 +238,17 @@
         Ok(found.next)
     }
 
+    /// Says once what is wrong with records that can't be read.
+    fn note_faults(&self, faults: &[String]) {
+        let mut noted = self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        for fault in faults {
+            if noted.as_ref() != Some(fault) {
+                warn!(self.board.logger, "record passed over"; "problem" => fault);
+                *noted = Some(fault.clone());
+            }
+        }
+    }
+
     fn next(&self) -> MutexGuard<'_, Option<Offset>> {
         self.next.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -16,14 +16,18 @@
 use volo_http::server::route::{get, post};
 
 use crate::board::{Board, Target};
+use crate::clock;
 use crate::dispatch::Dispatcher;
 use crate::member::Stage;
 use crate::probe::Membership;
-use crate::target::{Beat, Lives, Standing};
-use crate::units::{Instance, Millis, Service, Slots};
+use crate::target::{Beat, Life, Lives, Standing};
+use crate::units::{Birth, Instance, Millis, Service, Slots, Version};
 
 /// Longest lease, in milliseconds.
 pub const MAX_LEASE_MS: u64 = 60_000;
+/// Time by which a birth may lie ahead of this host's clock, in milliseconds: clocks differ by
+/// seconds at most.
+const MAX_AHEAD_MS: u64 = 60_000;
 /// Largest announcement, in bytes.
 const MAX_BODY: usize = 4_096;
 /// Time for a target to tell its health; it is on the same host.
@@ -125,13 +129,14 @@
             slots: beat.slots,
             lease_ms: beat.lease,
         };
-        if let Some(fault) = announcement.fault() {
+        let fault = announcement.fault().or_else(|| self.fault(&beat));
+        if let Some(fault) = fault {
             return Err(Faulty(fault));
         }
         let (standing, contested, leaving) = {
             let mut lives = self.lives();
-            let contested = !lives.is_empty();
-            let standing = lives.hear(&beat.instance, beat.sequence);
+            let contested = lives.contest(&beat.life);
+            let standing = lives.hear(&beat.life, beat.sequence);
             if beat.leaving && matches!(standing, Standing::New | Standing::Current) {
                 lives.leave();
             }
@@ -140,30 +145,32 @@
         match standing {
             Standing::Stale | Standing::Past => {
                 debug!(self.board.logger, "late announcement passed over";
-                    "instance" => %beat.instance, "sequence" => beat.sequence);
+                    "instance" => %beat.life.instance, "sequence" => beat.sequence);
                 return Ok(());
             }
             Standing::New => {
                 info!(self.board.logger, "target announced"; "service" => %beat.service,
-                    "instance" => %beat.instance, "sequence" => beat.sequence,
+                    "instance" => %beat.life.instance, "born" => beat.life.born.map(|born| born.0),
+                    "sequence" => beat.sequence,
                     "slots" => beat.slots.0);
             }
             Standing::Current => {}
         }
         if leaving {
-            self.close("target leaves", &beat.instance).await;
+            self.close("target leaves", &beat.life.instance).await;
             return Ok(());
         }
         // Two lives have claimed the address, in an order that proves nothing: ask who is there.
         if standing == Standing::New && contested {
             let asked = self.ask_health(beat.address, &beat.service).await;
-            if let Some(there) = asked.filter(|there| *there != beat.instance) {
+            if let Some(there) = asked.filter(|there| *there != beat.life.instance) {
                 self.lives().prove(&there);
                 return Ok(());
             }
         }
         self.open(Target {
-            instance: Some(beat.instance),
+            instance: Some(beat.life.instance),
+            born: beat.life.born,
             address: beat.address,
             service: beat.service,
             slots: beat.slots,
@@ -173,6 +180,24 @@
         Ok(())
     }
 
+    /// What contradicts what this daemon knows, with a remedy.
+    ///
+    /// Guards against an announcement that is not the target's: taken for the word of its next life,
+    /// it would put the one that serves out of use until it announces itself again.
+    fn fault(&self, beat: &Beat) -> Option<&'static str> {
+        let config = self.board.config();
+        let groups = &config.document.groups;
+        let named = groups.iter().any(|group| group.service == beat.service);
+        if config.digest.version != Version(0) && !named {
+            return Some("no group names the service; publish one or correct the announcement");
+        }
+        let latest = Birth(clock::unix_ms() + MAX_AHEAD_MS);
+        if beat.life.born.is_some_and(|born| born > latest) {
+            return Some("born lies in the future; tell the time of the start");
+        }
+        None
+    }
+
     /// Notes an announcement that could not be read, and why.
     pub fn unreadable(&self, problem: &str) {
         metrics::counter!("jackdaw_bad_announcements_total").increment(1);
@@ -180,22 +205,9 @@
     }
 
     /// Notes that a life of the target ends: it gets no new work.
-    pub async fn deregister(&self, instance: &Instance) {
-        let current = {
-            let mut lives = self.lives();
-            let current = lives.is_current(instance);
-            if current {
-                lives.leave();
-            } else {
-                lives.forget(instance);
-            }
-            current
-        };
-        // A target that leaves at once may not have announced itself to this daemon yet.
-        let target = self.board.target();
-        let same = target.is_some_and(|target| target.instance.as_ref() == Some(instance));
-        if current || same {
-            self.close("target ends", instance).await;
+    pub async fn deregister(&self, life: &Life) {
+        if self.lives().close(life) {
+            self.close("target ends", &life.instance).await;
         }
     }
 
@@ -222,6 +234,7 @@
         info!(self.board.logger, "target found"; "instance" => %instance, "slots" => ?slots);
         self.open(Target {
             instance: Some(instance),
+            born: None,
             address,
             service,
             slots: slots.unwrap_or(UNTOLD_SLOTS),
@@ -294,6 +307,7 @@
         let known = self.board.target().is_some();
         let target = Target {
             instance: None,
+            born: None,
             address: announcement.address,
             service: announcement.service,
             slots: announcement.slots,
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, VariantNames};
 
-use crate::units::{DataCentre, Incarnation, Service, Slots};
+use crate::units::{Birth, DataCentre, Incarnation, Service, Slots};
 
 /// One daemon, as others know it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +35,8 @@
     pub service: Service,
     /// Calls it takes at the same time.
     pub slots: Slots,
+    /// When its life began, where targets tell it.
+    pub born: Option<Birth>,
     /// Whether the target is there; its daemon still remembers its keys when it is not.
     pub open: bool,
 }
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -14,7 +14,7 @@
 use crate::peer::Link;
 use crate::pick::{self, Candidate, Cost, Evidence};
 use crate::refusal::Refusal;
-use crate::units::{DataCentre, Millis, Priority, Service};
+use crate::units::{Birth, DataCentre, Millis, Priority, Service};
 
 /// Bytes in a kilobyte.
 const KB: f64 = 1_024.0;
@@ -67,6 +67,8 @@
     pub local: bool,
     /// Connection for calls.
     pub link: Link,
+    /// Start of the target's life in Unix milliseconds; 0 while it is not known.
+    born: AtomicU64,
     slots: AtomicU32,
     came: Instant,
     suspect: AtomicBool,
@@ -103,8 +105,11 @@
                 continue;
             };
             let kept = old.upstream(&offer.service, member.peer);
+            let kept = kept.filter(|upstream| upstream.continues(offer.born));
             let upstream = kept.unwrap_or_else(|| Arc::new(Upstream::new(member, home, now)));
             upstream.slots.store(offer.slots.0, Ordering::Relaxed);
+            let born = offer.born.map_or(0, |born| born.0);
+            upstream.born.fetch_max(born, Ordering::Relaxed);
             upstream
                 .suspect
                 .store(member.health == Health::Suspect, Ordering::Relaxed);
@@ -173,6 +178,7 @@
             peer: member.peer,
             local: member.data_centre == home.data_centre,
             link: Link::new(member.peer, home.address),
+            born: AtomicU64::new(0),
             slots: AtomicU32::new(0),
             came: now,
             suspect: AtomicBool::new(false),
@@ -185,6 +191,18 @@
         }
     }
 
+    /// Whether what was learnt still holds for a target that was born then.
+    ///
+    /// Guards against the bad name of a life that has ended: the next one, under the same name at
+    /// the same address, would inherit its pace, its refusals and its ejection.
+    fn continues(&self, born: Option<Birth>) -> bool {
+        let Some(Birth(born)) = born else {
+            return true;
+        };
+        let known = self.born.swap(born, Ordering::Relaxed);
+        known == 0 || known == born
+    }
+
     /// What a choice needs to know at `now`.
     #[must_use]
     pub fn candidate(&self, group: &Group, now: Instant) -> Candidate {
--- a/src/units.rs
+++ b/src/units.rs
@@ -93,6 +93,11 @@
     Millis, u64
 }
 
+number! {
+    /// When a life of a target began, in Unix milliseconds.
+    Birth, u64
+}
+
 number! {
     /// Calls that a target takes at the same time.
     Slots, u32
--- a/trial/src/scale.rs
+++ b/trial/src/scale.rs
@@ -132,6 +132,7 @@
         offer: Some(Offer {
             service: Service(format!("service-{:03}", index % 100)),
             slots: Slots(20),
+            born: None,
             open: true,
         }),
     }
