Let calls of targets wait by their deadline; answer what a planned stop can't wait for

Change: a gate learns which routes only targets call, from the services of the hosts where requests begin, and tells entries; those routes' calls tolerate by their deadline.

--- a/src/board.rs
+++ b/src/board.rs
@@ -114,6 +114,8 @@
     versions: watch::Sender<Version>,
     rosters: watch::Sender<u64>,
     stages: watch::Sender<Stage>,
+    /// Whether a planned stop waits no longer.
+    cut: watch::Sender<bool>,
 }
 
 impl Board {
@@ -135,6 +137,7 @@
             versions: watch::Sender::new(Version(0)),
             rosters: watch::Sender::new(0),
             stages: watch::Sender::new(Stage::Starting),
+            cut: watch::Sender::new(false),
         }
     }
 
@@ -252,6 +255,19 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    /// Has every call that is still in flight answered at once, as a planned stop waits no longer.
+    pub fn cut_short(&self) {
+        self.cut.send_replace(true);
+    }
+
+    /// Waits until calls in flight are cut short.
+    pub async fn until_cut(&self) {
+        let cut = self.cut.subscribe().wait_for(|cut| *cut).await.is_ok();
+        if !cut {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Counts a call until the returned value is dropped.
     #[must_use]
     pub fn begin(self: &Arc<Self>) -> InFlight {
--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -19,7 +19,7 @@
 use crate::roster::Upstream;
 use crate::route::Plan;
 use crate::stream::{self, Incoming};
-use crate::units::{CallKey, Millis};
+use crate::units::{CallKey, Millis, Service};
 
 /// Header with the caller's idempotency key.
 const KEY: &str = "idempotency-key";
@@ -37,6 +37,8 @@
     pub tried: Vec<SocketAddr>,
     /// Attempts that an upstream may have begun to work on.
     pub made: u32,
+    /// Whether any of it has been handed to an upstream.
+    pub sent: bool,
     /// Why it has no answer yet.
     pub reason: Option<Reason>,
     /// Time that the caller still gives, by its own word.
@@ -53,8 +55,6 @@
 pub struct Part {
     /// What the gate needs to know.
     pub handover: Handover,
-    /// Name of its route.
-    pub route: String,
     /// The request, with its body.
     pub request: Request<Body>,
     /// When the head of the answer is due.
@@ -109,6 +109,8 @@
             id: id.to_owned(),
             service: group.service.clone(),
             group: group.name.clone(),
+            route: plan.route.name.clone(),
+            from: Service::default(),
             priority: plan.route.rank(),
             remaining: timeout,
             tolerance: timeout,
@@ -137,6 +139,7 @@
             body,
             tried: Vec::new(),
             made: 0,
+            sent: false,
             reason: None,
         })
     }
@@ -172,6 +175,15 @@
         self.prompt = self.prompt.checked_sub(before).unwrap_or(self.prompt);
     }
 
+    /// Notes that a running request needs the answer.
+    ///
+    /// Guards against work in vain: a call that is refused because its answer would come later than
+    /// usual fails the request that made it, with all that has been done for that one. Its answer is
+    /// of full use until the deadline.
+    pub const fn nest(&mut self) {
+        self.prompt = self.deadline;
+    }
+
     /// Longest wait for a slot with which the next attempt is still of use, when it takes `needs`.
     #[must_use]
     pub fn tolerance(&self, needs: Duration) -> Duration {
@@ -186,6 +198,7 @@
 
     /// What the next attempt sends; a streamed body can be taken only once.
     pub fn part(&mut self, needs: Duration) -> Part {
+        self.sent = true;
         let tolerance = Millis::from(self.tolerance(needs));
         let mut request = Request::new(self.body.take());
         *request.method_mut() = self.head.method.clone();
@@ -199,7 +212,6 @@
         };
         Part {
             handover,
-            route: self.plan.route.name.clone(),
             request,
             deadline: self.deadline,
         }
--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -88,7 +88,10 @@
         let id = self.identify(&request);
         let named = id.as_deref().ok_or(Reason::Unnamed);
         let prepared = match named {
-            Ok(id) => self.prepare(id, &config, request, began).await,
+            Ok(id) => tokio::select! {
+                prepared = self.prepare(id, &config, request, began) => prepared,
+                () = self.board.until_cut() => Err(Reason::Draining),
+            },
             Err(reason) => Err(reason),
         };
         let id = id.unwrap_or_default();
@@ -194,19 +197,36 @@
             draw,
         );
         let mut call = preparing.await?;
-        if let Some(given) = call.given {
+        call.handover.from = settings.service.clone().unwrap_or_default();
+        if self.chooser.experience.is_nested(&call.plan.route.name) {
+            call.nest();
+        } else if let Some(given) = call.given {
             let before = self.chooser.experience.waited(&call.plan.route.name, given);
             call.waited(before);
         }
         Ok(call)
     }
 
+    /// Answers a call, with the target's answer or with why there is none.
     async fn complete(&self, mut call: Call) -> Response<Body> {
+        let answered = tokio::select! {
+            answered = self.pursue(&mut call) => answered,
+            () = self.board.until_cut() => {
+                let reason = if call.sent { Reason::CutShort } else { Reason::Draining };
+                call.failed(reason);
+                None
+            }
+        };
+        answered.unwrap_or_else(|| self.give_up(&call))
+    }
+
+    /// Tries upstreams one after the other, for as long as that makes sense.
+    async fn pursue(&self, call: &mut Call) -> Option<Response<Body>> {
         let rule = &Arc::clone(&call.plan).retry;
-        self.budget(&call).deposit_share(rule.budget);
+        self.budget(call).deposit_share(rule.budget);
         let mut refusals = 0;
         loop {
-            let upstream = match self.chooser.choose(&call) {
+            let upstream = match self.chooser.choose(call) {
                 Choice::Upstream(upstream) => upstream,
                 Choice::Nobody => break,
                 Choice::Full => {
@@ -214,8 +234,8 @@
                     break;
                 }
             };
-            let reason = match self.race(&upstream, &mut call).await {
-                Attempt::Answered(response) => return response,
+            let reason = match self.race(&upstream, call).await {
+                Attempt::Answered(response) => return Some(response),
                 Attempt::Failed(reason) => reason,
             };
             call.failed(reason);
@@ -236,9 +256,9 @@
             let goes_on = if free {
                 call.sendable() && !call.left().is_zero() && refusals < REFUSALS
             } else {
-                self.may_retry(rule, &call, reason)
+                self.may_retry(rule, call, reason)
             };
-            self.note_failure(&call, &upstream, reason, goes_on);
+            self.note_failure(call, &upstream, reason, goes_on);
             if !goes_on {
                 break;
             }
@@ -249,7 +269,7 @@
             let fraction = rand::rng().random_range(0.0..1.0);
             tokio::time::sleep(retry::backoff(rule, call.left(), fraction)).await;
         }
-        self.give_up(&call)
+        None
     }
 
     fn may_retry(&self, rule: &Retry, call: &Call, reason: Reason) -> bool {
@@ -327,7 +347,7 @@
         }
         let service = part.handover.service.clone();
         let (priority, tolerance) = (part.handover.priority, part.handover.tolerance);
-        let route = part.route.clone();
+        let route = part.handover.route.clone();
         let began = Instant::now();
         let exchange = async {
             if upstream.peer == self.board.settings.identity() {
--- a/src/calls/experience.rs
+++ b/src/calls/experience.rs
@@ -16,12 +16,18 @@
 /// Routes that are remembered at most: far more than a document's busy ones.
 const MOST: usize = 1_024;
 
+/// Time for which a gate's word holds that only targets call a route: one that has started a moment
+/// ago does not know it yet.
+const NESTED: Duration = Duration::from_secs(10);
+
 /// What is known of a route.
 #[derive(Debug)]
 struct Known {
     name: String,
     typical: Typical,
     patience: Patience,
+    /// Until when it counts as one that only targets call.
+    nested_until: Option<Instant>,
 }
 
 /// What the routes' requests usually need.
@@ -59,6 +65,9 @@
         let load = load.and_then(|text| text.parse::<Load>().ok());
         if let Some(load) = load {
             upstream.report(now, load.in_flight);
+            if load.nested {
+                place(&mut self.routes(), route).nested_until = Some(now + NESTED);
+            }
         }
         let failed = response.status().is_server_error();
         if failed {
@@ -83,6 +92,14 @@
         found.map_or_else(|_| Typical::default(), |index| routes[index].typical)
     }
 
+    /// Whether only targets call a route, by a gate's word.
+    pub fn is_nested(&self, route: &str) -> bool {
+        let routes = self.routes();
+        let found = routes.binary_search_by(|known| known.name.as_str().cmp(route));
+        let until = found.ok().and_then(|index| routes[index].nested_until);
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// For how long the caller of a request has waited that still gives `given`.
     pub fn waited(&self, route: &str, given: Millis) -> Duration {
         let mut routes = self.routes();
@@ -113,6 +130,7 @@
             name: route.to_owned(),
             typical: Typical::default(),
             patience: Patience::default(),
+            nested_until: None,
         };
         routes.insert(index, known);
         index
--- a/src/calls/gate.rs
+++ b/src/calls/gate.rs
@@ -6,7 +6,7 @@
 
 use std::fmt;
 use std::str::FromStr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
 use http::{HeaderValue, Request, Response};
@@ -16,8 +16,9 @@
 use crate::board::Board;
 use crate::guard::Keys;
 use crate::handover::Handover;
+use crate::origins::Origins;
 use crate::outcome::{self, Reason};
-use crate::units::Millis;
+use crate::units::{Millis, Service};
 use crate::work::{Received, Waited, Work};
 
 /// Header with a gate's [`Load`].
@@ -29,20 +30,25 @@
     board: Arc<Board>,
     work: Arc<Work>,
     keys: Arc<Keys>,
+    /// Held for a few instructions.
+    origins: Mutex<Origins>,
 }
 
-/// What a gate tells an entry with each answer, written as two numbers with a comma.
+/// What a gate tells an entry with each answer, written as numbers with commas.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
     /// Requests that run at the target or wait for a slot.
     pub in_flight: u32,
     /// Time for which the answered request waited for its slot.
     pub waited: Millis,
+    /// Whether only targets call the route of the answered request.
+    pub nested: bool,
 }
 
 impl fmt::Display for Load {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{},{}", self.in_flight, self.waited)
+        let nested = u8::from(self.nested);
+        write!(f, "{},{},{nested}", self.in_flight, self.waited)
     }
 }
 
@@ -50,10 +56,12 @@
     type Err = std::num::ParseIntError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let (in_flight, waited) = text.split_once(',').unwrap_or((text, "0"));
+        let mut fields = text.split(',');
+        let mut next = || fields.next().unwrap_or("0");
         Ok(Self {
-            in_flight: in_flight.parse()?,
-            waited: waited.parse()?,
+            in_flight: next().parse()?,
+            waited: next().parse()?,
+            nested: next() == "1",
         })
     }
 }
@@ -63,7 +71,12 @@
     #[must_use]
     pub fn new(board: Arc<Board>, keys: Arc<Keys>) -> Self {
         let work = Arc::new(Work::new(Arc::clone(&board)));
-        Self { board, work, keys }
+        Self {
+            board,
+            work,
+            keys,
+            origins: Mutex::default(),
+        }
     }
 
     /// Requests that run and that wait.
@@ -75,6 +88,7 @@
     /// Runs a request, or says why not.
     pub async fn run(&self, handover: Handover, request: Request<Body>) -> Response<Body> {
         let (id, key) = (handover.id.clone(), handover.key.clone());
+        let nested = self.is_nested(&handover);
         let received = Received::new(handover, request, self.board.begin());
         let result = match key {
             Some(key) => self.keys.guard(key, received, &self.work).await,
@@ -96,18 +110,29 @@
             }
         };
         let waited = response.extensions().get::<Waited>().copied();
-        let load = self.report(waited.unwrap_or_default());
+        let load = self.report(waited.unwrap_or_default(), nested);
         if let Ok(load) = HeaderValue::from_str(&load.to_string()) {
             response.headers_mut().insert(LOAD, load);
         }
         response
     }
 
-    fn report(&self, waited: Waited) -> Load {
+    /// Whether only targets call the route of a request, which is noted.
+    fn is_nested(&self, handover: &Handover) -> bool {
+        if handover.from == Service::default() {
+            return false;
+        }
+        let roster = self.board.roster();
+        let mut origins = self.origins.lock().unwrap_or_else(PoisonError::into_inner);
+        origins.note(&handover.route, &handover.from, &roster.fleet)
+    }
+
+    fn report(&self, waited: Waited, nested: bool) -> Load {
         let (running, waiting) = self.load();
         Load {
             in_flight: running + u32::try_from(waiting).unwrap_or(u32::MAX),
             waited: Millis::from(waited.0),
+            nested,
         }
     }
 }
--- a/src/calls/handover.rs
+++ b/src/calls/handover.rs
@@ -21,6 +21,11 @@
 /// Header with the upstream group of the route.
 const GROUP: &str = "x-jackdaw-group";
 
+/// Header with the name of the route.
+const ROUTE: &str = "x-jackdaw-route";
+/// Header with the service on whose host the call began.
+const FROM: &str = "x-jackdaw-from";
+
 /// What a gate needs to know of a call, beside the HTTP request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Handover {
@@ -30,6 +35,10 @@
     pub service: Service,
     /// Upstream group of the route.
     pub group: String,
+    /// Name of the route.
+    pub route: String,
+    /// Service on whose host the call began; empty where it is not known.
+    pub from: Service,
     /// Its rank.
     pub priority: Priority,
     /// Time left until the answer's head is due.
@@ -51,6 +60,8 @@
     let names = [
         (SERVICE, &mut handover.service.0),
         (GROUP, &mut handover.group),
+        (ROUTE, &mut handover.route),
+        (FROM, &mut handover.from.0),
     ];
     for (header, name) in names {
         // What a caller may have sent under this name must not be taken for ours.
@@ -81,5 +92,11 @@
     if let Some(group) = take(GROUP) {
         handover.group = group;
     }
+    if let Some(route) = take(ROUTE) {
+        handover.route = route;
+    }
+    if let Some(from) = take(FROM) {
+        handover.from = Service(from);
+    }
     Ok(handover)
 }
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -9,6 +9,7 @@
 pub mod handover;
 pub mod limit;
 pub mod lines;
+pub mod origins;
 pub mod outcome;
 pub mod pace;
 pub mod patience;
--- a/src/calls/outcome.rs
+++ b/src/calls/outcome.rs
@@ -69,6 +69,8 @@
     Broken,
     /// The answer did not come in time.
     TimedOut,
+    /// The daemon's planned stop could not wait for the answer.
+    CutShort,
     /// Another run of the same key may have happened.
     KeyInDoubt,
     /// The caller's own body broke off.
@@ -82,7 +84,7 @@
     #[must_use]
     pub const fn fate(self) -> Fate {
         match self {
-            Self::Broken | Self::TimedOut | Self::KeyInDoubt => Fate::Unknown,
+            Self::Broken | Self::TimedOut | Self::CutShort | Self::KeyInDoubt => Fate::Unknown,
             _ => Fate::NotRun,
         }
     }
@@ -119,7 +121,7 @@
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TimedOut | Self::Expired => StatusCode::GATEWAY_TIMEOUT,
-            Self::Broken | Self::KeyInDoubt => StatusCode::BAD_GATEWAY,
+            Self::Broken | Self::CutShort | Self::KeyInDoubt => StatusCode::BAD_GATEWAY,
             Self::CallerGone | Self::Unnamed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,7 +60,7 @@
 mod stop;
 
 pub use calls::{
-    dialect, handover, limit, lines, outcome, pace, patience, pick, refusal, retry, route,
+    dialect, handover, limit, lines, origins, outcome, pace, patience, pick, refusal, retry, route,
 };
 pub use configuration::{check, delta, document, exchange, fault, floor, fold, log, origin};
 pub use document::Document;
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -30,6 +30,8 @@
     pub members: Vec<Member>,
     /// Members that are thought to be gone and not yet forgotten.
     pub gone: Vec<Departed>,
+    /// Hosts of each service, sorted by it, whether their targets take calls or not.
+    pub fleet: Vec<(Service, usize)>,
     pools: Vec<Pool>,
 }
 
@@ -128,6 +130,7 @@
             }
         }
         Self {
+            fleet: fleet(&members),
             members,
             gone,
             pools,
@@ -172,6 +175,18 @@
     }
 }
 
+/// Hosts of each service, sorted by it.
+fn fleet(members: &[Member]) -> Vec<(Service, usize)> {
+    let mut fleet: Vec<(Service, usize)> = Vec::new();
+    for offer in members.iter().filter_map(|member| member.offer.as_ref()) {
+        match fleet.binary_search_by(|(service, _)| service.cmp(&offer.service)) {
+            Ok(index) => fleet[index].1 += 1,
+            Err(index) => fleet.insert(index, (offer.service.clone(), 1)),
+        }
+    }
+    fleet
+}
+
 impl Upstream {
     fn new(member: &Member, home: &Home, now: Instant) -> Self {
         Self {
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -31,6 +31,9 @@
 /// Time in which the first request on a connection that was taken last has come: many times the way
 /// from a caller.
 const FIRST_WORDS: Duration = Duration::from_millis(200);
+/// Time for the answers of calls that are cut short to be written, over slow links as well; together
+/// with the drain limit inside what the platform grants a stop.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
 /// Time between the last answer and the end of the process.
 const LAST_WORDS: Duration = Duration::from_millis(50);
 
@@ -122,6 +125,10 @@
     }
 
     /// Waits until every call has its answer, and the answers are written, within the drain limit.
+    ///
+    /// Guards against a request that takes longer than a stop may, such as a body that is still on
+    /// its way over a slow link: its connection would end without a word, and its caller could not
+    /// tell whether it has run.
     async fn answer_all(&self, began: Instant) {
         let board = &self.board;
         loop {
@@ -129,6 +136,8 @@
             if !board.idle(limit).await {
                 warn!(board.logger, "calls are cut: the drain limit has passed";
                     "in_flight" => board.in_flight());
+                board.cut_short();
+                board.idle(LAST_ANSWERS).await;
                 return;
             }
             // The last answers have been handed to the connections; they are written in this time.
