Keep a target at work while its daemon waits for callers to go elsewhere

Cause: a daemon that is told to stop refused calls for its target at once, and waited for three seconds for its own callers to go elsewhere: its target stood idle, 1 of 11 at any moment of a rolling restart, and of a service with three targets a third. Ruled out: a shorter wait for callers (they hear of a stop by two missed questions, two seconds). Change: a stage between serving and draining, in which sessions end and the target takes calls; the gate closes 0.8 s before callers are refused. Where callers are not waited for, nothing changes.

--- a/src/board.rs
+++ b/src/board.rs
@@ -233,6 +233,7 @@
         match self.stage.load(Ordering::Acquire) {
             stage if stage == Stage::Starting as u8 => Stage::Starting,
             stage if stage == Stage::Serving as u8 => Stage::Serving,
+            stage if stage == Stage::Leaving as u8 => Stage::Leaving,
             _ => Stage::Draining,
         }
     }
@@ -243,6 +244,16 @@
         self.stages.send_replace(self.stage());
     }
 
+    /// Begins a planned stop; the target takes calls for as long as callers still come.
+    pub fn leave(&self) {
+        let waits = self.settings.accept_ms > Millis(0);
+        self.advance(if waits {
+            Stage::Leaving
+        } else {
+            Stage::Draining
+        });
+    }
+
     /// Follows the stage.
     #[must_use]
     pub fn stages(&self) -> watch::Receiver<Stage> {
--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -108,7 +108,7 @@
             headers.insert(header::RETRY_AFTER, come_back());
         }
         headers.insert(VERSION, HeaderValue::from(config.digest.version.0));
-        if self.board.stage() == Stage::Draining {
+        if self.board.stage().is_stopping() {
             // A planned stop ends a session after an answer, never within one.
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -53,7 +53,7 @@
 #[must_use]
 pub fn duty(board: &Board) -> Option<usize> {
     let settings = &board.settings;
-    if board.stage() == Stage::Draining {
+    if board.stage().is_stopping() {
         return None;
     }
     if settings.delivery == Delivery::Poll {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -290,7 +290,7 @@
     if board.settings.accept_ms == Millis(0) {
         let mut stages = board.stages();
         let ready = stages.wait_for(|stage| *stage != Stage::Starting).await;
-        if ready.is_ok_and(|stage| *stage == Stage::Draining) {
+        if ready.is_ok_and(|stage| stage.is_stopping()) {
             return;
         }
     }
@@ -298,7 +298,7 @@
         Ok(listener) => listener,
         Err(error) => {
             error!(board.logger, "callers can't be served"; "error" => %error);
-            board.advance(Stage::Draining);
+            board.leave();
             return;
         }
     };
--- a/src/idempotency/gates.rs
+++ b/src/idempotency/gates.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use crate::keys::{Peer, Standing};
-use crate::member::{Health, Member, Stage};
+use crate::member::{Health, Member};
 use crate::roster::Roster;
 use crate::units::Service;
 
@@ -29,7 +29,7 @@
         .filter(|member| offers(member))
         .map(|member| {
             let open = member.offer.as_ref().is_some_and(|offer| offer.open);
-            let serving = open && member.stage == Stage::Serving && !leaving.contains(&member.peer);
+            let serving = open && member.stage.takes_calls() && !leaving.contains(&member.peer);
             let standing = if serving {
                 Standing::Serving
             } else {
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -169,7 +169,7 @@
         origin: Arc<dyn Origin>,
         found: mpsc::Sender<Vec<(SocketAddr, DataCentre)>>,
     ) {
-        while self.board.stage() != Stage::Draining {
+        while !self.board.stage().is_stopping() {
             let listed = origin.list(&self.contact()).await;
             if let (Ok(()), Ok(contacts)) = (listed, origin.contacts().await) {
                 let peers = contacts.into_iter().map(|c| (c.peer, c.data_centre));
@@ -196,7 +196,7 @@
             tokio::time::sleep(RENEWAL / 2 + jitter(RENEWAL)).await;
             let contacts = origin.contacts().await;
             let listed = contacts.as_ref().is_ok_and(|all| all.contains(&contact));
-            if contacts.is_ok() && !listed && self.board.stage() != Stage::Draining {
+            if contacts.is_ok() && !listed && !self.board.stage().is_stopping() {
                 // An error leaves it for the next round.
                 let _ = origin.list(&contact).await;
             }
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -99,6 +99,22 @@
     Starting,
     /// Takes calls.
     Serving,
+    /// Ends its callers' sessions; its target still takes calls through it.
+    Leaving,
     /// Takes no new work and ends what is in flight.
     Draining,
 }
+
+impl Stage {
+    /// Whether its target takes calls through it.
+    #[must_use]
+    pub const fn takes_calls(self) -> bool {
+        matches!(self, Self::Serving | Self::Leaving)
+    }
+
+    /// Whether a planned stop is under way.
+    #[must_use]
+    pub const fn is_stopping(self) -> bool {
+        matches!(self, Self::Leaving | Self::Draining)
+    }
+}
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::document::{Ejection, Group};
-use crate::member::{Health, Member, Stage};
+use crate::member::{Health, Member};
 use crate::pace::{Pace, Typical, Underway};
 use crate::peer::Link;
 use crate::pick::{self, Candidate, Cost, Evidence};
@@ -102,7 +102,7 @@
             let Some(offer) = member
                 .offer
                 .as_ref()
-                .filter(|offer| offer.open && member.stage == Stage::Serving)
+                .filter(|offer| offer.open && member.stage.takes_calls())
             else {
                 continue;
             };
--- a/src/operation/command.rs
+++ b/src/operation/command.rs
@@ -14,7 +14,7 @@
 use crate::error::{DocumentSnafu, Error, FileSnafu, Result};
 use crate::fold::{Base, Proposal};
 use crate::http_client::Client;
-use crate::member::{Member, Stage};
+use crate::member::Member;
 use crate::operator::{InForce, Published};
 use crate::state::Brief;
 use crate::survey::{Summary, summarise, table};
@@ -244,7 +244,7 @@
             .exchange(address, Method::POST, "/drain", Vec::new())
             .await?;
         let brief: Brief = parse(address, status, &body)?;
-        if brief.stage != Stage::Draining {
+        if !brief.stage.is_stopping() {
             let body = format!("it is {}", brief.stage);
             return Err(Error::Refused {
                 daemon: address,
--- a/src/operation/operator.rs
+++ b/src/operation/operator.rs
@@ -19,7 +19,7 @@
 use crate::fold::Proposal;
 use crate::gate::Gate;
 use crate::guard::Keys;
-use crate::member::{Member, Stage};
+use crate::member::Member;
 use crate::publish::Publisher;
 use crate::state::{Brief, Dump};
 use crate::units::{EditId, Version};
@@ -192,7 +192,7 @@
 
     fn drain(&self) -> Answer {
         info!(self.board.logger, "drain asked for");
-        self.board.advance(Stage::Draining);
+        self.board.leave();
         json(StatusCode::ACCEPTED, &Brief::of(&self.board))
     }
 
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -26,6 +26,12 @@
 
 /// Time for which sessions are ended after an answer before the process goes.
 const LINGER: Duration = Duration::from_millis(2_500);
+/// Time before callers' connections are refused at which the target stops taking calls: those that it
+/// has are mostly answered by then.
+///
+/// Guards against a target that stands idle, though well, for as long as its daemon waits for callers
+/// to go elsewhere, and once more while the next daemon starts.
+const LAST_CALLS: Duration = Duration::from_millis(800);
 /// Time between two looks at the settings, which may change without a word.
 const LOOK: Duration = Duration::from_secs(2);
 /// Time in which the first request on a connection that was taken last has come: many times the way
@@ -76,7 +82,7 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = stages.wait_for(|stage| *stage == Stage::Draining) => break,
+                _ = stages.wait_for(|stage| stage.is_stopping()) => break,
                 _ = hangup.recv() => {
                     info!(board.logger, "told to read the settings again");
                     reload(board, reread.as_mut());
@@ -85,7 +91,7 @@
             }
         }
         info!(board.logger, "draining"; "in_flight" => board.in_flight());
-        board.advance(Stage::Draining);
+        board.leave();
         tokio::select! {
             () = self.drain() => {
                 info!(board.logger, "stopped");
@@ -108,7 +114,11 @@
             // An entry that stays costs a joiner one vain try, so nothing waits for this.
             tokio::spawn(async move { origin.unlist(&contact).await });
         }
-        tokio::time::sleep_until((began + board.settings.accept_ms.duration()).into()).await;
+        let accept = board.settings.accept_ms.duration();
+        tokio::time::sleep_until((began + accept.saturating_sub(LAST_CALLS)).into()).await;
+        board.advance(Stage::Draining);
+        self.membership.reflect().await;
+        tokio::time::sleep_until((began + accept).into()).await;
         self.phases.send_replace(Phase::Closed);
         // Guards against a connection that was taken at the last moment: its request has not come
         // yet, so nothing is in flight, and it would be read and cut a moment later.
