Meet the others however late the platform lists them

Cause: a daemon that had a configuration 0.3 s after its start served without the list of daemons if that was still to come, and nobody read the list when it came; it was looked at again after one to three minutes. Ruled out: the newcomer's heartbeat (its target was announced) and the probes (nobody knew of it).

--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -38,8 +38,8 @@
 const ROUND: Duration = Duration::from_millis(200);
 /// Time that a read waits for the first version while there is none.
 const ORIGIN_WAIT: Millis = Millis(1_500);
-/// Time that a starting daemon gives its peers to be met, when it could serve already.
-const MEETING: Duration = Duration::from_millis(300);
+/// Time between two looks at the list for a daemon that knows nobody; each look doubles it.
+const ALONE: Duration = Duration::from_secs(2);
 
 /// What peers remember of an earlier daemon at this address.
 #[derive(Debug, Default)]
@@ -80,15 +80,21 @@
     pub async fn run(self: Arc<Self>) {
         // A whole data centre that comes back must not ask in the same instant.
         tokio::time::sleep(jitter(ROUND)).await;
-        match self.origin.clone() {
-            Some(origin) => self.reach_origin(&origin).await,
-            None => self.reach_floor().await,
-        }
+        let listed = match self.origin.clone() {
+            Some(origin) => Some(self.reach_origin(&origin).await),
+            None => {
+                self.reach_floor().await;
+                None
+            }
+        };
         if self.board.stage() == Stage::Starting {
             self.board.advance(Stage::Serving);
             self.membership.reflect().await;
             info!(self.board.logger, "serving"; "version" => self.board.digest().version.0);
         }
+        if let Some(listed) = listed {
+            self.meet_listed(listed).await;
+        }
         match self.origin.clone() {
             Some(origin) => self.keep_listed(origin.as_ref()).await,
             None => self.contacts.keep().await,
@@ -99,10 +105,11 @@
     ///
     /// The list of daemons and the configuration are read side by side, and peers that make
     /// themselves known are asked at once: with the platform away, nothing waits for a time-out.
-    async fn reach_origin(self: &Arc<Self>, origin: &Arc<dyn Origin>) {
+    /// Returns where the list is still to come from, if it has not come.
+    async fn reach_origin(self: &Arc<Self>, origin: &Arc<dyn Origin>) -> mpsc::Receiver<Listed> {
         let began = tokio::time::Instant::now();
         let patience = began + self.board.settings.log_patience_ms.duration();
-        let meeting = began + MEETING;
+        let mut told = false;
         let mut floor = Floor::default();
         let mut past = Past::default();
         let mut greeted = vec![self.board.settings.identity()];
@@ -119,8 +126,9 @@
             let late = tokio::time::Instant::now() >= patience;
             let have = self.board.digest().version;
             let known = have > Version(0) && have >= floor.version();
-            // Peers remember what this host's target offered, so a moment is spent on them.
-            let early = greeted.len() == 1 && tokio::time::Instant::now() < meeting;
+            // Peers have the targets that this daemon's callers need, and remember what its own
+            // target offered.
+            let early = greeted.len() == 1 && !told && !late;
             let peers = late && floor.met_by_peers(have, self.data_centres());
             if known && !early && (read || peers) {
                 break;
@@ -132,9 +140,11 @@
                     let pause = if read { Duration::ZERO } else { ROUND + jitter(ROUND) };
                     reading = self.reading(pause);
                 }
-                Some(peers) = listed.recv() => strangers = peers,
+                Some(peers) = listed.recv() => {
+                    told = true;
+                    strangers = peers;
+                }
                 _ = rosters.changed() => strangers = self.known(),
-                () = tokio::time::sleep_until(meeting), if early => {}
                 () = tokio::time::sleep_until(patience), if !late => {
                     warn!(self.board.logger, "no floor yet"; "version" => have.0, "read" => read);
                 }
@@ -150,6 +160,32 @@
         if !self.board.settings.first_start {
             self.desk.find_target(past.slots).await;
         }
+        listed
+    }
+
+    /// Meets daemons of a list that came after this one had begun to serve.
+    ///
+    /// Guards against a platform that answers late while this daemon starts: it has a configuration,
+    /// but nobody else's target, and refused every caller until the list was looked at the next
+    /// time, minutes later.
+    async fn meet_listed(&self, mut listed: mpsc::Receiver<Listed>) {
+        if let Some(peers) = listed.recv().await {
+            self.meet(peers).await;
+        }
+    }
+
+    /// Joins through a few of `peers` that are not known yet.
+    async fn meet(&self, mut peers: Listed) {
+        let roster = self.board.roster();
+        peers.retain(|(peer, _)| roster.member(*peer).is_none());
+        let strangers = greeters(peers, &self.board.settings.data_centre);
+        let (mut floor, mut past) = (Floor::default(), Past::default());
+        self.greet_all(strangers, &mut floor, &mut past).await;
+    }
+
+    /// Whether no other daemon is known.
+    fn is_alone(&self) -> bool {
+        self.board.roster().members.len() <= 1
     }
 
     /// Reads the newest version, or waits a while for one, after a pause.
@@ -164,11 +200,7 @@
     /// Lists this daemon, then tells who else is listed.
     ///
     /// Of any two daemons that start together, the later one to be listed reads the other.
-    async fn enlist(
-        self: Arc<Self>,
-        origin: Arc<dyn Origin>,
-        found: mpsc::Sender<Vec<(SocketAddr, DataCentre)>>,
-    ) {
+    async fn enlist(self: Arc<Self>, origin: Arc<dyn Origin>, found: mpsc::Sender<Listed>) {
         while !self.board.stage().is_stopping() {
             let listed = origin.list(&self.contact()).await;
             if let (Ok(()), Ok(contacts)) = (listed, origin.contacts().await) {
@@ -182,7 +214,7 @@
     }
 
     /// Members that are there, as far as known.
-    fn known(&self) -> Vec<(SocketAddr, DataCentre)> {
+    fn known(&self) -> Listed {
         let roster = self.board.roster();
         let members = roster.members.iter();
         members.map(|m| (m.peer, m.data_centre.clone())).collect()
@@ -191,22 +223,25 @@
     /// Keeps this daemon listed, and meets those that were listed after it.
     async fn keep_listed(&self, origin: &dyn Origin) {
         let contact = self.contact();
+        let mut alone = ALONE;
         loop {
             // It has just been listed, and has read who was listed before it.
-            tokio::time::sleep(RENEWAL / 2 + jitter(RENEWAL)).await;
+            let pause = RENEWAL / 2 + jitter(RENEWAL);
+            if self.is_alone() {
+                tokio::time::sleep(pause.min(alone)).await;
+                alone *= 2;
+            } else {
+                tokio::time::sleep(pause).await;
+            }
             let contacts = origin.contacts().await;
             let listed = contacts.as_ref().is_ok_and(|all| all.contains(&contact));
             if contacts.is_ok() && !listed && !self.board.stage().is_stopping() {
                 // An error leaves it for the next round.
                 let _ = origin.list(&contact).await;
             }
-            let roster = self.board.roster();
-            let strangers = contacts.unwrap_or_default().into_iter();
-            let strangers = strangers.filter(|c| roster.member(c.peer).is_none());
-            let strangers = strangers.map(|c| (c.peer, c.data_centre)).collect();
-            let strangers = greeters(strangers, &contact.data_centre);
-            let (mut floor, mut past) = (Floor::default(), Past::default());
-            self.greet_all(strangers, &mut floor, &mut past).await;
+            let listed = contacts.unwrap_or_default().into_iter();
+            self.meet(listed.map(|c| (c.peer, c.data_centre)).collect())
+                .await;
         }
     }
 
@@ -357,8 +392,11 @@
     }
 }
 
+/// Daemons that are listed, with their data centres.
+type Listed = Vec<(SocketAddr, DataCentre)>;
+
 /// A few of `strangers` to join through, mostly of the data centre `home`.
-fn greeters(mut strangers: Vec<(SocketAddr, DataCentre)>, home: &DataCentre) -> Vec<SocketAddr> {
+fn greeters(mut strangers: Listed, home: &DataCentre) -> Vec<SocketAddr> {
     strangers.shuffle(&mut rand::rng());
     let (near, far): (Vec<_>, Vec<_>) = strangers.into_iter().partition(|(_, at)| at == home);
     let few = FAR_GREETERS.max(GREETERS.saturating_sub(near.len()));
