--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -8,32 +8,27 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
-use futures_util::future::{Either, select};
 use http::{HeaderValue, Request, Response, header};
 use rand::RngExt;
 use slog::{debug, info};
 use volo_http::body::Body;
 
+use crate::attempt::{Attempt, Attempts};
 use crate::board::{Board, Snapshot};
-use crate::call::{Call, Part};
-use crate::choice::{Choice, Chooser};
-use crate::document::{Ejection, Retry};
+use crate::call::Call;
+use crate::choice::Choice;
+use crate::document::Retry;
 use crate::gate::{Gate, LOAD};
 use crate::member::Stage;
-use crate::outcome::{self, Fate, OUTCOME, REASON, Reason};
-use crate::refusal::Refusal;
-use crate::retry::{self, Budget, Budgets};
+use crate::outcome::{self, OUTCOME, REASON, Reason};
+use crate::retry;
 use crate::roster::Upstream;
-use crate::settings::{Retries, Settings};
 use crate::stream::Held;
 use crate::units::{Millis, Service, Version};
 
 /// Header with the version by which a call was routed.
 pub const VERSION: &str = "x-jackdaw-version";
 
-/// Part of the time left after which a repeatable call is also sent to a second upstream.
-const HEDGE_SHARE: u32 = 2;
-
 /// Gates that may refuse a request for lack of room before its caller is told: the first is the
 /// one that was thought to have most, so more of them would only cost time.
 const REFUSALS: u32 = 3;
@@ -47,36 +42,18 @@
 #[derive(Debug)]
 pub struct Entry {
     board: Arc<Board>,
-    gate: Arc<Gate>,
-    budgets: Budgets,
     calls: AtomicU64,
-    chooser: Chooser,
-}
-
-/// What an attempt came to.
-#[derive(Debug)]
-enum Attempt {
-    Answered(Response<Body>),
-    Failed(Reason),
+    attempts: Attempts,
 }
 
 impl Entry {
     /// An entry that hands local work to `gate`.
     #[must_use]
     pub fn new(board: Arc<Board>, gate: Arc<Gate>) -> Self {
-        let Settings {
-            retry_reserve,
-            shared_reserve,
-            ..
-        } = board.settings;
-        let budgets = Budgets::new(retry_reserve, shared_reserve);
-        let chooser = Chooser::new(Arc::clone(&board));
         Self {
+            attempts: Attempts::new(Arc::clone(&board), gate),
             board,
-            gate,
-            budgets,
             calls: AtomicU64::new(0),
-            chooser,
         }
     }
 
@@ -119,7 +96,7 @@
             .to_owned();
         let refused = headers.get(REASON).and_then(|v| v.to_str().ok());
         if let Some(reason) = refused {
-            self.chooser.experience.refused();
+            self.attempts.chooser.experience.refused();
             self.note_refusal(&id, reason, &config, began);
             // Guards against memory that grows with refusals: callers come back on new connections,
             // and the old ones stay open for as long as idle ones may. On the heaviest days the
@@ -203,10 +180,19 @@
         );
         let mut call = preparing.await?;
         call.handover.from = settings.service.clone().unwrap_or_default();
-        if self.chooser.experience.is_nested(&call.plan.route.name) {
+        if self
+            .attempts
+            .chooser
+            .experience
+            .is_nested(&call.plan.route.name)
+        {
             call.nest();
         } else if let Some(given) = call.given {
-            let before = self.chooser.experience.waited(&call.plan.route.name, given);
+            let before = self
+                .attempts
+                .chooser
+                .experience
+                .waited(&call.plan.route.name, given);
             call.waited(before);
         }
         Ok(call)
@@ -228,10 +214,10 @@
     /// Tries upstreams one after the other, for as long as that makes sense.
     async fn pursue(&self, call: &mut Call) -> Option<Response<Body>> {
         let rule = &Arc::clone(&call.plan).retry;
-        self.budget(call).deposit_share(rule.budget);
+        self.attempts.budget(call).deposit_share(rule.budget);
         let mut refusals = 0;
         loop {
-            let upstream = match self.chooser.choose(call) {
+            let upstream = match self.attempts.chooser.choose(call) {
                 Choice::Upstream(upstream) => upstream,
                 Choice::Nobody => break,
                 Choice::Full => {
@@ -239,7 +225,7 @@
                     break;
                 }
             };
-            let reason = match self.race(&upstream, call).await {
+            let reason = match self.attempts.race(&upstream, call).await {
                 Attempt::Answered(response) => return Some(response),
                 Attempt::Failed(reason) => reason,
             };
@@ -280,21 +266,7 @@
     fn may_retry(&self, rule: &Retry, call: &Call, reason: Reason) -> bool {
         let repeatable = call.handover.repeatable;
         let allowed = retry::again(rule, call.made, repeatable, reason.fate(), call.left());
-        call.sendable() && allowed && self.afford(rule, call)
-    }
-
-    fn budget(&self, call: &Call) -> Arc<Budget> {
-        let daemons = self.board.roster().members.len();
-        self.budgets.of(&call.handover.service, daemons)
-    }
-
-    /// Whether the budget pays for one more request to an upstream.
-    fn afford(&self, rule: &Retry, call: &Call) -> bool {
-        let fixed = self.board.settings.retries == Retries::Fixed;
-        fixed
-            || self
-                .budget(call)
-                .withdraw_for(rule.budget, call.handover.priority)
+        call.sendable() && allowed && self.attempts.afford(rule, call)
     }
 
     fn give_up(&self, call: &Call) -> Response<Body> {
@@ -303,95 +275,6 @@
             "call" => &call.handover.id, "reason" => %reason, "tried" => call.tried.len());
         outcome::refusal(&call.handover.id, reason)
     }
-
-    /// Makes an attempt, and for a repeatable call a second one elsewhere when the first is late.
-    ///
-    /// Guards against a gate or target that is frozen: it takes the request and is silent, and
-    /// waiting for the deadline would lose a read that another target could have answered.
-    async fn race(&self, upstream: &Arc<Upstream>, call: &mut Call) -> Attempt {
-        let rule = &Arc::clone(&call.plan).retry;
-        let ejection = &Arc::clone(&call.group).ejection;
-        let typical = self.chooser.experience.typical(&call.plan.route.name);
-        let needs = self.chooser.needs(upstream, &typical);
-        let mut first = Box::pin(self.attempt(upstream, call.part(needs), ejection));
-        let simple = self.board.settings.retries == Retries::Fixed;
-        // The first one counts as made once it has failed or has company.
-        if simple || !call.may_hedge() || call.made + 2 > rule.attempts {
-            return first.await;
-        }
-        let patience = call.left() / HEDGE_SHARE;
-        if let Ok(attempt) = tokio::time::timeout(patience, &mut first).await {
-            return attempt;
-        }
-        call.tried.push(upstream.peer);
-        let second = match self.chooser.choose(call) {
-            Choice::Upstream(second) if self.afford(rule, call) => second,
-            _ => return first.await,
-        };
-        metrics::counter!("jackdaw_hedges_total").increment(1);
-        call.tried.push(second.peer);
-        call.made += 1;
-        let needs = self.chooser.needs(&second, &typical);
-        let second = Box::pin(self.attempt(&second, call.part(needs), ejection));
-        let (earlier, other) = match select(first, second).await {
-            Either::Left((Attempt::Failed(reason), other)) => (reason, Either::Left(other)),
-            Either::Right((Attempt::Failed(reason), other)) => (reason, Either::Right(other)),
-            Either::Left((answered, _)) | Either::Right((answered, _)) => return answered,
-        };
-        match other.await {
-            Attempt::Failed(reason) => Attempt::Failed(earlier.followed_by(reason)),
-            answered @ Attempt::Answered(_) => answered,
-        }
-    }
-
-    async fn attempt(&self, upstream: &Arc<Upstream>, part: Part, rule: &Ejection) -> Attempt {
-        let own = upstream.begin();
-        let left = part.deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Attempt::Failed(Reason::Expired);
-        }
-        let service = part.handover.service.clone();
-        let (priority, tolerance) = (part.handover.priority, part.handover.tolerance);
-        let route = part.handover.route.clone();
-        let began = Instant::now();
-        let exchange = async {
-            if upstream.peer == self.board.settings.identity() {
-                Ok(self.gate.run(part.handover, part.request).await)
-            } else {
-                part.hand_over(upstream).await
-            }
-        };
-        let result = match tokio::time::timeout(left, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(Reason::TimedOut),
-        };
-        let attempt = result.map_or_else(Attempt::Failed, judge);
-        let seen = match &attempt {
-            Attempt::Answered(response) => Ok(response),
-            Attempt::Failed(reason) => Err(*reason),
-        };
-        if matches!(seen, Err(Reason::Overloaded)) {
-            upstream.refused(Refusal {
-                at: Instant::now(),
-                priority,
-                tolerance: tolerance.duration(),
-            });
-        }
-        if self.chooser.experience.learn(upstream, seen, began, &route) {
-            let roster = self.board.roster();
-            let upstreams = roster.upstreams(&service);
-            let now = Instant::now();
-            let out = upstreams.iter().filter(|other| other.ejected(now)).count();
-            upstream.failed(now, rule, out, upstreams.len());
-        }
-        match attempt {
-            Attempt::Answered(response) => {
-                let (parts, body) = response.into_parts();
-                Attempt::Answered(Response::from_parts(parts, Held::wrap(body, own)))
-            }
-            failed @ Attempt::Failed(_) => failed,
-        }
-    }
 }
 
 /// When a refused caller should be back, in seconds with a fraction.
@@ -402,20 +285,3 @@
     let seconds = rand::rng().random_range(COME_BACK_S);
     HeaderValue::from_str(&format!("{seconds:.2}")).unwrap_or(HeaderValue::from_static("1"))
 }
-
-/// Reads a gate's answer: the target's own, or a reason.
-fn judge(response: Response<Body>) -> Attempt {
-    let text = |name| {
-        response
-            .headers()
-            .get(name)
-            .and_then(|value: &HeaderValue| value.to_str().ok())
-    };
-    let answered = text(OUTCOME).is_some_and(|fate| fate == Fate::Answered.to_string());
-    if answered {
-        return Attempt::Answered(response);
-    }
-    let reason = text(REASON).and_then(|reason| reason.parse().ok());
-    // A gate that gives no reason we know proves nothing.
-    Attempt::Failed(reason.unwrap_or(Reason::Broken))
-}
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -19,6 +19,7 @@
 pub mod route;
 
 pub(crate) mod answer;
+pub(crate) mod attempt;
 pub(crate) mod call;
 pub(crate) mod choice;
 pub(crate) mod dispatch;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,9 +70,10 @@
 pub use operation::ctl;
 
 use calls::{
-    answer, call, choice, dispatch, entry, experience, gate, http_server, line, stream, work,
+    answer, attempt, call, choice, dispatch, entry, experience, gate, http_server, line, stream,
+    work,
 };
 use configuration::{config, publish, reader, relay};
 use idempotency::{claim, gates, guard, replay};
-use membership::{contacts, join, probe, roster};
+use membership::{contacts, greeters, join, probe, roster};
 use operation::{command, operator, state, survey};
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -16,6 +16,7 @@
 use crate::datagram::{Join, Welcome};
 use crate::error::Result;
 use crate::floor::Floor;
+use crate::greeters::{GREETERS, Listed, greeters};
 use crate::guard::Keys;
 use crate::member::{Health, Member, Stage};
 use crate::origin::{self, Origin};
@@ -26,11 +27,6 @@
 use crate::relay::{Relay, jitter};
 use crate::units::{DataCentre, Millis, Offset, Slots, Version};
 
-/// Peers that a joiner joins through at once.
-const GREETERS: usize = 4;
-/// Those among them that are of other data centres, as long as there are others to ask. Each answers
-/// with its whole view, and one is enough to hear of what the own data centre does not know.
-const FAR_GREETERS: usize = 1;
 /// Welcomes after which a joiner asks nobody else while a platform lists daemons: in a joint start
 /// of many each of them would otherwise be sent the view of every other one.
 const WELCOMES: usize = 8;
@@ -80,25 +76,25 @@
     pub async fn run(self: Arc<Self>) {
         // A whole data centre that comes back must not ask in the same instant.
         tokio::time::sleep(jitter(ROUND)).await;
-        let listed = match self.origin.clone() {
-            Some(origin) => Some(self.reach_origin(&origin).await),
-            None => {
-                self.reach_floor().await;
-                None
-            }
+        let Some(origin) = self.origin.clone() else {
+            self.reach_floor().await;
+            self.serve().await;
+            self.contacts.keep().await;
+            return;
         };
+        let listed = self.reach_origin(&origin).await;
+        self.serve().await;
+        self.meet_listed(listed).await;
+        self.keep_listed(origin.as_ref()).await;
+    }
+
+    /// Begins to serve, unless a stop has been ordered meanwhile.
+    async fn serve(&self) {
         if self.board.stage() == Stage::Starting {
             self.board.advance(Stage::Serving);
             self.membership.reflect().await;
             info!(self.board.logger, "serving"; "version" => self.board.digest().version.0);
         }
-        if let Some(listed) = listed {
-            self.meet_listed(listed).await;
-        }
-        match self.origin.clone() {
-            Some(origin) => self.keep_listed(origin.as_ref()).await,
-            None => self.contacts.keep().await,
-        }
     }
 
     /// Reaches the floor where the platform has accepted the versions already.
@@ -391,20 +387,3 @@
         names.len()
     }
 }
-
-/// Daemons that are listed, with their data centres.
-type Listed = Vec<(SocketAddr, DataCentre)>;
-
-/// A few of `strangers` to join through, mostly of the data centre `home`.
-fn greeters(mut strangers: Listed, home: &DataCentre) -> Vec<SocketAddr> {
-    strangers.shuffle(&mut rand::rng());
-    let (near, far): (Vec<_>, Vec<_>) = strangers.into_iter().partition(|(_, at)| at == home);
-    let few = FAR_GREETERS.max(GREETERS.saturating_sub(near.len()));
-    let near = near
-        .into_iter()
-        .take(GREETERS - FAR_GREETERS.min(far.len()));
-    near.chain(far.into_iter().take(few))
-        .map(|(peer, _)| peer)
-        .take(GREETERS)
-        .collect()
-}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -11,6 +11,7 @@
 pub mod view;
 
 pub(crate) mod contacts;
+pub(crate) mod greeters;
 pub(crate) mod join;
 pub(crate) mod probe;
 pub(crate) mod roster;
