--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -96,7 +96,6 @@
             .to_owned();
         let refused = headers.get(REASON).and_then(|v| v.to_str().ok());
         if let Some(reason) = refused {
-            self.attempts.chooser.experience.refused();
             self.note_refusal(&id, reason, &config, began);
             // Guards against memory that grows with refusals: callers come back on new connections,
             // and the old ones stay open for as long as idle ones may. On the heaviest days the
--- a/src/calls/experience.rs
+++ b/src/calls/experience.rs
@@ -1,13 +1,11 @@
 //! What an entry learns from answers, for choosing upstreams.
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use http::{Response, header};
 use volo_http::body::Body;
 
-use crate::clock;
 use crate::gate::{LOAD, Load};
 use crate::outcome::Reason;
 use crate::pace::Typical;
@@ -22,9 +20,6 @@
 /// ago does not know it yet.
 const NESTED: Duration = Duration::from_secs(10);
 
-/// Time after a refusal in which callers may be ones that come back: about their longest patience.
-const CALM: Duration = Duration::from_secs(2);
-
 /// What is known of a route.
 #[derive(Debug)]
 struct Known {
@@ -40,8 +35,6 @@
 pub struct Experience {
     /// Sorted by the routes' names; held for a few instructions.
     routes: Mutex<Vec<Known>>,
-    /// When a caller was refused last, in milliseconds since 1970.
-    refused_ms: AtomicU64,
 }
 
 impl Experience {
@@ -109,25 +102,8 @@
 
     /// For how long the caller of a request has waited that still gives `given`.
     pub fn waited(&self, route: &str, given: Millis) -> Duration {
-        let calm = self.is_calm();
         let mut routes = self.routes();
-        let patience = &mut place(&mut routes, route).patience;
-        let waited = patience.waited(given);
-        if calm {
-            patience.began(given);
-        }
-        waited
-    }
-
-    /// Notes that a caller was refused.
-    pub fn refused(&self) {
-        self.refused_ms.store(clock::unix_ms(), Ordering::Relaxed);
-    }
-
-    /// Whether nobody was refused here for so long that callers are new ones.
-    fn is_calm(&self) -> bool {
-        let ago_ms = clock::unix_ms().saturating_sub(self.refused_ms.load(Ordering::Relaxed));
-        ago_ms > Millis::from(CALM).0
+        place(&mut routes, route).patience.waited(given)
     }
 
     fn learn_typical(&self, route: &str, work: Duration, factor: f64, bytes: usize) -> Typical {
--- a/src/calls/patience.rs
+++ b/src/calls/patience.rs
@@ -1,8 +1,7 @@
 //! How long a request may wait, and how long its caller has waited already.
 //!
 //! Callers that were refused come back with less time than callers of the same route begin with.
-//! That difference tells how old their request is: [`Patience`] learns what they begin with, and how
-//! much that differs from one caller to the next while nobody is refused.
+//! That difference tells how old their request is: [`Patience`] learns what they begin with.
 //!
 //! ```
 //! use std::time::Duration;
@@ -30,13 +29,6 @@
 /// some day on are not taken for ones that come back: half is forgotten in 7,000 requests.
 const KEPT: f64 = 0.9999;
 
-/// Step by which the spread is raised for a caller beyond it, as a part of the longest time, and by
-/// which it is lowered for any other: in the long run one of fifty lies beyond. A caller that was
-/// refused elsewhere and looks new moves it by a hundredth.
-const SPREAD_STEPS: (f64, f64) = (0.01, 0.000_2);
-/// Largest spread that is reckoned with; beyond it callers that come back could not be told at all.
-const MOST_SPREAD: f64 = 0.3;
-
 /// Longest wait for a slot of a request whose answer is of full use for `left` and whose work
 /// needs `work`.
 #[must_use]
@@ -48,28 +40,13 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Patience {
     longest_ms: f64,
-    /// Part of the longest time by which new callers give less.
-    spread: f64,
 }
 
 impl Patience {
     /// For how long a caller has waited that still gives `given`.
     pub fn waited(&mut self, given: Millis) -> Duration {
-        let given_ms = given.duration().as_secs_f64() * 1_000.0;
-        self.longest_ms = (self.longest_ms * KEPT).max(given_ms);
-        let least_ms = self.longest_ms * (1.0 - self.spread);
-        Duration::from_secs_f64((least_ms - given_ms).max(0.0) / 1_000.0)
-    }
-
-    /// Notes what a caller gives while nobody has been refused, so that it is a new one.
-    ///
-    /// Guards against callers of differing patience: one that begins with a sixth less than the most
-    /// patient would count as one that comes back, be refused where others wait, and come back.
-    pub fn began(&mut self, given: Millis) {
-        let given_ms = given.duration().as_secs_f64() * 1_000.0;
-        let gap = 1.0 - given_ms / self.longest_ms.max(1.0);
-        let (up, down) = SPREAD_STEPS;
-        let step = if gap > self.spread { up } else { -down };
-        self.spread = (self.spread + step).clamp(0.0, MOST_SPREAD);
+        let given = given.duration().as_secs_f64() * 1_000.0;
+        self.longest_ms = (self.longest_ms * KEPT).max(given);
+        Duration::from_secs_f64((self.longest_ms - given) / 1_000.0)
     }
 }
--- a/tests/patience.rs
+++ b/tests/patience.rs
@@ -55,34 +55,3 @@
         prop_assert!(waits <= left.saturating_sub(needs).max(Duration::from_millis(15)));
     }
 }
-
-/// Callers begin with up to a sixth less than the most patient one, and nobody is refused. Taken for
-/// callers that come back, most would be refused where others wait. Once their spread is known only
-/// those beyond it count as older, and by no more than what lies beyond.
-#[test]
-fn differing_callers_are_new() {
-    let mut patience = Patience::default();
-    let given = |number: u64| Millis(2_500 - number * 37 % 376);
-    for number in 0..2_000 {
-        patience.waited(given(number));
-        patience.began(given(number));
-    }
-    let taken = (0..500).filter(|&number| patience.waited(given(number)) > Duration::ZERO);
-    assert!(taken.count() < 30);
-    let returning = patience.waited(Millis(1_700));
-    assert!(returning > Duration::from_millis(350), "{returning:?}");
-    assert!(returning < Duration::from_millis(500), "{returning:?}");
-}
-
-/// One caller in fifty comes back from another daemon while this one refuses nobody. They must not
-/// hide themselves: the spread that is learnt stays that of the others.
-#[test]
-fn strays_teach_little() {
-    let mut patience = Patience::default();
-    for number in 0..2_000 {
-        let given = Millis(if number % 50 == 7 { 1_800 } else { 2_500 });
-        patience.waited(given);
-        patience.began(given);
-    }
-    assert!(patience.waited(Millis(1_800)) > Duration::from_millis(600));
-}
