--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -179,19 +179,11 @@
         );
         let mut call = preparing.await?;
         call.handover.from = settings.service.clone().unwrap_or_default();
-        if self
-            .attempts
-            .chooser
-            .experience
-            .is_nested(&call.plan.route.name)
-        {
+        let (experience, route) = (&self.attempts.chooser.experience, &call.plan.route.name);
+        if experience.is_nested(route) {
             call.nest();
         } else if let Some(given) = call.given {
-            let before = self
-                .attempts
-                .chooser
-                .experience
-                .waited(&call.plan.route.name, given);
+            let before = experience.waited(route, given);
             call.waited(before);
         }
         Ok(call)
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -110,8 +110,9 @@
             let kept = kept.filter(|upstream| upstream.continues(offer.born));
             let upstream = kept.unwrap_or_else(|| Arc::new(Upstream::new(member, home, now)));
             upstream.slots.store(offer.slots.0, Ordering::Relaxed);
-            let born = offer.born.map_or(0, |born| born.0);
-            upstream.born.fetch_max(born, Ordering::Relaxed);
+            if let Some(Birth(born)) = offer.born {
+                upstream.born.store(born, Ordering::Relaxed);
+            }
             upstream
                 .suspect
                 .store(member.health == Health::Suspect, Ordering::Relaxed);
@@ -211,11 +212,8 @@
     /// Guards against the bad name of a life that has ended: the next one, under the same name at
     /// the same address, would inherit its pace, its refusals and its ejection.
     fn continues(&self, born: Option<Birth>) -> bool {
-        let Some(Birth(born)) = born else {
-            return true;
-        };
-        let known = self.born.swap(born, Ordering::Relaxed);
-        known == 0 || known == born
+        let known = self.born.load(Ordering::Relaxed);
+        known == 0 || born.is_none_or(|born| born.0 == known)
     }
 
     /// What a choice needs to know at `now`.
