Bound callers' connections; the longest idle one makes room

Cause: a daemon has a bounded number of descriptors, and idle callers could take all of them: accept failed from then on, and a new caller's request was never read. Ruled out: ending idle connections after a shorter time cuts sessions that nobody needs the room of.

--- a/src/calls/http_server.rs
+++ b/src/calls/http_server.rs
@@ -22,7 +22,9 @@
 use volo_http::context::ServerContext;
 use volo_http::server::{IntoResponse, Router};
 
+use crate::callers::{Callers, Seat};
 use crate::document::Bounds;
+use crate::stream::Held;
 
 /// Pause after a failed accept: it is mostly a lack of descriptors, which ends with a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -41,9 +43,11 @@
     Ending,
 }
 
-/// Serves `handler` on `listener`; the sizes and times are those of `bounds` at each connection.
+/// Serves `handler` on `listener`; the sizes and times are those of `bounds` at each connection,
+/// and `callers` bounds how many there are.
 pub async fn serve<H, F>(
     listener: TcpListener,
+    callers: Arc<Callers>,
     phases: watch::Receiver<Phase>,
     bounds: impl Fn() -> Bounds,
     handler: H,
@@ -63,8 +67,9 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = serve_one(stream, phases.clone(), bounds(), Arc::clone(&handler));
-                tokio::spawn(connection);
+                let seat = callers.seat().await;
+                let handler = Arc::clone(&handler);
+                tokio::spawn(serve_one(stream, seat, phases.clone(), bounds(), handler));
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
@@ -73,6 +78,7 @@
 
 async fn serve_one<H, F>(
     stream: TcpStream,
+    mut seat: Seat,
     mut phases: watch::Receiver<Phase>,
     bounds: Bounds,
     handler: Arc<H>,
@@ -81,9 +87,14 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let requests = seat.requests();
     let service = service_fn(move |request: Request<Incoming>| {
+        let under_way = requests.begin();
         let answer = handler(request.map(Body::from_incoming));
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            let (parts, body) = answer.await.into_parts();
+            Ok::<_, Infallible>(Response::from_parts(parts, Held::wrap(body, under_way)))
+        }
     });
     let mut builder = http1::Builder::new();
     // One clock bounds both a slow head and an idle connection, so it is set to the longer.
@@ -97,6 +108,7 @@
     tokio::select! {
         _ = connection.as_mut() => return,
         () = reach(&mut phases, Phase::Ending) => {}
+        () = seat.wanted() => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -3,8 +3,10 @@
 //! The entry finds the [`route`] of a request, [`pick`]s an upstream by its [`pace`] and hands the
 //! request over ([`handover`]) to the gate, whose [`limit`] bounds the work. How long a request may wait
 //! there is its [`patience`]; a [`refusal`] is remembered for a moment. Only the entry may [`retry`];
-//! the caller is told the [`outcome`]. How headers are spelt is a [`dialect`].
+//! the caller is told the [`outcome`]. Which [`connections`] of
+//! callers are kept is decided where they are accepted. How headers are spelt is a [`dialect`].
 
+pub mod connections;
 pub mod dialect;
 pub mod handover;
 pub mod limit;
@@ -21,6 +23,7 @@
 pub(crate) mod answer;
 pub(crate) mod attempt;
 pub(crate) mod call;
+pub(crate) mod callers;
 pub(crate) mod choice;
 pub(crate) mod dispatch;
 pub(crate) mod entry;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,6 +13,7 @@
 
 use crate::announce::Desk;
 use crate::board::Board;
+use crate::callers::Callers;
 use crate::config::Store;
 use crate::contacts::Contacts;
 use crate::document::Bounds;
@@ -45,6 +46,8 @@
 /// Exit status when the settings are wrong.
 pub const EXIT_SETTINGS: u8 = 2;
 
+/// Connections that are kept on each address for operators, the target and the platform.
+const OTHERS: usize = 64;
 /// Time between two looks after the metrics.
 const UPKEEP: Duration = Duration::from_secs(5);
 
@@ -270,6 +273,7 @@
         let routed = http_server::routed(router, address);
         tokio::spawn(http_server::serve(
             listener,
+            Callers::new(OTHERS),
             phases,
             Bounds::default,
             routed,
@@ -302,6 +306,7 @@
             return;
         }
     };
+    let callers = Callers::new(board.settings.callers);
     let bounds = {
         let board = Arc::clone(&board);
         move || board.config().document.bounds
@@ -310,5 +315,5 @@
         let entry = Arc::clone(&entry);
         async move { entry.serve(request).await }
     };
-    http_server::serve(listener, phases, bounds, handler).await;
+    http_server::serve(listener, callers, phases, bounds, handler).await;
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,7 +60,8 @@
 mod stop;
 
 pub use calls::{
-    dialect, handover, limit, lines, origins, outcome, pace, patience, pick, refusal, retry, route,
+    connections, dialect, handover, limit, lines, origins, outcome, pace, patience, pick, refusal,
+    retry, route,
 };
 pub use configuration::{check, delta, document, exchange, fault, floor, fold, log, origin};
 pub use document::Document;
@@ -70,8 +71,8 @@
 pub use operation::ctl;
 
 use calls::{
-    answer, attempt, call, choice, dispatch, entry, experience, gate, http_server, line, stream,
-    work,
+    answer, attempt, call, callers, choice, dispatch, entry, experience, gate, http_server, line,
+    stream, work,
 };
 use configuration::{config, publish, reader, relay};
 use idempotency::{claim, gates, guard, replay};
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -171,6 +171,9 @@
     /// Retries to each service that all daemons together save up, in place of --retry-reserve; 0: none
     #[arg(long, env = "JACKDAW_SHARED_RESERVE", default_value_t = 0)]
     pub shared_reserve: u32,
+    /// Callers' connections that are kept open; for a new one the longest idle is closed
+    #[arg(long, env = "JACKDAW_CALLERS", default_value_t = 4_096)]
+    pub callers: usize,
     /// Worker threads
     #[arg(long, env = "JACKDAW_THREADS", default_value_t = 2)]
     pub threads: usize,
@@ -303,6 +306,10 @@
             self.transfers > 0,
             "--transfers is 0; no newcomer would be served, use 8",
         );
+        require(
+            self.callers > 0,
+            "--callers is 0; nobody would be served, use 4096",
+        );
         require(self.threads > 0, "--threads is 0; use 2");
         require(
             self.probe_period_ms.0 >= 10,
--- /dev/null
+++ b/tests/connections.rs
@@ -0,0 +1,100 @@
+//! Which callers' connections are kept, against a list of what must hold.
+
+use std::time::{Duration, Instant};
+
+use jackdawpulley::connections::{Admission, Connections, Ticket};
+use proptest::prelude::*;
+
+const MOST: usize = 4;
+
+/// Callers open connections and leave them idle until no place is left. A new caller waited for a
+/// time-out beside them; now the one that has been idle longest makes room.
+#[test]
+fn longest_idle_goes() {
+    let now = Instant::now();
+    let mut connections = Connections::new(2);
+    assert!(matches!(
+        connections.open(now),
+        Admission::Take { ticket: 1, .. }
+    ));
+    assert!(matches!(
+        connections.open(now),
+        Admission::Take { ticket: 2, .. }
+    ));
+    assert!(connections.begin(1));
+    connections.end(1, now + Duration::from_secs(2));
+    let admission = connections.open(now + Duration::from_secs(3));
+    let expected = Admission::Take {
+        ticket: 3,
+        closed: Some(2),
+    };
+    assert_eq!(admission, expected);
+    assert!(!connections.begin(2), "its place was given away");
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Open,
+    Begin(usize),
+    End(usize),
+    Close(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => Just(Step::Open),
+        2 => (0_usize..MOST).prop_map(Step::Begin),
+        2 => (0_usize..MOST).prop_map(Step::End),
+        1 => (0_usize..MOST).prop_map(Step::Close),
+    ]
+}
+
+/// A connection as a plain list has it.
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    ticket: Ticket,
+    requests: u32,
+    idle_since: Instant,
+}
+
+proptest! {
+    #[test]
+    fn busy_ones_stay(steps in prop::collection::vec(step(), 1..80)) {
+        let mut now = Instant::now();
+        let mut connections = Connections::new(MOST);
+        let mut known: Vec<Known> = Vec::new();
+        for step in steps {
+            now += Duration::from_millis(1);
+            match step {
+                Step::Open => match connections.open(now) {
+                    Admission::Full => {
+                        prop_assert!(known.len() == MOST && known.iter().all(|k| k.requests > 0));
+                    }
+                    Admission::Take { ticket, closed } => {
+                        prop_assert_eq!(closed.is_some(), known.len() == MOST);
+                        if let Some(closed) = closed {
+                            let idle = known.iter().filter(|k| k.requests == 0);
+                            let longest = idle.min_by_key(|k| k.idle_since).map(|k| k.ticket);
+                            prop_assert_eq!(longest, Some(closed));
+                            known.retain(|k| k.ticket != closed);
+                        }
+                        known.push(Known { ticket, requests: 0, idle_since: now });
+                    }
+                },
+                Step::Begin(index) => if let Some(k) = known.get_mut(index) {
+                    k.requests += 1;
+                    prop_assert!(connections.begin(k.ticket));
+                },
+                Step::End(index) => if let Some(k) = known.get_mut(index) && k.requests > 0 {
+                    k.requests -= 1;
+                    k.idle_since = now;
+                    connections.end(k.ticket, now);
+                },
+                Step::Close(index) => if index < known.len() {
+                    connections.close(known.remove(index).ticket);
+                },
+            }
+            prop_assert_eq!(connections.count(), known.len());
+        }
+    }
+}
