Pause longer after each failed read of the platform

Cause: a reader that the store refuses had another daemon read in its place, which is refused as well, and came back after 0.1 s on average: two calls a round, by each reader, for as long as the store is busy. Change: Backoff, from 0.2 s to 1 s with a random half; the daemon that was asked says whether it was turned away too, and only then the pauses grow.

--- /dev/null
+++ b/src/backoff.rs
@@ -0,0 +1,54 @@
+//! Pauses between tries at something that many daemons try at the same time.
+//!
+//! ```
+//! use std::time::Duration;
+//! use jackdawpulley::backoff::Backoff;
+//!
+//! let mut backoff = Backoff::new(Duration::from_millis(200), Duration::from_secs(1));
+//! assert_eq!(backoff.pause(1.0), Duration::from_millis(200));
+//! assert_eq!(backoff.pause(1.0), Duration::from_millis(400));
+//! backoff.succeeded();
+//! assert_eq!(backoff.pause(0.0), Duration::from_millis(100));
+//! ```
+
+use std::time::Duration;
+
+/// Doublings that are reckoned with: more would only be cut to the longest pause.
+const MAX_DOUBLINGS: u32 = 16;
+
+/// Pauses that double with each failure in a row, up to a longest one.
+///
+/// Guards against a service in trouble that answers at once: a fleet that asks again as soon as it
+/// is refused spends everybody's processor time on refusals, and is the load that keeps the service
+/// down. The random half keeps those that were refused together from coming back together.
+#[derive(Debug, Clone, Copy)]
+pub struct Backoff {
+    first: Duration,
+    longest: Duration,
+    failures: u32,
+}
+
+impl Backoff {
+    /// Pauses from `first` up to `longest`.
+    #[must_use]
+    pub const fn new(first: Duration, longest: Duration) -> Self {
+        Self {
+            first,
+            longest,
+            failures: 0,
+        }
+    }
+
+    /// Notes a failure; the pause after it, of which `fraction` draws the upper half.
+    pub fn pause(&mut self, fraction: f64) -> Duration {
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        self.failures = self.failures.saturating_add(1);
+        let pause = (self.first * 2_u32.pow(doublings)).min(self.longest);
+        pause.mul_f64(0.5 + fraction / 2.0)
+    }
+
+    /// Notes a success: the next failure is the first in a row again.
+    pub const fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+}
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::RngExt;
 use rand::seq::IndexedRandom;
 use slog::{debug, info, warn};
 
+use crate::backoff::Backoff;
 use crate::board::Board;
 use crate::config::Store;
 use crate::error::{Error, Result};
@@ -38,8 +40,12 @@
 const DELEGATED_WAIT: Millis = Millis(500);
 /// Longest pause before another daemon is asked to read.
 const DELEGATION: Duration = Duration::from_millis(200);
-/// Longest pause after a failed read.
-const BACKOFF: Duration = Duration::from_secs(1);
+/// Pauses after reads that failed, here and at the daemon that was asked in its place: with the
+/// longest one a change waits a second at most once the source is back.
+///
+/// A store that answered "busy" for eight seconds was asked every 0.1 s by each reader and by whom it
+/// asked.
+const PAUSES: Backoff = Backoff::new(Duration::from_millis(200), Duration::from_secs(1));
 /// Time between two looks at the duty.
 const LOOK: Duration = Duration::from_secs(1);
 
@@ -108,6 +114,7 @@
     pub async fn run(self: Arc<Self>) {
         let mut rosters = self.board.rosters();
         let mut lost = false;
+        let mut backoff = PAUSES;
         if matches!(self.source, Source::Origin(_)) {
             // Until then the joiner reads, for itself.
             let mut stages = self.board.stages();
@@ -128,13 +135,16 @@
                     warn!(self.board.logger, "source lost"; "error" => %error,
                         "version" => self.board.digest().version.0);
                 }
-                if matches!(self.source, Source::Origin(_)) {
-                    self.delegate().await;
+                let read = matches!(self.source, Source::Origin(_)) && self.delegate().await;
+                if read {
+                    backoff.succeeded();
                 } else {
-                    tokio::time::sleep(jitter(BACKOFF)).await;
+                    let fraction = rand::rng().random_range(0.0..1.0);
+                    tokio::time::sleep(backoff.pause(fraction)).await;
                 }
                 continue;
             }
+            backoff.succeeded();
             if std::mem::take(&mut lost) {
                 info!(self.board.logger, "source regained";
                     "version" => self.board.digest().version.0);
@@ -143,18 +153,18 @@
         }
     }
 
-    /// Has another daemon read in this one's place, once.
+    /// Has another daemon read in this one's place, once; whether it could.
     ///
     /// Guards against a platform that turns away some hosts and serves the others: a reader among
     /// them stays a member and keeps the duty, and its data centre would learn of no change.
-    async fn delegate(&self) {
+    async fn delegate(&self) -> bool {
         tokio::time::sleep(jitter(DELEGATION)).await;
         let roster = self.board.roster();
         let me = self.board.settings.identity();
         let others = roster.members.iter().map(|member| member.peer);
         let others: Vec<SocketAddr> = others.filter(|peer| *peer != me).collect();
         let Some(peer) = others.choose(&mut rand::rng()) else {
-            return;
+            return false;
         };
         let have = self.board.digest().version;
         let asked = self.links.send(*peer, READ, &Pull { have }).await;
@@ -165,23 +175,35 @@
                     debug!(self.board.logger, "delegated read is faulty"; "error" => %error);
                 }
             }
+            Ok(Reply::Away) => return false,
             Ok(_) => {}
-            Err(error) => debug!(self.board.logger, "delegated read failed"; "error" => %error),
+            Err(error) => {
+                debug!(self.board.logger, "delegated read failed"; "error" => %error);
+                return false;
+            }
         }
+        true
     }
 
     /// Reads once for a daemon that the platform turns away, and answers with what is in force.
     pub async fn read_for(&self, pull: &Pull) -> Bytes {
         // What is in force here may be news to the asker already, and the platform may turn this
         // daemon away as well, which shows only by its silence.
+        let mut away = false;
         if self.board.digest().version <= pull.have
             && let Err(error) = self.turn(DELEGATED_WAIT).await
         {
             debug!(self.board.logger, "read for another failed"; "error" => %error);
+            away = true;
         }
         let digest = self.board.digest();
         if digest.version <= pull.have {
-            return wire::encode(&Reply::Have(digest));
+            let reply = if away {
+                Reply::Away
+            } else {
+                Reply::Have(digest)
+            };
+            return wire::encode(&reply);
         }
         self.store.parcel(pull.have).reply
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 //!
 //! [`daemon`] and [`ctl`] are the two programs; `src/bin/` only calls them.
 
+pub mod backoff;
 pub mod board;
 pub mod calls;
 pub mod clock;
