List a daemon only while few are listed, and read the configuration from peers

Ruled out: no list at all (newcomers to a fleet that nobody knows would find nobody); a list of its own for each data centre (a whole one may be lost). First reads of the configuration are spread by the number of known daemons, and what peers of two data centres have is enough at once.

--- a/src/board.rs
+++ b/src/board.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -109,6 +109,8 @@
     roster: ArcSwap<Roster>,
     target: ArcSwapOption<Target>,
     stage: AtomicU8,
+    /// Whether this daemon may stand on the platform's list.
+    listed: AtomicBool,
     drain_ms: AtomicU64,
     in_flight: AtomicU64,
     versions: watch::Sender<Version>,
@@ -133,6 +135,7 @@
             roster: ArcSwap::default(),
             target: ArcSwapOption::empty(),
             stage: AtomicU8::new(Stage::Starting as u8),
+            listed: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
             versions: watch::Sender::new(Version(0)),
             rosters: watch::Sender::new(0),
@@ -216,6 +219,17 @@
         }
     }
 
+    /// Whether this daemon may stand on the platform's list, so that it has to be taken off.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        self.listed.load(Ordering::Acquire)
+    }
+
+    /// Notes that this daemon is about to be listed.
+    pub fn set_listed(&self) {
+        self.listed.store(true, Ordering::Release);
+    }
+
     /// Time that a planned stop waits for calls in flight.
     #[must_use]
     pub fn drain(&self) -> Millis {
--- a/src/configuration/origin.rs
+++ b/src/configuration/origin.rs
@@ -56,6 +56,6 @@
     /// Takes a daemon off the list.
     fn unlist<'a>(&'a self, contact: &'a Contact) -> BoxFuture<'a, Result<()>>;
 
-    /// Daemons that are listed; some may be gone.
-    fn contacts(&self) -> BoxFuture<'_, Result<Vec<Contact>>>;
+    /// Daemons that are listed, `enough` of them or all there are; some may be gone.
+    fn contacts(&self, enough: usize) -> BoxFuture<'_, Result<Vec<Contact>>>;
 }
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -5,11 +5,13 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::{BoxFuture, join_all};
+use rand::RngExt;
 use rand::seq::SliceRandom;
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
 use crate::announce::Desk;
+use crate::backoff::Backoff;
 use crate::board::Board;
 use crate::config::Store;
 use crate::contacts::{Contacts, RENEWAL};
@@ -18,8 +20,9 @@
 use crate::floor::Floor;
 use crate::greeters::{GREETERS, Listed, greeters};
 use crate::guard::Keys;
+use crate::listing::Listing;
 use crate::member::{Health, Member, Stage};
-use crate::origin::{self, Origin};
+use crate::origin::Origin;
 use crate::peer::Links;
 use crate::peer::server::JOIN;
 use crate::probe::Membership;
@@ -32,6 +35,12 @@
 const WELCOMES: usize = 8;
 /// Pause between two rounds while no floor has been reached.
 const ROUND: Duration = Duration::from_millis(200);
+/// Pauses after calls to the platform that failed: who lapsed from the list while it was away is back
+/// within two seconds.
+const PAUSES: Backoff = Backoff::new(ROUND, Duration::from_secs(2));
+/// Time between two first reads of the configuration in a joint start, over all daemons that are known:
+/// whoever has read it tells the others in less time than all of them would take to read.
+const READ_SPACING: Duration = Duration::from_millis(20);
 /// Time that a read waits for the first version while there is none.
 const ORIGIN_WAIT: Millis = Millis(1_500);
 /// Time between two looks at the list for a daemon that knows nobody; each look doubles it.
@@ -82,10 +91,16 @@
             self.contacts.keep().await;
             return;
         };
-        let listed = self.reach_origin(&origin).await;
+        let listing = Listing::new(Arc::clone(&self.board), origin);
+        let listed = self.reach_origin(&listing).await;
         self.serve().await;
         self.meet_listed(listed).await;
-        self.keep_listed(origin.as_ref()).await;
+        if self.is_alone() {
+            // Guards against a list on which those that are read first are gone for good: this daemon
+            // would know nobody, and nobody would learn of it. An error leaves it for the next look.
+            self.meet(listing.enter().await.unwrap_or_default()).await;
+        }
+        self.keep_listed(&listing).await;
     }
 
     /// Begins to serve, unless a stop has been ordered meanwhile.
@@ -102,7 +117,7 @@
     /// The list of daemons and the configuration are read side by side, and peers that make
     /// themselves known are asked at once: with the platform away, nothing waits for a time-out.
     /// Returns where the list is still to come from, if it has not come.
-    async fn reach_origin(self: &Arc<Self>, origin: &Arc<dyn Origin>) -> mpsc::Receiver<Listed> {
+    async fn reach_origin(self: &Arc<Self>, listing: &Listing) -> mpsc::Receiver<Listed> {
         let began = tokio::time::Instant::now();
         let patience = began + self.board.settings.log_patience_ms.duration();
         let mut told = false;
@@ -115,8 +130,10 @@
         let mut rosters = self.board.rosters();
         let mut stages = self.board.stages();
         let (sender, mut listed) = mpsc::channel(1);
-        tokio::spawn(Arc::clone(self).enlist(Arc::clone(origin), sender));
-        let mut reading = self.reading(Duration::ZERO);
+        tokio::spawn(Arc::clone(self).consult(listing.clone(), sender));
+        let mut pauses = PAUSES;
+        let mut planned = false;
+        let mut reading = self.reading(ROUND);
         let mut read = false;
         while self.board.stage() == Stage::Starting {
             let late = tokio::time::Instant::now() >= patience;
@@ -125,7 +142,7 @@
             // Peers have the targets that this daemon's callers need, and remember what its own
             // target offered.
             let early = greeted.len() == 1 && !told && !late;
-            let peers = late && floor.met_by_peers(have, self.data_centres());
+            let peers = (told || late) && floor.met_by_peers(have, self.data_centres());
             if known && !early && (read || peers) {
                 break;
             }
@@ -133,7 +150,7 @@
             tokio::select! {
                 result = &mut reading => {
                     read = result.is_ok();
-                    let pause = if read { Duration::ZERO } else { ROUND + jitter(ROUND) };
+                    let pause = if read { self.turn_to_read() } else { random_pause(&mut pauses) };
                     reading = self.reading(pause);
                 }
                 Some(peers) = listed.recv() => {
@@ -152,6 +169,9 @@
                 greeted.extend(&strangers);
                 welcomes += self.greet_all(strangers, &mut floor, &mut past).await;
             }
+            if told && !read && !std::mem::replace(&mut planned, true) {
+                reading = self.reading(self.turn_to_read());
+            }
         }
         if !self.board.settings.first_start {
             self.desk.find_target(past.slots).await;
@@ -170,13 +190,19 @@
         }
     }
 
-    /// Joins through a few of `peers` that are not known yet.
+    /// Joins through a few of `peers` that are not known yet; through others where none of those
+    /// answers, since a list may be full of hosts that are gone.
     async fn meet(&self, mut peers: Listed) {
         let roster = self.board.roster();
         peers.retain(|(peer, _)| roster.member(*peer).is_none());
-        let strangers = greeters(peers, &self.board.settings.data_centre);
         let (mut floor, mut past) = (Floor::default(), Past::default());
-        self.greet_all(strangers, &mut floor, &mut past).await;
+        while !peers.is_empty() {
+            let strangers = greeters(peers.clone(), &self.board.settings.data_centre);
+            peers.retain(|(peer, _)| !strangers.contains(peer));
+            if self.greet_all(strangers, &mut floor, &mut past).await > 0 {
+                return;
+            }
+        }
     }
 
     /// Whether no other daemon is known.
@@ -184,6 +210,13 @@
         self.board.roster().members.len() <= 1
     }
 
+    /// Pause before this daemon reads the configuration, unless another one tells it by then.
+    fn turn_to_read(&self) -> Duration {
+        let known = self.board.roster().members.len();
+        let others = u32::try_from(known.saturating_sub(1)).unwrap_or(u32::MAX);
+        jitter(READ_SPACING.saturating_mul(others))
+    }
+
     /// Reads the newest version, or waits a while for one, after a pause.
     fn reading(self: &Arc<Self>, pause: Duration) -> BoxFuture<'static, Result<Offset>> {
         let reader = Arc::clone(&self.reader);
@@ -193,19 +226,16 @@
         })
     }
 
-    /// Lists this daemon, then tells who else is listed.
-    ///
-    /// Of any two daemons that start together, the later one to be listed reads the other.
-    async fn enlist(self: Arc<Self>, origin: Arc<dyn Origin>, found: mpsc::Sender<Listed>) {
+    /// Tells who is listed, as soon as the platform does.
+    async fn consult(self: Arc<Self>, listing: Listing, found: mpsc::Sender<Listed>) {
+        let mut pauses = PAUSES;
         while !self.board.stage().is_stopping() {
-            let listed = origin.list(&self.contact()).await;
-            if let (Ok(()), Ok(contacts)) = (listed, origin.contacts().await) {
-                let peers = contacts.into_iter().map(|c| (c.peer, c.data_centre));
+            if let Ok(listed) = listing.consult().await {
                 // Whoever waited for them may have found others meanwhile.
-                let _ = found.send(peers.collect()).await;
+                let _ = found.send(listed).await;
                 return;
             }
-            tokio::time::sleep(ROUND + jitter(ROUND)).await;
+            tokio::time::sleep(random_pause(&mut pauses)).await;
         }
     }
 
@@ -216,36 +246,22 @@
         members.map(|m| (m.peer, m.data_centre.clone())).collect()
     }
 
-    /// Keeps this daemon listed, and meets those that were listed after it.
-    async fn keep_listed(&self, origin: &dyn Origin) {
-        let contact = self.contact();
+    /// Keeps enough daemons listed, and meets those that were listed meanwhile.
+    async fn keep_listed(&self, listing: &Listing) {
         let mut alone = ALONE;
         loop {
-            // It has just been listed, and has read who was listed before it.
+            // It has just read who was listed before it.
             let pause = RENEWAL / 2 + jitter(RENEWAL);
-            if self.is_alone() {
+            let listed = if self.is_alone() {
                 tokio::time::sleep(pause.min(alone)).await;
                 alone *= 2;
+                listing.enter().await
             } else {
                 tokio::time::sleep(pause).await;
-            }
-            let contacts = origin.contacts().await;
-            let listed = contacts.as_ref().is_ok_and(|all| all.contains(&contact));
-            if contacts.is_ok() && !listed && !self.board.stage().is_stopping() {
-                // An error leaves it for the next round.
-                let _ = origin.list(&contact).await;
-            }
-            let listed = contacts.unwrap_or_default().into_iter();
-            self.meet(listed.map(|c| (c.peer, c.data_centre)).collect())
-                .await;
-        }
-    }
-
-    fn contact(&self) -> origin::Contact {
-        let settings = &self.board.settings;
-        origin::Contact {
-            peer: settings.identity(),
-            data_centre: settings.data_centre.clone(),
+                listing.tend().await
+            };
+            // An error leaves it for the next round.
+            self.meet(listed.unwrap_or_default()).await;
         }
     }
 
@@ -387,3 +403,8 @@
         names.len()
     }
 }
+
+/// The next of `pauses`, with its random part.
+fn random_pause(pauses: &mut Backoff) -> Duration {
+    pauses.pause(rand::rng().random_range(0.0..1.0))
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -13,5 +13,6 @@
 pub(crate) mod contacts;
 pub(crate) mod greeters;
 pub(crate) mod join;
+pub(crate) mod listing;
 pub(crate) mod probe;
 pub(crate) mod roster;
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -15,8 +15,9 @@
 use crate::extension::Reread;
 use crate::guard::Keys;
 use crate::http_server::Phase;
+use crate::listing::Listing;
 use crate::member::{Health, Stage};
-use crate::origin::{Contact, Origin};
+use crate::origin::Origin;
 use crate::probe::Membership;
 
 /// Exit status after a planned stop.
@@ -107,13 +108,9 @@
         let (board, began) = (&self.board, Instant::now());
         self.membership.reflect().await;
         if let Some(origin) = self.origin.clone() {
-            let settings = &board.settings;
-            let contact = Contact {
-                peer: settings.identity(),
-                data_centre: settings.data_centre.clone(),
-            };
+            let listing = Listing::new(Arc::clone(board), origin);
             // An entry that stays costs a joiner one vain try, so nothing waits for this.
-            tokio::spawn(async move { origin.unlist(&contact).await });
+            tokio::spawn(async move { listing.leave().await });
         }
         let accept = board.settings.accept_ms.duration();
         tokio::time::sleep_until((began + accept.saturating_sub(LAST_CALLS)).into()).await;
