Sum up changes of the number of members in a line a second

Cause: each change of a daemon's view was a line: a joint start of n daemons writes n lines at each, the square of the fleet in all. Ruled out: leaving the line out (what a daemon believes of its peers has to be seen afterwards). Change: Census says the number at most once a second, with the one said before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,7 +68,7 @@
 pub use document::Document;
 pub use error::{Error, Result};
 pub use idempotency::{keys, ledger};
-pub use membership::{announce, datagram, entries, member, target, view};
+pub use membership::{announce, census, datagram, entries, member, target, view};
 pub use operation::ctl;
 
 use calls::{
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -4,6 +4,7 @@
 //! it. A [`target`] announces itself to the daemon beside it.
 
 pub mod announce;
+pub mod census;
 pub mod datagram;
 pub mod entries;
 pub mod member;
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -10,6 +10,7 @@
 use tokio::net::UdpSocket;
 
 use crate::board::Board;
+use crate::census::Census;
 use crate::clock;
 use crate::datagram::{Datagram, Join, Welcome};
 use crate::entries::Entry;
@@ -81,12 +82,17 @@
         let announcer = Arc::clone(&self);
         tokio::spawn(async move { announcer.announce().await });
         let period = self.board.settings.probe_period_ms;
+        let mut census = Census::default();
         let mut ticks = tokio::time::interval(Millis((period.0 / TICKS).max(1)).duration());
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
             self.reflect().await;
             self.close_idle_links();
+            let live = self.board.roster().members.len();
+            if let Some(before) = census.due(Instant::now(), live) {
+                info!(self.board.logger, "members"; "live" => live, "before" => before);
+            }
             let effects = {
                 let mut guard = self.state();
                 let State { view, rng } = &mut *guard;
@@ -305,11 +311,8 @@
             .cloned()
             .chain([state.view.me().clone()])
             .collect();
-        let roster = Roster::build(live, gone, &home, &old, now);
-        if roster.members.len() != old.members.len() {
-            info!(self.board.logger, "members"; "live" => roster.members.len());
-        }
-        self.board.set_roster(roster);
+        self.board
+            .set_roster(Roster::build(live, gone, &home, &old, now));
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
