Serve after the first welcome, and let requests wait for a start

Cause: a starting daemon waited for all of the peers that it had asked. Ruled out: the store (4 ms a call), finding the target (its heartbeat comes within milliseconds). Change: Round asks peers side by side and takes each welcome as it comes; a request waits up to a quarter of its caller's time, 0.5 s at most, for a daemon that is starting. Joining through peers moves to greeting.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -6,7 +6,7 @@
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::{HeaderValue, Request, Response, header};
 use rand::RngExt;
@@ -35,6 +35,11 @@
 /// Times after which refused callers are told to be back, in seconds: a line of requests is worked
 /// off in less, and most callers have this much time left.
 const COME_BACK_S: Range<f64> = 0.15..0.5;
+/// Longest time that a request waits for a daemon that is starting: about what a start takes once the
+/// platform and a peer answer.
+const START_WAIT: Duration = Duration::from_millis(500);
+/// Part of its caller's time that it may wait so at most; the work needs the rest.
+const START_SHARE: u32 = 4;
 /// Longest identifier of a call, in bytes.
 const MAX_ID: usize = 64;
 
@@ -61,6 +66,7 @@
     pub async fn serve(&self, request: Request<Body>) -> Response<Body> {
         let began = Instant::now();
         let in_flight = self.board.begin();
+        self.await_floor(&request).await;
         let config = self.board.config();
         let id = self.identify(&request);
         let named = id.as_deref().ok_or(Reason::Unnamed);
@@ -108,6 +114,24 @@
         Response::from_parts(parts, Held::wrap(body, in_flight))
     }
 
+    /// Waits a while for a daemon that is starting to be able to serve.
+    ///
+    /// Guards against a caller that loses its request to a short absence: a daemon that comes back is
+    /// ready a moment after it takes connections, and a caller that was refused twice meanwhile has
+    /// no try left.
+    async fn await_floor(&self, request: &Request<Body>) {
+        if self.board.stage() != Stage::Starting {
+            return;
+        }
+        let given = request.headers().get(&self.board.dialect.timeout);
+        let given = given.and_then(|ms| ms.to_str().ok()?.parse::<Millis>().ok());
+        let share = given.map_or(START_WAIT, |given| given.duration() / START_SHARE);
+        let mut stages = self.board.stages();
+        let started = stages.wait_for(|stage| *stage != Stage::Starting);
+        // What is not ready by then refuses the request below.
+        let _ = tokio::time::timeout(share.min(START_WAIT), started).await;
+    }
+
     fn note_refusal(&self, id: &str, reason: &str, config: &Snapshot, began: Instant) {
         if self.board.lines.admit(Instant::now()) {
             info!(self.board.logger, "call refused"; "call" => id, "reason" => reason,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::error::{ListenSnafu, Result};
 use crate::extension::{Extension, Face, Handles};
 use crate::gate::Gate;
+use crate::greeting::Greeting;
 use crate::guard::Keys;
 use crate::http_server::{self, Phase};
 use crate::join::Joiner;
@@ -182,14 +183,19 @@
         links: Arc::clone(&links),
         membership: Arc::clone(&membership),
     };
-    let joiner = Joiner {
+    let greeting = Arc::new(Greeting {
         board: Arc::clone(&board),
-        store,
         links,
         membership: Arc::clone(&membership),
         relay: Arc::clone(&relay),
-        reader: Arc::clone(&reader),
         keys: Arc::clone(&keys),
+    });
+    let joiner = Joiner {
+        board: Arc::clone(&board),
+        store,
+        membership: Arc::clone(&membership),
+        greeting,
+        reader: Arc::clone(&reader),
         contacts,
         origin: origin.clone(),
         desk: Arc::clone(&desk),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,5 +77,5 @@
 };
 use configuration::{config, publish, reader, relay};
 use idempotency::{claim, gates, guard, replay};
-use membership::{contacts, greeters, join, listing, probe, roster};
+use membership::{contacts, greeters, greeting, join, listing, probe, roster};
 use operation::{command, operator, state, survey};
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures_util::future::{BoxFuture, join_all};
+use futures_util::future::BoxFuture;
 use rand::RngExt;
-use rand::seq::SliceRandom;
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
@@ -15,20 +14,17 @@
 use crate::board::Board;
 use crate::config::Store;
 use crate::contacts::{Contacts, RENEWAL};
-use crate::datagram::{Join, Welcome};
 use crate::error::Result;
 use crate::floor::Floor;
-use crate::greeters::{GREETERS, Listed, greeters};
-use crate::guard::Keys;
+use crate::greeters::{Listed, greeters};
+use crate::greeting::{Greeting, Heard, Round};
 use crate::listing::Listing;
-use crate::member::{Health, Member, Stage};
+use crate::member::Stage;
 use crate::origin::Origin;
-use crate::peer::Links;
-use crate::peer::server::JOIN;
 use crate::probe::Membership;
 use crate::reader::Reader;
-use crate::relay::{Relay, jitter};
-use crate::units::{DataCentre, Millis, Offset, Slots, Version};
+use crate::relay::jitter;
+use crate::units::{DataCentre, Millis, Offset, Version};
 
 /// Welcomes after which a joiner asks nobody else while a platform lists daemons: in a joint start
 /// of many each of them would otherwise be sent the view of every other one.
@@ -46,15 +42,6 @@
 /// Time between two looks at the list for a daemon that knows nobody; each look doubles it.
 const ALONE: Duration = Duration::from_secs(2);
 
-/// What peers remember of an earlier daemon at this address.
-#[derive(Debug, Default)]
-struct Past {
-    /// Its last entry.
-    member: Option<Member>,
-    /// Slots that its target offered.
-    slots: Option<Slots>,
-}
-
 /// Brings a daemon from its start to serving, and keeps contacts fresh.
 #[derive(Debug)]
 pub struct Joiner {
@@ -62,16 +49,12 @@
     pub board: Arc<Board>,
     /// What is in force.
     pub store: Arc<Store>,
-    /// Connections to peers.
-    pub links: Arc<Links>,
     /// The membership view.
     pub membership: Arc<Membership>,
-    /// Fetches content.
-    pub relay: Arc<Relay>,
+    /// Joins through peers.
+    pub greeting: Arc<Greeting>,
     /// Reads the log.
     pub reader: Arc<Reader>,
-    /// Remembers keys.
-    pub keys: Arc<Keys>,
     /// The log's list of contacts.
     pub contacts: Contacts,
     /// The platform, where it keeps the configuration and lists daemons.
@@ -118,31 +101,27 @@
     /// themselves known are asked at once: with the platform away, nothing waits for a time-out.
     /// Returns where the list is still to come from, if it has not come.
     async fn reach_origin(self: &Arc<Self>, listing: &Listing) -> mpsc::Receiver<Listed> {
-        let began = tokio::time::Instant::now();
-        let patience = began + self.board.settings.log_patience_ms.duration();
+        let patience = tokio::time::Instant::now() + self.board.settings.log_patience_ms.duration();
         let mut told = false;
-        let mut floor = Floor::default();
-        let mut past = Past::default();
-        let mut greeted = vec![self.board.settings.identity()];
-        greeted.extend(&self.board.settings.contacts);
-        let contacts = self.board.settings.contacts.clone();
-        let mut welcomes = self.greet_all(contacts, &mut floor, &mut past).await;
+        let mut heard = Heard::default();
+        let mut round = Round::new(&self.greeting);
+        round.ask(self.board.settings.contacts.clone());
         let mut rosters = self.board.rosters();
+        let mut versions = self.board.versions();
         let mut stages = self.board.stages();
         let (sender, mut listed) = mpsc::channel(1);
         tokio::spawn(Arc::clone(self).consult(listing.clone(), sender));
         let mut pauses = PAUSES;
-        let mut planned = false;
         let mut reading = self.reading(ROUND);
         let mut read = false;
         while self.board.stage() == Stage::Starting {
             let late = tokio::time::Instant::now() >= patience;
             let have = self.board.digest().version;
-            let known = have > Version(0) && have >= floor.version();
+            let known = have > Version(0) && have >= heard.floor.version();
             // Peers have the targets that this daemon's callers need, and remember what its own
             // target offered.
-            let early = greeted.len() == 1 && !told && !late;
-            let peers = (told || late) && floor.met_by_peers(have, self.data_centres());
+            let early = heard.welcomes == 0 && (!told || round.is_open()) && !late;
+            let peers = (told || late) && heard.floor.met_by_peers(have, self.data_centres());
             if known && !early && (read || peers) {
                 break;
             }
@@ -156,26 +135,28 @@
                 Some(peers) = listed.recv() => {
                     told = true;
                     strangers = peers;
+                    reading = self.reading(self.turn_to_read());
+                }
+                (peer, answer) = round.next() => {
+                    if let Ok(welcome) = answer {
+                        self.greeting.take(peer, &welcome, &mut heard);
+                    }
                 }
                 _ = rosters.changed() => strangers = self.known(),
+                _ = versions.changed() => {}
                 () = tokio::time::sleep_until(patience), if !late => {
                     warn!(self.board.logger, "no floor yet"; "version" => have.0, "read" => read);
                 }
                 _ = stages.wait_for(|stage| *stage != Stage::Starting) => break,
             }
-            strangers.retain(|(peer, _)| !greeted.contains(peer));
-            let strangers = greeters(strangers, &self.board.settings.data_centre);
-            if welcomes < WELCOMES {
-                greeted.extend(&strangers);
-                welcomes += self.greet_all(strangers, &mut floor, &mut past).await;
-            }
-            if told && !read && !std::mem::replace(&mut planned, true) {
-                reading = self.reading(self.turn_to_read());
+            if heard.welcomes < WELCOMES {
+                round.ask_few(strangers, &self.board.settings.data_centre);
             }
         }
         if !self.board.settings.first_start {
-            self.desk.find_target(past.slots).await;
+            self.desk.find_target(heard.slots()).await;
         }
+        tokio::spawn(round.finish(heard));
         listed
     }
 
@@ -195,11 +176,11 @@
     async fn meet(&self, mut peers: Listed) {
         let roster = self.board.roster();
         peers.retain(|(peer, _)| roster.member(*peer).is_none());
-        let (mut floor, mut past) = (Floor::default(), Past::default());
+        let mut heard = Heard::default();
         while !peers.is_empty() {
             let strangers = greeters(peers.clone(), &self.board.settings.data_centre);
             peers.retain(|(peer, _)| !strangers.contains(peer));
-            if self.greet_all(strangers, &mut floor, &mut past).await > 0 {
+            if self.greeting.greet_all(strangers, &mut heard).await > 0 {
                 return;
             }
         }
@@ -267,12 +248,13 @@
 
     async fn reach_floor(&self) {
         let began = Instant::now();
-        let mut floor = Floor::default();
-        let mut past = Past::default();
+        let mut heard = Heard::default();
         let mut warned = false;
         while self.board.stage() == Stage::Starting {
-            self.greet(&mut floor, &mut past).await;
-            let log_read = self.read_log(&mut floor).await;
+            let contacts = self.addresses().await;
+            self.greeting.greet_all(contacts, &mut heard).await;
+            let floor = &mut heard.floor;
+            let log_read = self.read_log(floor).await;
             let have = self.board.digest().version;
             if log_read && floor.met_by_log(have, self.store.next()) {
                 return;
@@ -293,73 +275,6 @@
         }
     }
 
-    /// Joins through a few contacts and fetches what they have in force.
-    async fn greet(&self, floor: &mut Floor, past: &mut Past) {
-        let contacts = self.addresses().await;
-        self.greet_all(contacts, floor, past).await;
-    }
-
-    /// Joins through a few of `contacts` at once and fetches what they have in force; how many
-    /// welcomed this daemon.
-    async fn greet_all(
-        &self,
-        mut contacts: Vec<SocketAddr>,
-        floor: &mut Floor,
-        past: &mut Past,
-    ) -> usize {
-        let mut welcomes = 0;
-        contacts.retain(|peer| *peer != self.board.settings.identity());
-        contacts.shuffle(&mut rand::rng());
-        contacts.truncate(GREETERS);
-        let join = Join {
-            member: self.membership.me(),
-        };
-        let join = &join;
-        let asking = contacts.into_iter().map(|peer| async move {
-            (peer, self.links.send::<_, Welcome>(peer, JOIN, join).await)
-        });
-        for (peer, welcome) in join_all(asking).await {
-            let Ok(welcome) = welcome else {
-                continue;
-            };
-            welcomes += 1;
-            let greeter = welcome.members.first();
-            let greeter = greeter.map(|m| m.data_centre.clone()).unwrap_or_default();
-            floor.heard(&greeter, welcome.digest.version, welcome.ran);
-            past.slots = welcome.slots.or(past.slots);
-            self.look_back(&welcome.members, &join.member, past);
-            self.membership.learn(&welcome.members);
-            if welcome.digest.version > self.board.digest().version {
-                let _ = self.relay.pull(peer).await;
-            }
-        }
-        welcomes
-    }
-
-    /// Finds out how an earlier daemon at this address ended: the latest word of it counts.
-    fn look_back(&self, members: &[Member], me: &Member, past: &mut Past) {
-        // Entries between the birth of this daemon and now are its own; those from the future
-        // are of an earlier one whose clock was ahead.
-        let own = self.membership.born()..=me.incarnation;
-        let told = members
-            .iter()
-            .find(|known| known.peer == me.peer && !own.contains(&known.incarnation));
-        let word = |member: &Member| (member.incarnation, member.health);
-        if let Some(told) = told
-            && past
-                .member
-                .as_ref()
-                .is_none_or(|known| word(known) < word(told))
-        {
-            past.member = Some(told.clone());
-        }
-        let lost = past
-            .member
-            .as_ref()
-            .is_some_and(|known| known.health != Health::Left);
-        self.keys.set_lived(lost);
-    }
-
     /// Reads the log to its head; `false` while it is away.
     async fn read_log(&self, floor: &mut Floor) -> bool {
         loop {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -13,6 +13,7 @@
 
 pub(crate) mod contacts;
 pub(crate) mod greeters;
+pub(crate) mod greeting;
 pub(crate) mod join;
 pub(crate) mod listing;
 pub(crate) mod probe;
