Take out remembered refusals; spread first reads by the length of the list

Remembered refusals. Hypothesis: an entry that asks full gates again spends time and bytes. Spread of reads. Cause: right after the list came no member is known yet, so every daemon of a joint start read the configuration at once. Change: the pause is drawn by the number of listed daemons, 10 ms each.

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -12,11 +12,10 @@
 
 use crate::board::Board;
 use crate::call::{Call, Part};
-use crate::choice::{Choice, Chooser};
+use crate::choice::Chooser;
 use crate::document::{Ejection, Retry};
 use crate::gate::Gate;
 use crate::outcome::{Fate, OUTCOME, REASON, Reason};
-use crate::refusal::Refusal;
 use crate::retry::{Budget, Budgets};
 use crate::roster::Upstream;
 use crate::settings::{Retries, Settings};
@@ -97,7 +96,7 @@
         }
         call.tried.push(upstream.peer);
         let second = match self.chooser.choose(call) {
-            Choice::Upstream(second) if self.afford(rule, call) => second,
+            Some(second) if self.afford(rule, call) => second,
             _ => return first.await,
         };
         metrics::counter!("jackdaw_hedges_total").increment(1);
@@ -123,7 +122,6 @@
             return Attempt::Failed(Reason::Expired);
         }
         let service = part.handover.service.clone();
-        let (priority, tolerance) = (part.handover.priority, part.handover.tolerance);
         let route = part.handover.route.clone();
         let began = Instant::now();
         let exchange = async {
@@ -142,13 +140,6 @@
             Attempt::Answered(response) => Ok(response),
             Attempt::Failed(reason) => Err(*reason),
         };
-        if matches!(seen, Err(Reason::Overloaded)) {
-            upstream.refused(Refusal {
-                at: Instant::now(),
-                priority,
-                tolerance: tolerance.duration(),
-            });
-        }
         if self.chooser.experience.learn(upstream, seen, began, &route) {
             let roster = self.board.roster();
             let upstreams = roster.upstreams(&service);
--- a/src/calls/choice.rs
+++ b/src/calls/choice.rs
@@ -1,7 +1,7 @@
 //! Who gets the next attempt of a call.
 //!
 //! What is known of the upstreams meets the decisions of [`pick`] here: by key where there is one,
-//! else by the time to expect, among those that have not said a moment ago that they have no room.
+//! else by the time to expect.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,25 +17,6 @@
 use crate::pick::{self, Candidate, Cost};
 use crate::roster::Upstream;
 
-/// Who gets the next attempt.
-#[derive(Debug)]
-pub enum Choice {
-    /// This one.
-    Upstream(Arc<Upstream>),
-    /// Those that are left have said a moment ago that they have no room.
-    Full,
-    /// None is left.
-    Nobody,
-}
-
-impl Choice {
-    fn at(upstreams: &[&Arc<Upstream>], index: Option<usize>) -> Self {
-        index.map_or(Self::Nobody, |index| {
-            Self::Upstream(Arc::clone(upstreams[index]))
-        })
-    }
-}
-
 /// Chooses among the upstreams of a board.
 #[derive(Debug)]
 pub struct Chooser {
@@ -65,41 +46,20 @@
         typical.work() + upstream.way(typical, far_ms)
     }
 
-    /// Chooses the upstream for the next attempt: by key where there is one, else by load.
-    pub fn choose(&self, call: &Call) -> Choice {
+    /// Chooses the upstream for the next attempt, if any is left: by key where there is one, else by
+    /// load.
+    pub fn choose(&self, call: &Call) -> Option<Arc<Upstream>> {
         let roster = self.board.roster();
         let upstreams = roster.upstreams(&call.handover.service).iter();
         let fresh = upstreams.filter(|upstream| !call.tried.contains(&upstream.peer));
         let fresh: Vec<&Arc<Upstream>> = fresh.collect();
-        if fresh.is_empty() {
-            return Choice::Nobody;
-        }
-        if let Some(key) = &call.handover.key {
-            let owner = (0..fresh.len()).max_by_key(|index| keys::rank(key, fresh[*index].peer));
-            return Choice::at(&fresh, owner);
-        }
-        let now = Instant::now();
-        let typical = self.experience.typical(&call.plan.route.name);
-        let open = self.with_room(fresh, call, &typical, now);
-        if open.is_empty() {
-            return Choice::Full;
-        }
-        Choice::at(&open, self.best(&open, call, &typical, now))
-    }
-
-    /// Those that did not refuse such a call a moment ago.
-    fn with_room<'a>(
-        &self,
-        mut upstreams: Vec<&'a Arc<Upstream>>,
-        call: &Call,
-        typical: &Typical,
-        now: Instant,
-    ) -> Vec<&'a Arc<Upstream>> {
-        upstreams.retain(|upstream| {
-            let tolerance = call.tolerance(self.needs(upstream, typical));
-            !upstream.refuses(now, call.handover.priority, tolerance)
-        });
-        upstreams
+        let index = if let Some(key) = &call.handover.key {
+            (0..fresh.len()).max_by_key(|index| keys::rank(key, fresh[*index].peer))
+        } else {
+            let typical = self.experience.typical(&call.plan.route.name);
+            self.best(&fresh, call, &typical, Instant::now())
+        };
+        index.map(|index| Arc::clone(fresh[index]))
     }
 
     /// The best of several by the policy of the settings.
--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -16,7 +16,6 @@
 use crate::attempt::{Attempt, Attempts};
 use crate::board::{Board, Snapshot};
 use crate::call::Call;
-use crate::choice::Choice;
 use crate::document::Retry;
 use crate::gate::{Gate, LOAD};
 use crate::member::Stage;
@@ -232,13 +231,8 @@
         self.attempts.budget(call).deposit_share(rule.budget);
         let mut refusals = 0;
         loop {
-            let upstream = match self.attempts.chooser.choose(call) {
-                Choice::Upstream(upstream) => upstream,
-                Choice::Nobody => break,
-                Choice::Full => {
-                    call.failed(Reason::Overloaded);
-                    break;
-                }
+            let Some(upstream) = self.attempts.chooser.choose(call) else {
+                break;
             };
             let reason = match self.attempts.race(&upstream, call).await {
                 Attempt::Answered(response) => return Some(response),
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The entry finds the [`route`] of a request, [`pick`]s an upstream by its [`pace`] and hands the
 //! request over ([`handover`]) to the gate, whose [`limit`] bounds the work. How long a request may wait
-//! there is its [`patience`]; a [`refusal`] is remembered for a moment. Only the entry may [`retry`];
+//! there is its [`patience`]; Only the entry may [`retry`];
 //! the caller is told the [`outcome`]. Which [`connections`] of
 //! callers are kept is decided where they are accepted. How headers are spelt is a [`dialect`].
 
@@ -16,7 +16,6 @@
 pub mod pace;
 pub mod patience;
 pub mod pick;
-pub mod refusal;
 pub mod retry;
 pub mod route;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,8 +61,8 @@
 mod stop;
 
 pub use calls::{
-    connections, dialect, handover, limit, lines, origins, outcome, pace, patience, pick, refusal,
-    retry, route,
+    connections, dialect, handover, limit, lines, origins, outcome, pace, patience, pick, retry,
+    route,
 };
 pub use configuration::{check, delta, document, exchange, fault, floor, fold, log, origin};
 pub use document::Document;
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -36,7 +36,7 @@
 const PAUSES: Backoff = Backoff::new(ROUND, Duration::from_secs(2));
 /// Time between two first reads of the configuration in a joint start, over all daemons that are known:
 /// whoever has read it tells the others in less time than all of them would take to read.
-const READ_SPACING: Duration = Duration::from_millis(20);
+const READ_SPACING: Duration = Duration::from_millis(10);
 /// Time that a read waits for the first version while there is none.
 const ORIGIN_WAIT: Millis = Millis(1_500);
 /// Time between two looks at the list for a daemon that knows nobody; each look doubles it.
@@ -129,13 +129,17 @@
             tokio::select! {
                 result = &mut reading => {
                     read = result.is_ok();
-                    let pause = if read { self.turn_to_read() } else { random_pause(&mut pauses) };
+                    let pause = if read {
+                        turn_to_read(self.board.roster().members.len())
+                    } else {
+                        random_pause(&mut pauses)
+                    };
                     reading = self.reading(pause);
                 }
                 Some(peers) = listed.recv() => {
                     told = true;
+                    reading = self.reading(turn_to_read(peers.len()));
                     strangers = peers;
-                    reading = self.reading(self.turn_to_read());
                 }
                 (peer, answer) = round.next() => {
                     if let Ok(welcome) = answer {
@@ -191,13 +195,6 @@
         self.board.roster().members.len() <= 1
     }
 
-    /// Pause before this daemon reads the configuration, unless another one tells it by then.
-    fn turn_to_read(&self) -> Duration {
-        let known = self.board.roster().members.len();
-        let others = u32::try_from(known.saturating_sub(1)).unwrap_or(u32::MAX);
-        jitter(READ_SPACING.saturating_mul(others))
-    }
-
     /// Reads the newest version, or waits a while for one, after a pause.
     fn reading(self: &Arc<Self>, pause: Duration) -> BoxFuture<'static, Result<Offset>> {
         let reader = Arc::clone(&self.reader);
@@ -319,6 +316,12 @@
     }
 }
 
+/// Pause before a daemon that knows of `others` reads the configuration, unless one of them tells it
+/// by then.
+fn turn_to_read(others: usize) -> Duration {
+    jitter(READ_SPACING.saturating_mul(u32::try_from(others).unwrap_or(u32::MAX)))
+}
+
 /// The next of `pauses`, with its random part.
 fn random_pause(pauses: &mut Backoff) -> Duration {
     pauses.pause(rand::rng().random_range(0.0..1.0))
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -13,8 +13,7 @@
 use crate::pace::{Pace, Typical, Underway};
 use crate::peer::Link;
 use crate::pick::{self, Candidate, Cost, Evidence};
-use crate::refusal::Refusal;
-use crate::units::{Birth, DataCentre, Millis, Priority, Service};
+use crate::units::{Birth, DataCentre, Millis, Service};
 
 /// Bytes in a kilobyte.
 const KB: f64 = 1_024.0;
@@ -82,8 +81,6 @@
     pace: Mutex<Pace>,
     /// Held for a few instructions, by the path of a request alone.
     evidence: Mutex<Evidence>,
-    /// The last time that it had no room; held like the evidence.
-    refusal: Mutex<Option<Refusal>>,
 }
 
 impl Roster {
@@ -203,7 +200,6 @@
             reported: AtomicU32::new(0),
             pace: Mutex::new(Pace::new(now)),
             evidence: Mutex::default(),
-            refusal: Mutex::default(),
         }
     }
 
@@ -304,22 +300,6 @@
         evidence.absent(now);
     }
 
-    /// Notes that it had no room.
-    pub fn refused(&self, refusal: Refusal) {
-        *self.refusal() = Some(refusal);
-    }
-
-    /// Whether it would have no room either for a request of this rank and tolerance.
-    #[must_use]
-    pub fn refuses(&self, now: Instant, priority: Priority, tolerance: Duration) -> bool {
-        let refusal = *self.refusal();
-        refusal.is_some_and(|refusal| refusal.covers(now, priority, tolerance))
-    }
-
-    fn refusal(&self) -> MutexGuard<'_, Option<Refusal>> {
-        self.refusal.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Notes a failure; `out` of `total` upstreams of its group are ejected.
     pub fn failed(&self, now: Instant, rule: &Ejection, out: usize, total: usize) {
         let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
--- a/trial/src/load/world.rs
+++ b/trial/src/load/world.rs
@@ -8,7 +8,6 @@
 use jackdawpulley::pace::{Pace, Typical, Underway};
 use jackdawpulley::patience::{self, Patience};
 use jackdawpulley::pick::{self, Candidate, Cost};
-use jackdawpulley::refusal::Refusal;
 use jackdawpulley::units::Millis;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -87,7 +86,6 @@
     typicals: Vec<Typical>,
     patiences: Vec<Patience>,
     paces: Vec<Pace>,
-    refusals: Vec<Option<Refusal>>,
     own: Vec<u32>,
     /// Times at which own calls were sent to each target, as their sum.
     sent: Vec<u64>,
@@ -153,7 +151,6 @@
             typicals: vec![Typical::default(); kinds.len()],
             patiences: vec![Patience::default(); kinds.len()],
             paces: vec![Pace::new(start); targets.len()],
-            refusals: vec![None; targets.len()],
             own: vec![0; targets.len()],
             sent: vec![0; targets.len()],
         });
@@ -338,7 +335,6 @@
     fn choose(&mut self, call: usize) -> Option<usize> {
         let Call { kind, host, .. } = self.calls[call];
         let service = self.kinds[kind].service;
-        let priority = self.kinds[kind].priority;
         let now = self.at(self.now);
         let all = 0..self.targets.len();
         let fresh: Vec<usize> = all
@@ -354,17 +350,9 @@
                 fresh.iter().map(|t| self.candidate(host, *t)).collect();
             return pick::choose(by, &candidates, &mut self.rng).map(|index| fresh[index]);
         }
-        let mut open = Vec::new();
-        for target in fresh {
-            let tolerance = self.tolerance(call, target);
-            let refusal = self.entries[host].refusals[target];
-            if !refusal.is_some_and(|refusal| refusal.covers(now, priority, tolerance)) {
-                open.push(target);
-            }
-        }
         let entry = &self.entries[host];
         let typical = entry.typicals[kind];
-        let costs: Vec<Cost> = open
+        let costs: Vec<Cost> = fresh
             .iter()
             .map(|target| {
                 let expected = entry.paces[*target].expected_ms(
@@ -385,7 +373,7 @@
                 }
             })
             .collect();
-        pick::cheapest(&costs, &mut self.rng).map(|index| open[index])
+        pick::cheapest(&costs, &mut self.rng).map(|index| fresh[index])
     }
 
     fn candidate(&self, host: usize, target: usize) -> Candidate {
@@ -401,7 +389,7 @@
 
     /// Asks a gate for a slot; `false` when it has no room.
     fn enter(&mut self, call: usize, target: usize) -> bool {
-        let Call { kind, host, .. } = self.calls[call];
+        let Call { kind, .. } = self.calls[call];
         let Kind {
             priority, patience, ..
         } = self.kinds[kind];
@@ -409,12 +397,6 @@
         let expected = matches!(self.policy, Policy::Expected | Policy::ExpectedAlike);
         let wait = self.targets[target].limit.expected_wait(priority);
         if expected && wait > tolerance {
-            let at = self.at(self.now);
-            self.entries[host].refusals[target] = Some(Refusal {
-                at,
-                priority,
-                tolerance,
-            });
             return false;
         }
         self.order += 1;
