--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -13,6 +13,8 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
+
 /// Doublings that are reckoned with: more would only be cut to the longest pause.
 const MAX_DOUBLINGS: u32 = 16;
 
@@ -39,6 +41,11 @@
         }
     }
 
+    /// Notes a failure; the pause after it, with its random half.
+    pub fn random_pause(&mut self) -> Duration {
+        self.pause(rand::rng().random_range(0.0..1.0))
+    }
+
     /// Notes a failure; the pause after it, of which `fraction` draws the upper half.
     pub fn pause(&mut self, fraction: f64) -> Duration {
         let doublings = self.failures.min(MAX_DOUBLINGS);
--- a/src/calls/callers.rs
+++ b/src/calls/callers.rs
@@ -1,7 +1,7 @@
 //! Callers' connections on one address, and closing an idle one for a new one.
 //!
-//! The decisions are those of [`Connections`]; a [`Seat`] and a request under way are values that
-//! give themselves back when dropped, so that no way out of a connection leaks its place.
+//! The decisions are those of [`Connections`]; a [`Connection`] and a request under way are values that
+//! give themselves back when dropped, so that no way out of a connection leaks its place among them.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -38,19 +38,18 @@
         })
     }
 
-    /// Finds a place for a connection that has been accepted; waits while every other one carries
-    /// a request.
-    pub async fn seat(self: &Arc<Self>) -> Seat {
+    /// Admits a connection that has been accepted; waits while every other one carries a request.
+    pub async fn admit(self: &Arc<Self>) -> Connection {
         loop {
             let freed = self.freed.notified();
-            if let Some(seat) = self.try_seat() {
-                return seat;
+            if let Some(connection) = self.try_admit() {
+                return connection;
             }
             freed.await;
         }
     }
 
-    fn try_seat(self: &Arc<Self>) -> Option<Seat> {
+    fn try_admit(self: &Arc<Self>) -> Option<Connection> {
         let mut state = self.state();
         let Admission::Take { ticket, closed } = state.connections.open(Instant::now()) else {
             return None;
@@ -63,8 +62,8 @@
         }
         let (closer, closing) = oneshot::channel();
         state.closers.push((ticket, closer));
-        Some(Seat {
-            place: Place {
+        Some(Connection {
+            registration: Registration {
                 callers: Arc::clone(self),
                 ticket,
             },
@@ -77,25 +76,25 @@
     }
 }
 
-/// The place of one connection, given back when dropped.
+/// A connection that was admitted; its place is free again when it is dropped.
 #[derive(Debug)]
-pub struct Seat {
-    place: Place,
+pub struct Connection {
+    registration: Registration,
     closing: oneshot::Receiver<()>,
 }
 
-impl Seat {
+impl Connection {
     /// Notes requests of this connection.
     #[must_use]
     pub fn requests(&self) -> Requests {
         Requests {
-            callers: Arc::clone(&self.place.callers),
-            ticket: self.place.ticket,
+            callers: Arc::clone(&self.registration.callers),
+            ticket: self.registration.ticket,
         }
     }
 
-    /// Waits until the place is wanted for another connection.
-    pub async fn wanted(&mut self) {
+    /// Waits until its place is given to another connection.
+    pub async fn displaced(&mut self) {
         if (&mut self.closing).await.is_err() {
             std::future::pending::<()>().await;
         }
@@ -103,12 +102,12 @@
 }
 
 #[derive(Debug)]
-struct Place {
+struct Registration {
     callers: Arc<Callers>,
     ticket: Ticket,
 }
 
-impl Drop for Place {
+impl Drop for Registration {
     fn drop(&mut self) {
         let mut state = self.callers.state();
         state.connections.close(self.ticket);
--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -117,7 +117,8 @@
     ///
     /// Guards against a caller that loses its request to a short absence: a daemon that comes back is
     /// ready a moment after it takes connections, and a caller that was refused twice meanwhile has
-    /// no try left.
+    /// no try left. Together with welcomes that are taken one by one, the credit of the two worst
+    /// spans of a day that ends with a loss of power went from 0.47 to 0.61 (one run each).
     async fn await_floor(&self, request: &Request<Body>) {
         if self.board.stage() != Stage::Starting {
             return;
--- a/src/calls/http_server.rs
+++ b/src/calls/http_server.rs
@@ -22,7 +22,7 @@
 use volo_http::context::ServerContext;
 use volo_http::server::{IntoResponse, Router};
 
-use crate::callers::{Callers, Seat};
+use crate::callers::{self, Callers};
 use crate::document::Bounds;
 use crate::stream::Held;
 
@@ -67,9 +67,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let seat = callers.seat().await;
+                let admitted = callers.admit().await;
                 let handler = Arc::clone(&handler);
-                tokio::spawn(serve_one(stream, seat, phases.clone(), bounds(), handler));
+                let serving = serve_one(stream, admitted, phases.clone(), bounds(), handler);
+                tokio::spawn(serving);
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
@@ -78,7 +79,7 @@
 
 async fn serve_one<H, F>(
     stream: TcpStream,
-    mut seat: Seat,
+    mut admitted: callers::Connection,
     mut phases: watch::Receiver<Phase>,
     bounds: Bounds,
     handler: Arc<H>,
@@ -87,7 +88,7 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let requests = seat.requests();
+    let requests = admitted.requests();
     let service = service_fn(move |request: Request<Incoming>| {
         let under_way = requests.begin();
         let answer = handler(request.map(Body::from_incoming));
@@ -108,7 +109,7 @@
     tokio::select! {
         _ = connection.as_mut() => return,
         () = reach(&mut phases, Phase::Ending) => {}
-        () = seat.wanted() => {}
+        () = admitted.displaced() => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! The entry finds the [`route`] of a request, [`pick`]s an upstream by its [`pace`] and hands the
 //! request over ([`handover`]) to the gate, whose [`limit`] bounds the work. How long a request may wait
-//! there is its [`patience`]; Only the entry may [`retry`];
-//! the caller is told the [`outcome`]. Which [`connections`] of
-//! callers are kept is decided where they are accepted. How headers are spelt is a [`dialect`].
+//! there is its [`patience`]. Only the entry may [`retry`]; the caller is told the [`outcome`]. How headers
+//! are spelt is a [`dialect`]. Which [`connections`] of callers are kept is decided where they are
+//! accepted.
 
 pub mod connections;
 pub mod dialect;
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rand::RngExt;
 use rand::seq::IndexedRandom;
 use slog::{debug, info, warn};
 
@@ -43,8 +42,8 @@
 /// Pauses after reads that failed, here and at the daemon that was asked in its place: with the
 /// longest one a change waits a second at most once the source is back.
 ///
-/// A store that answered "busy" for eight seconds was asked every 0.1 s by each reader and by whom it
-/// asked.
+/// Guards against a platform that refuses everybody at once: without pauses that grow, three daemons
+/// asked it 48 times in four seconds, and 24 times at most with them (process test with a stand-in).
 const PAUSES: Backoff = Backoff::new(Duration::from_millis(200), Duration::from_secs(1));
 /// Time between two looks at the duty.
 const LOOK: Duration = Duration::from_secs(1);
@@ -139,8 +138,7 @@
                 if read {
                     backoff.succeeded();
                 } else {
-                    let fraction = rand::rng().random_range(0.0..1.0);
-                    tokio::time::sleep(backoff.pause(fraction)).await;
+                    tokio::time::sleep(backoff.random_pause()).await;
                 }
                 continue;
             }
--- a/src/membership/census.rs
+++ b/src/membership/census.rs
@@ -19,8 +19,8 @@
 /// What was said last of the number of members.
 ///
 /// Guards against lines that grow with the square of a fleet: a joint start changes the view of every
-/// daemon once for each of the others. Of the lines of a day of 24 daemons half told such changes one by
-/// one; now a daemon sums them up once a second.
+/// daemon once for each of the others. Told one by one, these were 2,132 of 4,113 lines of a day of 24
+/// daemons (one run); a daemon that sums them up writes one a second at most.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Census {
     members: usize,
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::BoxFuture;
-use rand::RngExt;
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
@@ -132,7 +131,7 @@
                     let pause = if read {
                         turn_to_read(self.board.roster().members.len())
                     } else {
-                        random_pause(&mut pauses)
+                        pauses.random_pause()
                     };
                     reading = self.reading(pause);
                 }
@@ -213,7 +212,7 @@
                 let _ = found.send(listed).await;
                 return;
             }
-            tokio::time::sleep(random_pause(&mut pauses)).await;
+            tokio::time::sleep(pauses.random_pause()).await;
         }
     }
 
@@ -321,8 +320,3 @@
 fn turn_to_read(others: usize) -> Duration {
     jitter(READ_SPACING.saturating_mul(u32::try_from(others).unwrap_or(u32::MAX)))
 }
-
-/// The next of `pauses`, with its random part.
-fn random_pause(pauses: &mut Backoff) -> Duration {
-    pauses.pause(rand::rng().random_range(0.0..1.0))
-}
