Tell what ran at a target when it ended

Callers saw 502 for everything that ran at a target which ended, and the lines named calls: a caller's repeat is another call, so nobody could see that one request was there each time, nor tell a target that ended from one that cut a connection.

Each call now carries a fingerprint of what stays the same in a repeat (method, host, path, body). A gate keeps what runs at its target. When a connection breaks it looks, 10 ms later, whether the target still listens; if not, one line 'target ended' names what ran. Left out: what a planned end cuts, and what this life of the target has answered before. No decision depends on it yet, but that a target which has ended gets no work from that moment, in place of the next refused connection.

--- a/src/board.rs
+++ b/src/board.rs
@@ -5,8 +5,8 @@
 //! snapshot it began with.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -22,6 +22,7 @@
 use crate::member::{Offer, Stage};
 use crate::roster::Roster;
 use crate::route::Table;
+use crate::running::Running;
 use crate::settings::Settings;
 use crate::telemetry::Meter;
 use crate::units::{Birth, Instance, Millis, Slots, Version};
@@ -108,6 +109,8 @@
     config: ArcSwap<Snapshot>,
     roster: ArcSwap<Roster>,
     target: ArcSwapOption<Target>,
+    /// What runs at it; held for a few instructions.
+    pub running: Mutex<Running>,
     stage: AtomicU8,
     /// Whether this daemon may stand on the platform's list.
     listed: AtomicBool,
@@ -134,6 +137,7 @@
             config: ArcSwap::from_pointee(Snapshot::compile(Version(0), Arc::default())),
             roster: ArcSwap::default(),
             target: ArcSwapOption::empty(),
+            running: Mutex::default(),
             stage: AtomicU8::new(Stage::Starting as u8),
             listed: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -12,6 +12,7 @@
 use crate::board::Snapshot;
 use crate::dialect::Dialect;
 use crate::document::Group;
+use crate::fingerprint::{Content, Fingerprint};
 use crate::handover::{Handover, write_handover};
 use crate::outcome::Reason;
 use crate::patience;
@@ -111,6 +112,7 @@
             group: group.name.clone(),
             route: plan.route.name.clone(),
             from: Service::default(),
+            fingerprint: Fingerprint(0),
             priority: plan.route.rank(),
             remaining: timeout,
             tolerance: timeout,
@@ -128,8 +130,12 @@
         let keeping = Payload::keep(body, &head, limit, largest);
         let body = tokio::time::timeout_at(deadline.into(), keeping).await;
         let body = body.map_err(|_| Reason::Expired)??;
+        let fingerprint = body.fingerprint(&head);
         Ok(Call {
-            handover,
+            handover: Handover {
+                fingerprint,
+                ..handover
+            },
             plan,
             group,
             given: wanted,
@@ -257,6 +263,23 @@
 }
 
 impl Payload {
+    /// What stays the same when a request with this head and body is sent again.
+    fn fingerprint(&self, head: &request::Parts) -> Fingerprint {
+        let text = |name| head.headers.get(name).map(HeaderValue::as_bytes);
+        let host = text(header::HOST).and_then(|host| std::str::from_utf8(host).ok());
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let content = match self {
+            Self::Kept(bytes) => Content::Whole(bytes),
+            Self::Stream(_) => Content::Stream(text(header::CONTENT_LENGTH)),
+        };
+        Fingerprint::of(
+            head.method.as_str(),
+            host.unwrap_or_default(),
+            path,
+            content,
+        )
+    }
+
     async fn keep(
         body: Body,
         head: &request::Parts,
--- a/src/calls/handover.rs
+++ b/src/calls/handover.rs
@@ -11,6 +11,7 @@
 
 use crate::document::Guard;
 use crate::error::Result;
+use crate::fingerprint::Fingerprint;
 use crate::units::{CallKey, Millis, Priority, Service};
 use crate::wire;
 
@@ -39,6 +40,8 @@
     pub route: String,
     /// Service on whose host the call began; empty where it is not known.
     pub from: Service,
+    /// What stays the same when it is sent again.
+    pub fingerprint: Fingerprint,
     /// Its rank.
     pub priority: Priority,
     /// Time left until the answer's head is due.
--- a/src/calls/work.rs
+++ b/src/calls/work.rs
@@ -16,10 +16,12 @@
 use crate::dispatch::Dispatcher;
 use crate::document::Guard;
 use crate::handover::Handover;
+use crate::inspect::Inspector;
 use crate::line::{Bid, Line, Permit};
 use crate::member::Stage;
 use crate::outcome::{Fate, OUTCOME, Reason};
 use crate::patience;
+use crate::running::{End, Run};
 use crate::settings::Limits;
 use crate::stream::{self, Gathered, Held, HeldBack};
 use crate::units::{Millis, Service};
@@ -62,6 +64,7 @@
 pub struct Work {
     board: Arc<Board>,
     dispatcher: Dispatcher,
+    inspector: Inspector,
     line: Arc<Line>,
     /// Bodies that come over the link, and those that wait for that.
     bodies: Arc<Line>,
@@ -73,6 +76,7 @@
     pub fn new(board: Arc<Board>) -> Self {
         let dispatcher = Dispatcher::new(board.settings.target_idle_ms.duration());
         Self {
+            inspector: Inspector::new(Arc::clone(&board)),
             board,
             dispatcher,
             line: Arc::default(),
@@ -120,6 +124,9 @@
         if matches!(reason, Reason::Unreachable | Reason::Misdirected) {
             self.board.drop_target(target);
         }
+        if matches!(reason, Reason::Unreachable | Reason::Broken) {
+            self.inspector.inspect(target);
+        }
     }
 
     /// Slots and places to wait for a group.
@@ -275,6 +282,11 @@
             left,
         );
         let began = Instant::now();
+        let watched = work.inspector.begin(Run {
+            fingerprint: handover.fingerprint,
+            route: handover.route.clone(),
+            began,
+        });
         let exchange = async {
             let sending = work
                 .dispatcher
@@ -290,6 +302,7 @@
             work.dispatcher.doubt_idle(began);
             Err(Reason::TimedOut)
         });
+        watched.finish(end(&result));
         let mut response = result.inspect_err(|reason| work.doubt_target(*reason, &self.target))?;
         let headers = response.headers_mut();
         stream::strip_hop_by_hop(headers);
@@ -308,6 +321,15 @@
     }
 }
 
+/// How a run at the target is over.
+const fn end(result: &Result<Response<Body>, Reason>) -> End {
+    match result {
+        Ok(_) => End::Answered,
+        Err(Reason::Broken | Reason::TimedOut) => End::Open,
+        Err(_) => End::NotRun,
+    }
+}
+
 /// Writes what the target has to know into the headers of its request.
 fn address(
     headers: &mut HeaderMap,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod idempotency;
 pub mod membership;
 pub mod operation;
+pub mod quarantine;
 pub mod settings;
 pub mod telemetry;
 pub mod units;
@@ -70,6 +71,7 @@
 pub use idempotency::{keys, ledger};
 pub use membership::{announce, census, datagram, entries, member, target, view};
 pub use operation::ctl;
+pub use quarantine::{fingerprint, running};
 
 use calls::{
     answer, attempt, call, callers, choice, dispatch, entry, experience, gate, http_server, line,
@@ -79,3 +81,4 @@
 use idempotency::{claim, gates, guard, replay};
 use membership::{contacts, greeters, greeting, join, listing, probe, roster};
 use operation::{command, operator, state, survey};
+use quarantine::inspect;
--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -18,6 +18,7 @@
 use crate::board::{Board, Target};
 use crate::clock;
 use crate::dispatch::Dispatcher;
+use crate::inspect::lock;
 use crate::member::Stage;
 use crate::probe::Membership;
 use crate::target::{Beat, Life, Lives, Standing};
@@ -263,6 +264,10 @@
     }
 
     async fn open(&self, target: Target) {
+        let life = |target: &Target| (target.instance.clone(), target.born);
+        let before = self.board.target();
+        let same = before.is_some_and(|before| life(&before) == life(&target));
+        lock(&self.board.running).open(!same);
         self.board.set_target(Some(target));
         self.membership.reflect().await;
     }
@@ -271,6 +276,7 @@
         if self.board.target().is_some() {
             info!(self.board.logger, "{}", event; "instance" => %instance);
         }
+        lock(&self.board.running).leave();
         self.board.set_target(None);
         self.membership.reflect().await;
     }
@@ -322,6 +328,7 @@
 
     async fn leave(&self) -> (StatusCode, String) {
         info!(self.board.logger, "target left");
+        lock(&self.board.running).leave();
         self.board.set_target(None);
         self.membership.reflect().await;
         (StatusCode::OK, "left".to_owned())
--- /dev/null
+++ b/src/quarantine/inspect.rs
@@ -0,0 +1,116 @@
+//! Finding out whether the target has ended when a connection to it breaks.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use slog::warn;
+use tokio::net::TcpStream;
+
+use crate::board::{Board, Target};
+use crate::running::{End, Run, Running, Ticket};
+use crate::units::Millis;
+
+/// Time between the first broken connection and the look at the target: the others that break with it are
+/// noticed meanwhile.
+const SETTLE: Duration = Duration::from_millis(10);
+/// Time in which a host refuses a connection to a port of its own that nobody listens on, many times over.
+const REFUSAL: Duration = Duration::from_millis(200);
+/// Requests that a line about an ended target names.
+const NAMED: usize = 32;
+
+/// Follows the runs at the target of one gate.
+#[derive(Debug, Clone)]
+pub struct Inspector {
+    board: Arc<Board>,
+}
+
+/// A run that is over when this is dropped, with an unknown fate if nothing else was said.
+#[derive(Debug)]
+pub struct Watched {
+    inspector: Inspector,
+    ticket: Ticket,
+    end: End,
+}
+
+impl Inspector {
+    /// An inspector of the target that `board` names.
+    #[must_use]
+    pub const fn new(board: Arc<Board>) -> Self {
+        Self { board }
+    }
+
+    /// Notes that a request is sent to the target.
+    #[must_use]
+    pub fn begin(&self, run: Run) -> Watched {
+        Watched {
+            ticket: self.running().begin(run),
+            inspector: self.clone(),
+            end: End::Open,
+        }
+    }
+
+    /// Finds out in a moment whether `target` has ended, unless that is under way already.
+    pub fn inspect(&self, target: &Arc<Target>) {
+        if !self.running().inspect() {
+            return;
+        }
+        let (inspector, target) = (self.clone(), Arc::clone(target));
+        tokio::spawn(async move {
+            tokio::time::sleep(SETTLE).await;
+            let gone = is_refused(target.address).await;
+            let runs = inspector.running().inspected(Instant::now(), gone);
+            if gone {
+                inspector.board.drop_target(&target);
+            }
+            if !runs.is_empty() {
+                inspector.report(&target, &runs);
+            }
+        });
+    }
+
+    fn report(&self, target: &Target, runs: &[Run]) {
+        let now = Instant::now();
+        let name = |run: &Run| {
+            let age = Millis::from(now.saturating_duration_since(run.began));
+            format!("{}:{}:{age}", run.fingerprint, run.route)
+        };
+        let named: Vec<String> = runs.iter().take(NAMED).map(name).collect();
+        let instance = target.instance.as_ref().map(ToString::to_string);
+        warn!(self.board.logger, "target ended"; "instance" => instance,
+            "address" => %target.address, "running" => runs.len(), "requests" => named.join(" "));
+    }
+
+    fn running(&self) -> MutexGuard<'_, Running> {
+        lock(&self.board.running)
+    }
+}
+
+impl Watched {
+    /// Notes how the run is over.
+    pub fn finish(mut self, end: End) {
+        self.end = end;
+    }
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        self.inspector.running().finish(now, self.ticket, self.end);
+    }
+}
+
+/// Takes the lock, which is held for a few instructions.
+pub fn lock(running: &Mutex<Running>) -> MutexGuard<'_, Running> {
+    running.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Whether nobody listens at an address of this host.
+///
+/// Guards against a target whose answer was lost, or that cuts one connection: it still listens. One that
+/// has ended does not, and its host says so at once.
+async fn is_refused(address: SocketAddr) -> bool {
+    let connecting = tokio::time::timeout(REFUSAL, TcpStream::connect(address)).await;
+    let refused = |error: std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
+    connecting.is_ok_and(|connected| connected.is_err_and(refused))
+}
--- /dev/null
+++ b/src/quarantine/running.rs
@@ -0,0 +1,144 @@
+//! What runs at the co-located target, and what ran when it ended.
+//!
+//! All work enters a target through its gate, so the gate alone knows what was under way when the target
+//! ended. [`Running`] gets time as an argument.
+
+use std::time::{Duration, Instant};
+
+use crate::fingerprint::Fingerprint;
+
+/// Time for which a request counts that its entry or caller has given up: not every target stops the work
+/// when its connection closes, and what takes longer to end a target than this is told by later ends.
+const LINGER: Duration = Duration::from_secs(1);
+/// Requests with a known fate that are kept while a target is looked at: as many as a target of many slots
+/// may have under way.
+const MOST_ENDED: usize = 256;
+/// Answered requests that are remembered of one life of the target, in about as many bytes times eight. At
+/// a hundred answers a second they span ten seconds, many times what a request takes.
+const MOST_ANSWERED: usize = 1_024;
+
+/// One request at the target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// What it is.
+    pub fingerprint: Fingerprint,
+    /// Its route.
+    pub route: String,
+    /// When it was sent to the target.
+    pub began: Instant,
+}
+
+/// Names a run until it is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ticket(u64);
+
+/// How a run was over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The target answered it.
+    Answered,
+    /// The target refused it before running it, or never saw it.
+    NotRun,
+    /// Its connection broke, or whoever waited for it has given up.
+    Open,
+}
+
+/// The requests at one target.
+#[derive(Debug, Default)]
+pub struct Running {
+    next: u64,
+    /// Sorted by ticket.
+    under_way: Vec<(u64, Run)>,
+    /// Runs of unknown fate, with the time at which they were over.
+    ended: Vec<(Instant, Run)>,
+    /// Fingerprints that this life of the target has answered; the oldest is overwritten first.
+    answered: Vec<Fingerprint>,
+    oldest_answered: usize,
+    /// Whether the target has said that it ends.
+    leaving: bool,
+    /// Whether it is being found out if the target is still there.
+    inspected: bool,
+}
+
+impl Running {
+    /// Notes that a request is sent to the target.
+    pub fn begin(&mut self, run: Run) -> Ticket {
+        let ticket = self.next;
+        self.next += 1;
+        self.under_way.push((ticket, run));
+        Ticket(ticket)
+    }
+
+    /// Notes that a run is over.
+    pub fn finish(&mut self, now: Instant, ticket: Ticket, end: End) {
+        let found = self
+            .under_way
+            .binary_search_by_key(&ticket.0, |(ticket, _)| *ticket);
+        let Ok(index) = found else {
+            return;
+        };
+        let (_, run) = self.under_way.remove(index);
+        match end {
+            End::Answered => self.remember(run.fingerprint),
+            End::NotRun => {}
+            End::Open => {
+                self.forget_old(now);
+                if self.ended.len() < MOST_ENDED {
+                    self.ended.push((now, run));
+                }
+            }
+        }
+    }
+
+    /// Notes that the target has said that it ends: what is cut then is not the cause.
+    pub const fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Notes that the target takes requests; `another` when it is not the life that did so before.
+    pub fn open(&mut self, another: bool) {
+        self.leaving = false;
+        if another {
+            self.answered.clear();
+            self.oldest_answered = 0;
+        }
+    }
+
+    /// Whether to find out if the target is still there; no second time until [`Running::inspected`].
+    pub const fn inspect(&mut self) -> bool {
+        let begins = !self.inspected;
+        self.inspected = true;
+        begins
+    }
+
+    /// Notes whether the target has ended without a word; returns what may have ended it.
+    ///
+    /// What this life has answered before did not end it now: a request that many callers send is under
+    /// way whenever a target ends.
+    pub fn inspected(&mut self, now: Instant, gone: bool) -> Vec<Run> {
+        self.inspected = false;
+        self.forget_old(now);
+        if !gone || self.leaving {
+            return Vec::new();
+        }
+        let ended = std::mem::take(&mut self.ended);
+        let under_way = self.under_way.iter().map(|(_, run)| run.clone());
+        let runs = ended.into_iter().map(|(_, run)| run).chain(under_way);
+        runs.filter(|run| !self.answered.contains(&run.fingerprint))
+            .collect()
+    }
+
+    fn remember(&mut self, fingerprint: Fingerprint) {
+        if self.answered.len() < MOST_ANSWERED {
+            self.answered.push(fingerprint);
+            return;
+        }
+        self.answered[self.oldest_answered] = fingerprint;
+        self.oldest_answered = (self.oldest_answered + 1) % MOST_ANSWERED;
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        self.ended
+            .retain(|(over, _)| now.saturating_duration_since(*over) < LINGER);
+    }
+}
--- /dev/null
+++ b/tests/running.rs
@@ -0,0 +1,88 @@
+//! What ran at a target when it ended.
+
+use std::time::{Duration, Instant};
+
+use jackdawpulley::fingerprint::{Content, Fingerprint};
+use jackdawpulley::running::{End, Run, Running};
+
+fn run(path: &str, began: Instant) -> Run {
+    Run {
+        fingerprint: Fingerprint::of("GET", "shop", path, Content::Whole(b"")),
+        route: "titles".to_owned(),
+        began,
+    }
+}
+
+/// Notes that the target ended at `now`; what may have ended it.
+fn end(running: &mut Running, now: Instant) -> Vec<Run> {
+    assert!(running.inspect());
+    running.inspected(now, true)
+}
+
+#[test]
+fn whatever_ran_is_told() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let broken = running.begin(run("/broken", now));
+    running.begin(run("/running", now));
+    let refused = running.begin(run("/refused", now));
+    running.finish(now, refused, End::NotRun);
+    running.finish(now, broken, End::Open);
+    assert_eq!(
+        end(&mut running, now),
+        [run("/broken", now), run("/running", now)]
+    );
+}
+
+/// An answer is lost and its connection ends; the target goes on. It didn't end.
+#[test]
+fn target_that_listens_has_not_ended() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let broken = running.begin(run("/broken", now));
+    running.finish(now, broken, End::Open);
+    assert!(running.inspect());
+    assert!(!running.inspect(), "once at a time");
+    assert!(running.inspected(now, false).is_empty());
+    assert!(running.inspect());
+}
+
+/// A target says that it ends, and ends with a request under way that took too long. The request is not
+/// the cause.
+#[test]
+fn planned_end_accuses_nobody() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    running.begin(run("/slow", now));
+    running.leave();
+    assert!(end(&mut running, now).is_empty());
+    running.open(true);
+    assert_eq!(end(&mut running, now), [run("/slow", now)]);
+}
+
+/// Many callers send the same request, so it is under way whenever a target ends. This life of the target
+/// has answered it before: something else has ended it.
+#[test]
+fn answered_before_is_not_accused() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let first = running.begin(run("/popular", now));
+    running.finish(now, first, End::Answered);
+    running.begin(run("/popular", now));
+    assert!(end(&mut running, now).is_empty());
+    running.open(true);
+    assert_eq!(
+        end(&mut running, now),
+        [run("/popular", now)],
+        "another life"
+    );
+}
+
+/// A caller gives up on a request a moment before its target ends under it.
+#[test]
+fn given_up_counts_for_a_while() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let given_up = running.begin(run("/given-up", now));
+    running.finish(now, given_up, End::Open);
+    let soon = now + Duration::from_millis(100);
+    assert_eq!(end(&mut running, soon).len(), 1);
+    let given_up = running.begin(run("/given-up", now));
+    running.finish(now, given_up, End::Open);
+    assert!(end(&mut running, now + Duration::from_secs(2)).is_empty());
+}
