--- a/src/calls/work.rs
+++ b/src/calls/work.rs
@@ -285,6 +285,7 @@
         let watched = work.inspector.begin(Run {
             fingerprint: handover.fingerprint,
             route: handover.route.clone(),
+            from: handover.from.clone(),
             began,
         });
         let exchange = async {
--- a/src/quarantine/inspect.rs
+++ b/src/quarantine/inspect.rs
@@ -73,7 +73,7 @@
         let now = Instant::now();
         let name = |run: &Run| {
             let age = Millis::from(now.saturating_duration_since(run.began));
-            format!("{}:{}:{age}", run.fingerprint, run.route)
+            format!("{}:{}:{}:{age}", run.fingerprint, run.route, run.from)
         };
         let named: Vec<String> = runs.iter().take(NAMED).map(name).collect();
         let instance = target.instance.as_ref().map(ToString::to_string);
--- a/src/quarantine/running.rs
+++ b/src/quarantine/running.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::fingerprint::Fingerprint;
+use crate::units::Service;
 
 /// Time for which a request counts that its entry or caller has given up: not every target stops the work
 /// when its connection closes, and what takes longer to end a target than this is told by later ends.
@@ -24,6 +25,8 @@
     pub fingerprint: Fingerprint,
     /// Its route.
     pub route: String,
+    /// Service on whose host it began.
+    pub from: Service,
     /// When it was sent to the target.
     pub began: Instant,
 }
--- a/tests/running.rs
+++ b/tests/running.rs
@@ -4,11 +4,13 @@
 
 use jackdawpulley::fingerprint::{Content, Fingerprint};
 use jackdawpulley::running::{End, Run, Running};
+use jackdawpulley::units::Service;
 
 fn run(path: &str, began: Instant) -> Run {
     Run {
         fingerprint: Fingerprint::of("GET", "shop", path, Content::Whole(b"")),
         route: "titles".to_owned(),
+        from: Service::from("desk"),
         began,
     }
 }
