--- a/src/board.rs
+++ b/src/board.rs
@@ -24,6 +24,7 @@
 use crate::route::Table;
 use crate::running::Running;
 use crate::settings::Settings;
+use crate::shared::Quarantine;
 use crate::telemetry::Meter;
 use crate::units::{Birth, Instance, Millis, Slots, Version};
 
@@ -111,6 +112,8 @@
     target: ArcSwapOption<Target>,
     /// What runs at it; held for a few instructions.
     pub running: Mutex<Running>,
+    /// Requests that end targets.
+    pub quarantine: Quarantine,
     stage: AtomicU8,
     /// Whether this daemon may stand on the platform's list.
     listed: AtomicBool,
@@ -129,6 +132,7 @@
     pub fn new(settings: Settings, dialect: Dialect, logger: Logger) -> Self {
         Self {
             drain_ms: AtomicU64::new(settings.drain_ms.0),
+            quarantine: Quarantine::new(settings.quarantine_ms.duration()),
             settings,
             logger,
             lines: Throttle::new(LINES),
--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -87,7 +87,8 @@
         let mut first = Box::pin(self.attempt(upstream, call.part(needs), ejection));
         let simple = self.board.settings.retries == Retries::Fixed;
         // The first one counts as made once it has failed or has company.
-        if simple || !call.may_hedge() || call.made + 2 > rule.attempts {
+        let alone = simple || !call.may_hedge() || self.chooser.is_suspect(call);
+        if alone || call.made + 2 > rule.attempts {
             return first.await;
         }
         let patience = call.left() / HEDGE_SHARE;
--- a/src/calls/choice.rs
+++ b/src/calls/choice.rs
@@ -16,6 +16,7 @@
 use crate::pace::Typical;
 use crate::pick::{self, Candidate, Cost};
 use crate::roster::Upstream;
+use crate::units::CallKey;
 
 /// Chooses among the upstreams of a board.
 #[derive(Debug)]
@@ -46,15 +47,23 @@
         typical.work() + upstream.way(typical, far_ms)
     }
 
-    /// Chooses the upstream for the next attempt, if any is left: by key where there is one, else by
-    /// load.
+    /// Chooses the upstream for the next attempt, if any is left: by key where there is one, by
+    /// fingerprint where it has to run apart, else by load.
     pub fn choose(&self, call: &Call) -> Option<Arc<Upstream>> {
         let roster = self.board.roster();
         let upstreams = roster.upstreams(&call.handover.service).iter();
         let fresh = upstreams.filter(|upstream| !call.tried.contains(&upstream.peer));
         let fresh: Vec<&Arc<Upstream>> = fresh.collect();
+        let by_key = |key: &CallKey| {
+            let indices = 0..fresh.len();
+            indices.max_by_key(|index| keys::rank(key, fresh[*index].peer))
+        };
         let index = if let Some(key) = &call.handover.key {
-            (0..fresh.len()).max_by_key(|index| keys::rank(key, fresh[*index].peer))
+            by_key(key)
+        } else if self.is_suspect(call) {
+            // Guards against a request that ends several targets at the same moment, as its repeats come
+            // in at several daemons: all of them go to one gate, which runs one at a time.
+            by_key(&CallKey(call.handover.fingerprint.to_string()))
         } else {
             let typical = self.experience.typical(&call.plan.route.name);
             self.best(&fresh, call, &typical, Instant::now())
@@ -62,6 +71,12 @@
         index.map(|index| Arc::clone(fresh[index]))
     }
 
+    /// Whether a call has to run apart, since targets have ended under the same request.
+    pub fn is_suspect(&self, call: &Call) -> bool {
+        let fingerprint = call.handover.fingerprint;
+        self.board.quarantine.standing(fingerprint).apart()
+    }
+
     /// The best of several by the policy of the settings.
     fn best(
         &self,
--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -42,6 +42,10 @@
 /// Longest identifier of a call, in bytes.
 const MAX_ID: usize = 64;
 
+/// When a refused request may run again, kept with its refusal inside the daemon.
+#[derive(Debug, Clone, Copy)]
+struct Until(Instant);
+
 /// Takes callers' requests.
 #[derive(Debug)]
 pub struct Entry {
@@ -81,6 +85,7 @@
             Ok(call) => self.complete(call).await,
             Err(reason) => outcome::refusal(&id, reason),
         };
+        let quarantined = response.extensions_mut().remove::<Until>();
         let headers = response.headers_mut();
         if let Ok(id) = HeaderValue::from_str(&id) {
             headers.insert(&self.board.dialect.call, id);
@@ -89,6 +94,9 @@
         if self.board.dialect.fractions && headers.contains_key(header::RETRY_AFTER) {
             headers.insert(header::RETRY_AFTER, come_back());
         }
+        if let Some(Until(until)) = quarantined {
+            headers.insert(header::RETRY_AFTER, seconds_to(until));
+        }
         headers.insert(VERSION, HeaderValue::from(config.digest.version.0));
         if self.board.stage().is_stopping() {
             // A planned stop ends a session after an answer, never within one.
@@ -215,6 +223,11 @@
 
     /// Answers a call, with the target's answer or with why there is none.
     async fn complete(&self, mut call: Call) -> Response<Body> {
+        if self.quarantined(&call).is_some() {
+            // The gates refuse it as well; here it costs nobody a slot or a way.
+            call.failed(Reason::Quarantined);
+            return self.give_up(&call);
+        }
         let answered = tokio::select! {
             answered = self.pursue(&mut call) => answered,
             () = self.board.until_cut() => {
@@ -254,7 +267,12 @@
             // touched; each upstream is asked only once.
             let free = reason.is_absence() || full;
             refusals += u32::from(full);
-            let goes_on = if free {
+            // One that has to run apart is refused while another of its kind runs; the next target is
+            // not to end beside that one's.
+            let held = reason == Reason::Overloaded && self.attempts.chooser.is_suspect(call);
+            let goes_on = if held || reason == Reason::Quarantined {
+                false
+            } else if free {
                 call.sendable() && !call.left().is_zero() && refusals < REFUSALS
             } else {
                 self.may_retry(rule, call, reason)
@@ -283,8 +301,28 @@
         let reason = call.reason.unwrap_or(Reason::NoTarget);
         debug!(self.board.logger, "call given up";
             "call" => &call.handover.id, "reason" => %reason, "tried" => call.tried.len());
-        outcome::refusal(&call.handover.id, reason)
+        let mut response = outcome::refusal(&call.handover.id, reason);
+        if let Some(until) = self
+            .quarantined(call)
+            .filter(|_| reason == Reason::Quarantined)
+        {
+            response.extensions_mut().insert(until);
+        }
+        response
     }
+
+    /// Until when a call must not run since targets have ended under the same request.
+    fn quarantined(&self, call: &Call) -> Option<Until> {
+        let standing = self.board.quarantine.standing(call.handover.fingerprint);
+        let until = standing.until.filter(|until| Instant::now() < *until);
+        until.map(Until)
+    }
+}
+
+/// Time in whole seconds, one at least.
+fn seconds_to(until: Instant) -> HeaderValue {
+    let left = until.saturating_duration_since(Instant::now());
+    HeaderValue::from(left.as_secs().max(1))
 }
 
 /// When a refused caller should be back, in seconds with a fraction.
--- a/src/calls/outcome.rs
+++ b/src/calls/outcome.rs
@@ -53,6 +53,8 @@
     Overloaded,
     /// The target refused the request before running it.
     Shed,
+    /// Targets have ended under the same request.
+    Quarantined,
     /// The deadline passed before the request was dispatched.
     Expired,
     /// The target or its daemon could not be reached.
@@ -132,7 +134,12 @@
     #[must_use]
     pub const fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoRoute | Self::CallerGone | Self::Unnamed | Self::TooLarge => None,
+            Self::NoRoute
+            | Self::CallerGone
+            | Self::Unnamed
+            | Self::TooLarge
+            // The entry knows until when.
+            | Self::Quarantined => None,
             Self::LogAway | Self::NoTarget | Self::NoWitness => Some(Duration::from_secs(2)),
             _ => Some(Duration::from_secs(1)),
         }
--- a/src/calls/work.rs
+++ b/src/calls/work.rs
@@ -288,6 +288,7 @@
             from: handover.from.clone(),
             began,
         });
+        let watched = watched?;
         let exchange = async {
             let sending = work
                 .dispatcher
@@ -322,12 +323,13 @@
     }
 }
 
-/// How a run at the target is over.
-const fn end(result: &Result<Response<Body>, Reason>) -> End {
+/// How a run at the target is over. A failure of the target clears no request: it may come before the part of
+/// the work that would have ended the target.
+fn end(result: &Result<Response<Body>, Reason>) -> End {
     match result {
-        Ok(_) => End::Answered,
+        Ok(response) if !response.status().is_server_error() => End::Answered,
         Err(Reason::Broken | Reason::TimedOut) => End::Open,
-        Err(_) => End::NotRun,
+        _ => End::Over,
     }
 }
 
--- a/src/configuration/origin.rs
+++ b/src/configuration/origin.rs
@@ -11,6 +11,8 @@
 
 use crate::document::Document;
 use crate::error::Result;
+use crate::fingerprint::Fingerprint;
+use crate::note::Note;
 use crate::units::{DataCentre, Millis, Offset, Version};
 
 /// A version that the platform has accepted.
@@ -42,6 +44,15 @@
     pub data_centre: DataCentre,
 }
 
+/// What the platform tells a daemon that starts, beside the configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Directory {
+    /// Daemons that are listed.
+    pub contacts: Vec<Contact>,
+    /// Requests in quarantine.
+    pub notes: Vec<(Fingerprint, Note)>,
+}
+
 /// The platform, as a daemon needs it.
 pub trait Origin: Debug + Send + Sync {
     /// Reads the newest version.
@@ -56,6 +67,10 @@
     /// Takes a daemon off the list.
     fn unlist<'a>(&'a self, contact: &'a Contact) -> BoxFuture<'a, Result<()>>;
 
-    /// Daemons that are listed, `enough` of them or all there are; some may be gone.
-    fn contacts(&self, enough: usize) -> BoxFuture<'_, Result<Vec<Contact>>>;
+    /// Daemons that are listed, `enough` of them or all there are, some of which may be gone; and the
+    /// requests in quarantine, which come with them, so that a start asks no more often.
+    fn directory(&self, enough: usize) -> BoxFuture<'_, Result<Directory>>;
+
+    /// Notes a request in quarantine, in place of what was noted of it; drops that note without one.
+    fn note<'a>(&'a self, cause: Fingerprint, note: Option<&'a Note>) -> BoxFuture<'a, Result<()>>;
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::guard::Keys;
 use crate::http_server::{self, Phase};
 use crate::join::Joiner;
+use crate::keeper::Keeper;
 use crate::log::Log;
 use crate::member::Stage;
 use crate::operator::Operator;
@@ -211,6 +212,7 @@
     tokio::spawn(relay.run());
     tokio::spawn(reader.run());
     tokio::spawn(Arc::new(joiner).run());
+    tokio::spawn(Keeper::new(&board, &membership, origin.clone()).run());
     let stopping = Stopping {
         board,
         membership,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,7 +71,7 @@
 pub use idempotency::{keys, ledger};
 pub use membership::{announce, census, datagram, entries, member, target, view};
 pub use operation::ctl;
-pub use quarantine::{fingerprint, running};
+pub use quarantine::{evidence, fingerprint, note, running, shared};
 
 use calls::{
     answer, attempt, call, callers, choice, dispatch, entry, experience, gate, http_server, line,
@@ -81,4 +81,4 @@
 use idempotency::{claim, gates, guard, replay};
 use membership::{contacts, greeters, greeting, join, listing, probe, roster};
 use operation::{command, operator, state, survey};
-use quarantine::inspect;
+use quarantine::{inspect, keeper};
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::evidence::Crash;
 use crate::exchange::Digest;
 use crate::member::Member;
 use crate::units::{Slots, Version};
@@ -19,6 +20,8 @@
     pub from: Member,
     /// What the sender has in force.
     pub digest: Digest,
+    /// Hash of what the sender knows of requests that end targets; 0 for nothing.
+    pub evidence: u64,
     /// What it is about.
     pub probe: Probe,
     /// News about other members.
@@ -47,6 +50,8 @@
     },
     /// Carries news only.
     News,
+    /// Tells ends of targets.
+    Crashes(Vec<Crash>),
 }
 
 /// Asks to become a member.
@@ -67,4 +72,6 @@
     pub ran: Version,
     /// Slots that a target offered last through the joiner's address.
     pub slots: Option<Slots>,
+    /// Ends of targets that the answerer knows of.
+    pub crashes: Vec<Crash>,
 }
--- a/src/membership/greeting.rs
+++ b/src/membership/greeting.rs
@@ -108,6 +108,7 @@
             .floor
             .heard(&greeter, welcome.digest.version, welcome.ran);
         heard.slots = welcome.slots.or(heard.slots);
+        self.board.quarantine.merge(&welcome.crashes);
         self.look_back(&welcome.members, heard);
         self.membership.learn(&welcome.members);
     }
--- a/src/membership/listing.rs
+++ b/src/membership/listing.rs
@@ -7,14 +7,20 @@
 use std::sync::Arc;
 
 use crate::board::Board;
+use crate::clock;
 use crate::error::Result;
 use crate::greeters::Listed;
-use crate::origin::{Contact, Origin};
+use crate::origin::{Contact, Directory, Origin};
+use crate::units::Millis;
 
 /// Listed daemons with which a list is long enough: many more than a newcomer joins through, so that
 /// hosts that are lost together are not all of them.
 const ENOUGH: usize = 16;
 
+/// Spans of the quarantine after which a note of it is taken off the platform: one would do, but for hosts
+/// whose clock is wrong.
+const FORGOTTEN: u64 = 2;
+
 /// One daemon's dealings with the list.
 #[derive(Debug, Clone)]
 pub struct Listing {
@@ -35,9 +41,9 @@
     ///
     /// # Errors
     ///
-    /// As [`Origin::contacts`] and [`Origin::list`].
+    /// As [`Origin::directory`] and [`Origin::list`].
     pub async fn consult(&self) -> Result<Listed> {
-        let contacts = self.origin.contacts(ENOUGH).await?;
+        let contacts = self.read(ENOUGH).await?;
         if contacts.len() >= ENOUGH {
             return Ok(listed(contacts));
         }
@@ -53,7 +59,7 @@
         // It may be done although no answer comes.
         self.board.set_listed();
         self.origin.list(&self.contact()).await?;
-        Ok(listed(self.origin.contacts(usize::MAX).await?))
+        Ok(listed(self.read(usize::MAX).await?))
     }
 
     /// Reads everybody who is listed, and lists this daemon where too few of them are members.
@@ -62,7 +68,7 @@
     ///
     /// As [`Listing::consult`].
     pub async fn tend(&self) -> Result<Listed> {
-        let contacts = self.origin.contacts(usize::MAX).await?;
+        let contacts = self.read(usize::MAX).await?;
         let roster = self.board.roster();
         let there = contacts.iter().filter(|c| roster.member(c.peer).is_some());
         let few = there.count() < ENOUGH;
@@ -84,6 +90,20 @@
         Ok(())
     }
 
+    /// Reads who is listed, and takes in what the platform keeps of requests in quarantine.
+    async fn read(&self, enough: usize) -> Result<Vec<Contact>> {
+        let Directory { contacts, notes } = self.origin.directory(enough).await?;
+        let (now, memory) = (clock::unix_ms(), self.board.settings.quarantine_ms);
+        for (cause, note) in notes {
+            self.board.quarantine.merge(&note.told(cause, now));
+            if note.age(now) >= Millis(FORGOTTEN * memory.0) {
+                // One that stays is read once more, and counts for nothing.
+                let _ = self.origin.note(cause, None).await;
+            }
+        }
+        Ok(contacts)
+    }
+
     fn contact(&self) -> Contact {
         let settings = &self.board.settings;
         Contact {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -12,6 +12,7 @@
 pub mod view;
 
 pub(crate) mod contacts;
+pub(crate) mod gossip;
 pub(crate) mod greeters;
 pub(crate) mod greeting;
 pub(crate) mod join;
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -12,7 +12,7 @@
 use crate::board::Board;
 use crate::census::Census;
 use crate::clock;
-use crate::datagram::{Datagram, Join, Welcome};
+use crate::datagram::{Datagram, Join, Probe, Welcome};
 use crate::entries::Entry;
 use crate::error::{ListenSnafu, Result};
 use crate::member::{Health, Member, Offer, Stage};
@@ -42,9 +42,11 @@
 }
 
 #[derive(Debug)]
-struct State {
-    view: View,
-    rng: SmallRng,
+pub(super) struct State {
+    pub view: View,
+    pub rng: SmallRng,
+    /// When another daemon was told everything that is known of ends of targets.
+    pub reconciled: Option<Instant>,
 }
 
 impl Membership {
@@ -63,7 +65,11 @@
         let born = me.incarnation;
         let view = View::new(me, timing(settings));
         let rng = SmallRng::from_rng(&mut rand::rng());
-        let state = Mutex::new(State { view, rng });
+        let state = Mutex::new(State {
+            view,
+            rng,
+            reconciled: None,
+        });
         let membership = Self {
             board,
             relay,
@@ -95,8 +101,8 @@
             }
             let effects = {
                 let mut guard = self.state();
-                let State { view, rng } = &mut *guard;
-                view.set_digest(self.board.digest());
+                self.refresh(&mut guard);
+                let State { view, rng, .. } = &mut *guard;
                 let effects = view.tick(Instant::now(), rng);
                 self.settle(&guard, &effects);
                 effects
@@ -116,8 +122,8 @@
             }
             let sends = {
                 let mut guard = self.state();
-                let State { view, rng } = &mut *guard;
-                view.set_digest(self.board.digest());
+                self.refresh(&mut guard);
+                let State { view, rng, .. } = &mut *guard;
                 view.announce(rng)
             };
             self.send(sends).await;
@@ -140,7 +146,7 @@
             .filter(|target| now < target.lease_until);
         let sends = {
             let mut guard = self.state();
-            let State { view, rng } = &mut *guard;
+            let State { view, rng, .. } = &mut *guard;
             let closed = |offer| Offer {
                 open: false,
                 ..offer
@@ -162,7 +168,7 @@
     pub async fn leave(&self, health: Health) {
         let sends = {
             let mut guard = self.state();
-            let State { view, rng } = &mut *guard;
+            let State { view, rng, .. } = &mut *guard;
             view.leave(health, rng)
         };
         self.send(sends).await;
@@ -185,6 +191,7 @@
             digest: self.board.digest(),
             ran,
             slots,
+            crashes: self.board.quarantine.told(),
         }
     }
 
@@ -239,9 +246,12 @@
     }
 
     async fn take(&self, datagram: &Datagram) {
+        if let Probe::Crashes(crashes) = &datagram.probe {
+            self.board.quarantine.merge(crashes);
+        }
         let effects = {
             let mut guard = self.state();
-            guard.view.set_digest(self.board.digest());
+            self.refresh(&mut guard);
             let effects = guard.view.receive(Instant::now(), datagram);
             self.settle(&guard, &effects);
             effects
@@ -259,6 +269,9 @@
         if let Some(peer) = effects.ahead {
             self.catch_up(peer);
         }
+        if let Some(peer) = effects.differs {
+            self.send(self.reconcile(peer)).await;
+        }
         self.send(effects.sends).await;
     }
 
@@ -271,7 +284,7 @@
         tokio::spawn(async move { relay.pull(peer).await });
     }
 
-    async fn send(&self, sends: Vec<Send>) {
+    pub(super) async fn send(&self, sends: Vec<Send>) {
         for send in sends {
             let bytes = wire::encode(&send.datagram);
             self.board.meter.probe(bytes.len());
@@ -315,7 +328,17 @@
             .set_roster(Roster::build(live, gone, &home, &old, now));
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(super) fn board(&self) -> &Board {
+        &self.board
+    }
+
+    /// Has the view tell what this daemon has and knows now.
+    pub(super) fn refresh(&self, state: &mut State) {
+        state.view.set_digest(self.board.digest());
+        state.view.set_evidence(self.board.quarantine.hash());
+    }
+
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -80,6 +80,8 @@
     pub sends: Vec<Send>,
     /// A peer that holds a newer or another configuration than ours.
     pub ahead: Option<SocketAddr>,
+    /// A peer that knows other ends of targets than ours.
+    pub differs: Option<SocketAddr>,
     /// Whether a member came, went or changed.
     pub changed: bool,
 }
@@ -100,6 +102,7 @@
 pub struct View {
     me: Member,
     digest: Digest,
+    evidence: u64,
     entries: Entries,
     pending: Vec<Pending>,
     /// Members still to be probed: of the own data centre, and of the others.
@@ -119,6 +122,7 @@
         Self {
             me,
             digest: Digest::default(),
+            evidence: 0,
             entries: Entries::default(),
             pending: Vec::new(),
             rounds: [Vec::new(), Vec::new()],
@@ -159,6 +163,16 @@
         self.digest = digest;
     }
 
+    /// Sets the hash of what its own daemon knows of requests that end targets.
+    pub const fn set_evidence(&mut self, evidence: u64) {
+        self.evidence = evidence;
+    }
+
+    /// Draws up to `count` members that are not gone.
+    pub fn draw_live(&self, count: usize, rng: &mut SmallRng) -> Vec<SocketAddr> {
+        self.entries.draw_live(count, None, rng)
+    }
+
     /// Changes its own entry; the datagrams spread the change at once.
     pub fn update(&mut self, stage: Stage, offer: Option<Offer>, rng: &mut SmallRng) -> Vec<Send> {
         if self.me.stage == stage && self.me.offer == offer {
@@ -214,6 +228,7 @@
             release: wire::RELEASE,
             from: self.me.clone(),
             digest: self.digest,
+            evidence: self.evidence,
             probe: Probe::News,
             news: Vec::new(),
         };
@@ -280,6 +295,9 @@
         if datagram.digest.version > self.digest.version {
             effects.ahead = Some(sender);
         }
+        if datagram.evidence != self.evidence {
+            effects.differs = Some(sender);
+        }
         self.answer(now, sender, &datagram.probe, &mut effects);
         effects
     }
@@ -295,7 +313,7 @@
                 let ping = self.ping(now, subject, Some((sender, seq)));
                 effects.sends.push(ping);
             }
-            Probe::News => {}
+            Probe::News | Probe::Crashes(_) => {}
         }
     }
 
@@ -416,11 +434,12 @@
     }
 
     /// A datagram with as much news as fits.
-    fn datagram(&mut self, to: SocketAddr, probe: Probe) -> Send {
+    pub(crate) fn datagram(&mut self, to: SocketAddr, probe: Probe) -> Send {
         let mut datagram = Datagram {
             release: wire::RELEASE,
             from: self.me.clone(),
             digest: self.digest,
+            evidence: self.evidence,
             probe,
             news: self.entries.news(to),
         };
--- /dev/null
+++ b/src/quarantine/evidence.rs
@@ -0,0 +1,416 @@
+//! Which requests end targets, by what all gates have seen.
+//!
+//! Each gate whose target ended tells a [`Crash`]: what ran there. [`Evidence`] is the union of what all of
+//! them told, the same on every daemon in whatever order it came, and judges requests by it: one that ran
+//! at [three](ENDS) ends of targets and was never answered is the cause of them. Ends that have a cause
+//! count against nobody else.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use jackdawpulley::evidence::{Crash, CrashId, Evidence};
+//! use jackdawpulley::fingerprint::Fingerprint;
+//!
+//! let (fatal, bystander) = (Fingerprint(1), Fingerprint(2));
+//! let mut evidence = Evidence::new(Duration::from_mins(60));
+//! let now = Instant::now();
+//! for id in 0..3 {
+//!     let running = if id == 0 { vec![fatal, bystander] } else { vec![fatal] };
+//!     let later = now + Duration::from_secs(id);
+//!     evidence.merge(later, &Crash::new(CrashId(id), running));
+//! }
+//! let verdicts = evidence.verdicts();
+//! assert!(verdicts.of(fatal).until.is_some());
+//! assert!(verdicts.of(bystander).until.is_none());
+//! ```
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::fingerprint::Fingerprint;
+use crate::units::Millis;
+
+/// Ends of targets at which a request ran that is taken for their cause: one end has many bystanders, and
+/// the fewer ends it takes, the fewer targets are lost.
+pub const ENDS: usize = 3;
+/// Ends after which a request is kept apart from others under the same suspicion: the next end tells which
+/// of them it was.
+const APART: usize = ENDS - 1;
+/// Time within which ends count as one moment.
+///
+/// Guards against many targets that are killed at once, with the same long request under way on several of
+/// them: nothing but the kill connects them. It covers the time that news of an end take, and is shorter
+/// than the time between two attempts of a request that ends its targets.
+pub const MOMENT: Duration = Duration::from_millis(300);
+/// Moments that the ends of a cause belong to at least.
+const MOMENTS: usize = 2;
+/// Ends that are remembered at most, so that memory is bounded: enough for 85 fatal requests at a time.
+pub const MOST_CRASHES: usize = 256;
+/// Requests that one end names at most, so that it fits into a datagram.
+pub const MOST_RUNNING: usize = 128;
+
+/// Name of one end of a target, drawn at random.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CrashId(pub u64);
+
+impl fmt::Display for CrashId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for CrashId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// A target's end without a word, as daemons tell each other of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Which one.
+    pub id: CrashId,
+    /// Time since then, when it was told.
+    pub age: Millis,
+    /// Requests that ran there and may have caused it, sorted.
+    pub running: Vec<Fingerprint>,
+    /// Others that ran there, which a target has answered since, sorted.
+    pub cleared: Vec<Fingerprint>,
+}
+
+impl Crash {
+    /// An end that has just happened.
+    #[must_use]
+    pub fn new(id: CrashId, mut running: Vec<Fingerprint>) -> Self {
+        running.truncate(MOST_RUNNING);
+        running.sort_unstable();
+        running.dedup();
+        Self {
+            id,
+            age: Millis(0),
+            running,
+            cleared: Vec::new(),
+        }
+    }
+
+    /// The same end as one told `age` ago, as far as it accuses one request.
+    #[must_use]
+    pub fn by(id: CrashId, cause: Fingerprint, age: Millis) -> Self {
+        Self {
+            age,
+            ..Self::new(id, vec![cause])
+        }
+    }
+
+    fn accuses(&self, fingerprint: Fingerprint) -> bool {
+        contains(&self.running, fingerprint)
+    }
+
+    /// Adds what another told of the same end; whether any of it was news.
+    fn unite(&mut self, other: &Self) -> bool {
+        let cleared = other.cleared.iter().map(|one| self.clear(*one));
+        let cleared = cleared.filter(|news| *news).count() > 0;
+        let running = other
+            .running
+            .iter()
+            .filter(|one| !contains(&self.cleared, **one));
+        let running: Vec<Fingerprint> = running.copied().collect();
+        let added = running.iter().map(|one| insert(&mut self.running, *one));
+        added.filter(|news| *news).count() > 0 || cleared
+    }
+
+    /// Notes that a request is not the cause; whether that was news.
+    fn clear(&mut self, fingerprint: Fingerprint) -> bool {
+        self.running.retain(|one| *one != fingerprint);
+        insert(&mut self.cleared, fingerprint)
+    }
+}
+
+/// What is held against a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Ends of targets that nothing else explains, at which it ran.
+    pub ends: usize,
+    /// Until when it must not run, if it is taken for the cause.
+    pub until: Option<Instant>,
+}
+
+impl Standing {
+    /// Whether it has to run apart from others of which this is true.
+    #[must_use]
+    pub const fn apart(&self) -> bool {
+        self.ends >= APART
+    }
+}
+
+/// What is held against each request, for the path of a request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Verdicts {
+    /// Sorted.
+    all: Vec<(Fingerprint, Standing)>,
+}
+
+impl Verdicts {
+    /// What is held against one request.
+    #[must_use]
+    pub fn of(&self, fingerprint: Fingerprint) -> Standing {
+        let found = self
+            .all
+            .binary_search_by_key(&fingerprint, |(known, _)| *known);
+        found.map_or_else(|_| Standing::default(), |index| self.all[index].1)
+    }
+
+    /// Requests that must not run, with the time at which they may again.
+    pub fn quarantined(&self) -> impl Iterator<Item = (Fingerprint, Instant)> {
+        let all = self.all.iter();
+        all.filter_map(|(fingerprint, standing)| Some((*fingerprint, standing.until?)))
+    }
+}
+
+/// An end with the time at which it happened.
+#[derive(Debug, Clone)]
+struct Known {
+    crash: Crash,
+    since: Instant,
+}
+
+/// All ends that are remembered.
+///
+/// A union of what was told: merging is commutative, associative and idempotent, so daemons that have heard
+/// the same hold the same. What expires at one a moment earlier is not taken in again there.
+#[derive(Debug)]
+pub struct Evidence {
+    /// Sorted by identifier.
+    known: Vec<Known>,
+    memory: Duration,
+}
+
+impl Evidence {
+    /// No ends yet; each will be remembered for `memory`.
+    #[must_use]
+    pub const fn new(memory: Duration) -> Self {
+        Self {
+            known: Vec::new(),
+            memory,
+        }
+    }
+
+    /// Takes in what was told of an end; whether any of it was news.
+    pub fn merge(&mut self, now: Instant, crash: &Crash) -> bool {
+        if crash.age.duration() >= self.memory {
+            return false;
+        }
+        match self.find(crash.id) {
+            Ok(index) => self.known[index].crash.unite(crash),
+            Err(index) => {
+                let since = now.checked_sub(crash.age.duration()).unwrap_or(now);
+                let known = Known {
+                    crash: crash.clone(),
+                    since,
+                };
+                self.known.insert(index, known);
+                self.make_room();
+                self.knows(crash.id)
+            }
+        }
+    }
+
+    /// Notes that a target has answered a request, which caused none of the ends known so far; the ends at
+    /// which it ran.
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> Vec<CrashId> {
+        let accusing = self.known.iter_mut().map(|known| &mut known.crash);
+        let accusing = accusing.filter(|crash| crash.accuses(fingerprint));
+        accusing
+            .map(|crash| {
+                crash.clear(fingerprint);
+                crash.id
+            })
+            .collect()
+    }
+
+    /// Forgets ends that are too long ago; whether there were any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let before = self.known.len();
+        let memory = self.memory;
+        self.known
+            .retain(|known| now.saturating_duration_since(known.since) < memory);
+        self.known.len() < before
+    }
+
+    /// Whether an end is remembered.
+    #[must_use]
+    pub fn knows(&self, id: CrashId) -> bool {
+        self.find(id).is_ok()
+    }
+
+    /// The ends at which a request ran that was not answered since, with the time since each.
+    #[must_use]
+    pub fn ends_of(&self, fingerprint: Fingerprint, now: Instant) -> Vec<(CrashId, Millis)> {
+        let accusing = self
+            .known
+            .iter()
+            .filter(|known| known.crash.accuses(fingerprint));
+        let age = |known: &Known| Millis::from(now.saturating_duration_since(known.since));
+        accusing.map(|known| (known.crash.id, age(known))).collect()
+    }
+
+    /// What is to be told of some ends, or of all.
+    #[must_use]
+    pub fn told(&self, now: Instant, ids: Option<&[CrashId]>) -> Vec<Crash> {
+        let wanted = |known: &&Known| ids.is_none_or(|ids| ids.contains(&known.crash.id));
+        let told = |known: &Known| Crash {
+            age: Millis::from(now.saturating_duration_since(known.since)),
+            ..known.crash.clone()
+        };
+        self.known.iter().filter(wanted).map(told).collect()
+    }
+
+    /// The same for daemons that know the same; 0 for none.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        if self.known.is_empty() {
+            return 0;
+        }
+        let mut hasher = Xxh3::new();
+        for Known { crash, .. } in &self.known {
+            hasher.update(&crash.id.0.to_le_bytes());
+            for list in [&crash.running, &crash.cleared] {
+                hasher.update(&(list.len() as u64).to_le_bytes());
+                for one in list {
+                    hasher.update(&one.0.to_le_bytes());
+                }
+            }
+        }
+        hasher.digest()
+    }
+
+    /// Judges all requests.
+    ///
+    /// The request that explains most ends is judged first, and the ends that it explains count against
+    /// nobody else: bystanders repeat as well, and meet the cause on more than one target.
+    #[must_use]
+    pub fn verdicts(&self) -> Verdicts {
+        let mut open: Vec<&Known> = self.known.iter().collect();
+        let mut all = Vec::new();
+        loop {
+            let counts = count(&open);
+            let Some((cause, ends)) = cause(&open, &counts) else {
+                let standing = |(fingerprint, ends)| (fingerprint, Standing { ends, until: None });
+                all.extend(counts.into_iter().map(standing));
+                break;
+            };
+            let until = self.until(&open, cause);
+            all.push((cause, Standing { ends, until }));
+            open.retain(|known| !known.crash.accuses(cause));
+        }
+        all.sort_unstable_by_key(|(fingerprint, _)| *fingerprint);
+        Verdicts { all }
+    }
+
+    /// When too few of the ends of a cause will be remembered.
+    fn until(&self, open: &[&Known], cause: Fingerprint) -> Option<Instant> {
+        let mut since = times(open, cause);
+        since.reverse();
+        since.get(ENDS - 1).map(|since| *since + self.memory)
+    }
+
+    fn find(&self, id: CrashId) -> Result<usize, usize> {
+        self.known.binary_search_by_key(&id, |known| known.crash.id)
+    }
+
+    /// Keeps to the bound: forgets the oldest end that no verdict rests on, else the oldest.
+    fn make_room(&mut self) {
+        while self.known.len() > MOST_CRASHES {
+            let verdicts = self.verdicts();
+            let causes: Vec<Fingerprint> = verdicts.quarantined().map(|(cause, _)| cause).collect();
+            let needed = |known: &Known| causes.iter().any(|cause| known.crash.accuses(*cause));
+            let ranked = self.known.iter().enumerate();
+            let first = ranked.min_by_key(|(_, known)| (needed(known), known.since));
+            let Some((index, _)) = first else {
+                return;
+            };
+            self.known.remove(index);
+        }
+    }
+}
+
+/// The request that is taken for the cause of most ends, with their number, if any is.
+fn cause(open: &[&Known], counts: &[(Fingerprint, usize)]) -> Option<(Fingerprint, usize)> {
+    let enough = counts.iter().copied().filter(|(_, ends)| *ends >= ENDS);
+    let decided = enough
+        .filter(|(one, _)| moments(&times(open, *one)) >= MOMENTS)
+        .filter(|(one, ends)| !is_matched(open, counts, *one, *ends));
+    decided.max_by_key(|(_, ends)| *ends)
+}
+
+/// Whether another request ran at as many ends and at some of the same ones.
+///
+/// Ends alone don't tell the two apart, and one of them is a bystander. Neither is accused yet: they run
+/// apart, and one more end tells which it is.
+fn is_matched(
+    open: &[&Known],
+    counts: &[(Fingerprint, usize)],
+    one: Fingerprint,
+    ends: usize,
+) -> bool {
+    let ends_of = |other: Fingerprint| {
+        let found = counts.binary_search_by_key(&other, |(known, _)| *known);
+        found.map_or(0, |index| counts[index].1)
+    };
+    let accusing = open.iter().filter(|known| known.crash.accuses(one));
+    let mut others = accusing.flat_map(|known| known.crash.running.iter());
+    others.any(|other| *other != one && ends_of(*other) == ends)
+}
+
+/// When the ends happened that accuse a request, the first one first.
+fn times(open: &[&Known], fingerprint: Fingerprint) -> Vec<Instant> {
+    let accusing = open.iter().filter(|known| known.crash.accuses(fingerprint));
+    let mut since: Vec<Instant> = accusing.map(|known| known.since).collect();
+    since.sort_unstable();
+    since
+}
+
+/// Moments to which sorted times belong.
+fn moments(times: &[Instant]) -> usize {
+    let mut began = None;
+    let mut count = 0;
+    for time in times {
+        if began.is_none_or(|began| *time - began >= MOMENT) {
+            began = Some(*time);
+            count += 1;
+        }
+    }
+    count
+}
+
+/// How many of some ends accuse each request, sorted by request.
+fn count(open: &[&Known]) -> Vec<(Fingerprint, usize)> {
+    let suspects = open
+        .iter()
+        .flat_map(|known| known.crash.running.iter().copied());
+    let mut suspects: Vec<Fingerprint> = suspects.collect();
+    suspects.sort_unstable();
+    let same = suspects.chunk_by(|a, b| a == b);
+    same.map(|same| (same[0], same.len())).collect()
+}
+
+fn contains(list: &[Fingerprint], one: Fingerprint) -> bool {
+    list.binary_search(&one).is_ok()
+}
+
+/// Adds one to a sorted list within its bound; whether it was not there.
+fn insert(list: &mut Vec<Fingerprint>, one: Fingerprint) -> bool {
+    match list.binary_search(&one) {
+        Err(index) if list.len() < MOST_RUNNING => {
+            list.insert(index, one);
+            true
+        }
+        _ => false,
+    }
+}
--- a/src/quarantine/inspect.rs
+++ b/src/quarantine/inspect.rs
@@ -1,5 +1,6 @@
 //! Finding out whether the target has ended when a connection to it breaks.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,6 +9,9 @@
 use tokio::net::TcpStream;
 
 use crate::board::{Board, Target};
+use crate::evidence::{Crash, CrashId};
+use crate::fingerprint::Fingerprint;
+use crate::outcome::Reason;
 use crate::running::{End, Run, Running, Ticket};
 use crate::units::Millis;
 
@@ -29,6 +33,7 @@
 #[derive(Debug)]
 pub struct Watched {
     inspector: Inspector,
+    fingerprint: Fingerprint,
     ticket: Ticket,
     end: End,
 }
@@ -40,14 +45,34 @@
         Self { board }
     }
 
-    /// Notes that a request is sent to the target.
-    #[must_use]
-    pub fn begin(&self, run: Run) -> Watched {
-        Watched {
-            ticket: self.running().begin(run),
+    /// Notes that a request is about to be sent to the target.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::Quarantined`] for one under which targets ended, [`Reason::Overloaded`] for one that has
+    /// to wait until another under suspicion is done.
+    pub fn begin(&self, run: Run) -> Result<Watched, Reason> {
+        let quarantine = &self.board.quarantine;
+        let standing = quarantine.standing(run.fingerprint);
+        if standing.until.is_some_and(|until| run.began < until) {
+            return Err(Reason::Quarantined);
+        }
+        let mut running = self.running();
+        // Guards against a bystander that goes from one ending target to the next beside the cause, as
+        // both are repeated: with each of them on a target of its own, the next end tells which it is.
+        let apart = |run: &Run| quarantine.standing(run.fingerprint).apart();
+        if standing.apart() && running.under_way().any(apart) {
+            return Err(Reason::Overloaded);
+        }
+        let fingerprint = run.fingerprint;
+        let ticket = running.begin(run);
+        drop(running);
+        Ok(Watched {
+            ticket,
+            fingerprint,
             inspector: self.clone(),
             end: End::Open,
-        }
+        })
     }
 
     /// Finds out in a moment whether `target` has ended, unless that is under way already.
@@ -65,10 +90,20 @@
             }
             if !runs.is_empty() {
                 inspector.report(&target, &runs);
+                inspector.accuse(runs);
             }
         });
     }
 
+    /// Tells that the target ended under these runs. Where they are too many, those that are suspected
+    /// already and those that began last are told.
+    fn accuse(&self, mut runs: Vec<Run>) {
+        let quarantine = &self.board.quarantine;
+        runs.sort_by_key(|run| Reverse((quarantine.standing(run.fingerprint).ends, run.began)));
+        let running = runs.into_iter().map(|run| run.fingerprint).collect();
+        quarantine.see(&Crash::new(CrashId(rand::random()), running));
+    }
+
     fn report(&self, target: &Target, runs: &[Run]) {
         let now = Instant::now();
         let name = |run: &Run| {
@@ -90,6 +125,9 @@
     /// Notes how the run is over.
     pub fn finish(mut self, end: End) {
         self.end = end;
+        if end == End::Answered {
+            self.inspector.board.quarantine.answered(self.fingerprint);
+        }
     }
 }
 
--- /dev/null
+++ b/src/quarantine/note.rs
@@ -0,0 +1,86 @@
+//! What the platform keeps of a request in quarantine.
+//!
+//! Daemons remember in memory. When all of them have died at once, those that start read a [`Note`] of each
+//! request in quarantine; without it, the request would have to end as many targets again.
+//!
+//! ```
+//! use jackdawpulley::evidence::CrashId;
+//! use jackdawpulley::note::Note;
+//! use jackdawpulley::units::Millis;
+//!
+//! let now_ms = 1_700_000_000_000;
+//! let note = Note::of(&[(CrashId(7), Millis(0)), (CrashId(8), Millis(900))], now_ms);
+//! assert_eq!(note.to_string().parse(), Ok(note));
+//! ```
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use crate::evidence::{Crash, CrashId};
+use crate::fingerprint::Fingerprint;
+use crate::units::Millis;
+
+/// Ends that are noted at most: the first and the last ones tell as much as all of them.
+const MOST_ENDS: usize = 16;
+
+/// The ends of targets that put a request into quarantine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Note {
+    /// Each with its time, in Unix milliseconds, the first one first.
+    ends: Vec<(CrashId, u64)>,
+}
+
+impl Note {
+    /// A note of ends that happened so long before `now_ms`.
+    #[must_use]
+    pub fn of(ends: &[(CrashId, Millis)], now_ms: u64) -> Self {
+        let ends = ends.iter();
+        let ends = ends.map(|(id, age)| (*id, now_ms.saturating_sub(age.0)));
+        let mut ends: Vec<(CrashId, u64)> = ends.collect();
+        ends.sort_unstable_by_key(|(_, at_ms)| *at_ms);
+        if ends.len() > MOST_ENDS {
+            ends.drain(MOST_ENDS / 2..ends.len() - MOST_ENDS / 2);
+        }
+        Self { ends }
+    }
+
+    /// The ends as they are told at `now_ms`; one of the future counts as one of now, since clocks differ.
+    #[must_use]
+    pub fn told(&self, cause: Fingerprint, now_ms: u64) -> Vec<Crash> {
+        let age = |at_ms: u64| Millis(now_ms.saturating_sub(at_ms));
+        let ends = self.ends.iter();
+        ends.map(|(id, at_ms)| Crash::by(*id, cause, age(*at_ms)))
+            .collect()
+    }
+
+    /// Time since the last end.
+    #[must_use]
+    pub fn age(&self, now_ms: u64) -> Millis {
+        let last = self.ends.last().map_or(0, |(_, at_ms)| *at_ms);
+        Millis(now_ms.saturating_sub(last))
+    }
+}
+
+impl fmt::Display for Note {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (id, at_ms)) in self.ends.iter().enumerate() {
+            let comma = if index == 0 { "" } else { "," };
+            write!(f, "{comma}{id}@{at_ms}")?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for Note {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let end = |text: &str| {
+            let (id, at_ms) = text.split_once('@').unwrap_or((text, ""));
+            Ok((id.parse()?, at_ms.parse()?))
+        };
+        let ends: Result<Vec<_>, _> = text.split(',').map(end).collect();
+        Ok(Self { ends: ends? })
+    }
+}
--- a/src/quarantine/running.rs
+++ b/src/quarantine/running.rs
@@ -40,8 +40,8 @@
 pub enum End {
     /// The target answered it.
     Answered,
-    /// The target refused it before running it, or never saw it.
-    NotRun,
+    /// The target failed or refused it, or never saw it.
+    Over,
     /// Its connection broke, or whoever waited for it has given up.
     Open,
 }
@@ -72,6 +72,11 @@
         Ticket(ticket)
     }
 
+    /// The requests that are under way.
+    pub fn under_way(&self) -> impl Iterator<Item = &Run> {
+        self.under_way.iter().map(|(_, run)| run)
+    }
+
     /// Notes that a run is over.
     pub fn finish(&mut self, now: Instant, ticket: Ticket, end: End) {
         let found = self
@@ -83,7 +88,7 @@
         let (_, run) = self.under_way.remove(index);
         match end {
             End::Answered => self.remember(run.fingerprint),
-            End::NotRun => {}
+            End::Over => {}
             End::Open => {
                 self.forget_old(now);
                 if self.ended.len() < MOST_ENDED {
--- /dev/null
+++ b/src/quarantine/shared.rs
@@ -0,0 +1,157 @@
+//! The evidence of one daemon, shared by its controllers and read on the path of a request.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use tokio::sync::watch;
+
+use crate::evidence::{Crash, CrashId, Evidence, Standing, Verdicts};
+use crate::fingerprint::Fingerprint;
+use crate::units::Millis;
+
+/// What is known of requests that end targets.
+#[derive(Debug)]
+pub struct Quarantine {
+    /// Held for as long as it takes to judge, and never by a request that nothing is held against.
+    state: Mutex<State>,
+    verdicts: ArcSwap<Verdicts>,
+    changes: watch::Sender<u64>,
+}
+
+#[derive(Debug)]
+struct State {
+    evidence: Evidence,
+    /// Ends of this daemon's own target that are remembered.
+    seen: Vec<CrashId>,
+    /// Ends with something that has not been passed on yet.
+    news: Vec<CrashId>,
+    hash: u64,
+}
+
+impl Quarantine {
+    /// Nothing is known yet; what comes is remembered for `memory`.
+    #[must_use]
+    pub fn new(memory: Duration) -> Self {
+        let state = State {
+            evidence: Evidence::new(memory),
+            seen: Vec::new(),
+            news: Vec::new(),
+            hash: 0,
+        };
+        Self {
+            state: Mutex::new(state),
+            verdicts: ArcSwap::default(),
+            changes: watch::Sender::new(0),
+        }
+    }
+
+    /// What is held against a request.
+    #[must_use]
+    pub fn standing(&self, fingerprint: Fingerprint) -> Standing {
+        self.verdicts.load().of(fingerprint)
+    }
+
+    /// What is held against all requests.
+    #[must_use]
+    pub fn verdicts(&self) -> Arc<Verdicts> {
+        self.verdicts.load_full()
+    }
+
+    /// Takes in an end of this daemon's own target.
+    pub fn see(&self, crash: &Crash) {
+        self.state().seen.push(crash.id);
+        self.merge(std::slice::from_ref(crash));
+    }
+
+    /// Whether this daemon's own target ended under a request.
+    #[must_use]
+    pub fn has_seen(&self, cause: Fingerprint) -> bool {
+        let state = self.state();
+        let ends = state.evidence.ends_of(cause, Instant::now());
+        ends.iter().any(|(id, _)| state.seen.contains(id))
+    }
+
+    /// The ends that accuse a request, with the time since each.
+    #[must_use]
+    pub fn ends_of(&self, cause: Fingerprint) -> Vec<(CrashId, Millis)> {
+        self.state().evidence.ends_of(cause, Instant::now())
+    }
+
+    /// Takes in what was told of ends.
+    pub fn merge(&self, crashes: &[Crash]) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let before = state.news.len();
+        for crash in crashes {
+            if state.evidence.merge(now, crash) {
+                state.news.push(crash.id);
+            }
+        }
+        if state.news.len() > before {
+            self.judge(&mut state);
+        }
+    }
+
+    /// Notes that a target has answered a request, which is then not the cause of any end known so far.
+    ///
+    /// Guards against a request that was under way at the ends of three targets by chance, as one that
+    /// many callers send may be: it would be refused everywhere.
+    pub fn answered(&self, fingerprint: Fingerprint) {
+        if self.standing(fingerprint).ends == 0 {
+            return;
+        }
+        let mut state = self.state();
+        let cleared = state.evidence.clear(fingerprint);
+        if !cleared.is_empty() {
+            state.news.extend(cleared);
+            self.judge(&mut state);
+        }
+    }
+
+    /// Forgets ends that are too long ago.
+    pub fn expire(&self) {
+        let mut state = self.state();
+        if state.evidence.expire(Instant::now()) {
+            let State { seen, evidence, .. } = &mut *state;
+            seen.retain(|id| evidence.knows(*id));
+            self.judge(&mut state);
+        }
+    }
+
+    /// The same for daemons that know the same; 0 for nothing.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        self.state().hash
+    }
+
+    /// Everything that is known.
+    #[must_use]
+    pub fn told(&self) -> Vec<Crash> {
+        self.state().evidence.told(Instant::now(), None)
+    }
+
+    /// What has not been passed on yet, which counts as passed on from now on.
+    #[must_use]
+    pub fn take_news(&self) -> Vec<Crash> {
+        let mut state = self.state();
+        let news = std::mem::take(&mut state.news);
+        state.evidence.told(Instant::now(), Some(&news))
+    }
+
+    /// Follows changes.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    fn judge(&self, state: &mut State) {
+        state.hash = state.evidence.hash();
+        self.verdicts.store(Arc::new(state.evidence.verdicts()));
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -144,6 +144,9 @@
     /// Time for which a key's outcome is remembered, in milliseconds; above every time-out
     #[arg(long, env = "JACKDAW_KEY_MEMORY_MS", default_value_t = Millis(120_000))]
     pub key_memory_ms: Millis,
+    /// Time for which a request under which targets ended is refused, in milliseconds
+    #[arg(long, env = "JACKDAW_QUARANTINE_MS", default_value_t = Millis(3_600_000))]
+    pub quarantine_ms: Millis,
     /// Largest request body that is kept for a retry, in bytes
     #[arg(long, env = "JACKDAW_KEPT_BODY", default_value_t = 65_536)]
     pub kept_body: usize,
@@ -323,6 +326,10 @@
         require(kept, "--gone-memory-ms must be above --suspicion-ms");
         let covered = self.gone_memory_ms >= self.key_memory_ms;
         require(covered, "--gone-memory-ms must be at least --key-memory-ms");
+        require(
+            self.quarantine_ms.0 > 0,
+            "--quarantine-ms is 0; targets would go on ending, use 3600000",
+        );
         require(self.checkpoint_ms.0 > 0, "--checkpoint-ms is 0; use 600000");
     }
 }
--- /dev/null
+++ b/tests/evidence.rs
@@ -0,0 +1,219 @@
+//! Which requests end targets, by what all gates have seen.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::fixed;
+use jackdawpulley::evidence::{Crash, CrashId, ENDS, Evidence, MOMENT, MOST_CRASHES, MOST_RUNNING};
+use jackdawpulley::fingerprint::Fingerprint;
+use jackdawpulley::note::Note;
+use jackdawpulley::units::Millis;
+use proptest::prelude::*;
+
+const MEMORY: Duration = Duration::from_hours(1);
+const FATAL: Fingerprint = Fingerprint(1);
+
+fn crash(id: u64, running: &[u64]) -> Crash {
+    let running = running.iter().copied().map(Fingerprint);
+    Crash::new(CrashId(id), running.collect())
+}
+
+/// What is known after ends at which these requests ran.
+fn evidence(ends: &[&[u64]]) -> Evidence {
+    let mut evidence = Evidence::new(MEMORY);
+    let now = Instant::now();
+    for (id, running) in (0..).zip(ends) {
+        let then = now + MOMENT * u32::try_from(id).expect("a few");
+        evidence.merge(then, &crash(id, running));
+    }
+    evidence
+}
+
+fn quarantined(evidence: &Evidence) -> Vec<u64> {
+    let verdicts = evidence.verdicts();
+    verdicts.quarantined().map(|(cause, _)| cause.0).collect()
+}
+
+#[test]
+fn third_end_tells() {
+    assert_eq!(quarantined(&evidence(&[&[1], &[1]])), [0_u64; 0]);
+    assert_eq!(quarantined(&evidence(&[&[1], &[1], &[1]])), [1]);
+}
+
+/// A lookup is repeated beside the request that ends targets, and meets it on three of five.
+#[test]
+fn explained_ends_accuse_nobody_else() {
+    let ends: [&[u64]; 5] = [&[1, 2], &[1, 2], &[1, 2], &[1], &[1]];
+    let evidence = evidence(&ends);
+    assert_eq!(quarantined(&evidence), [1]);
+    assert_eq!(evidence.verdicts().of(Fingerprint(2)).ends, 0);
+}
+
+/// Two requests have run at the same three ends. One of them is a bystander, and three ends don't tell
+/// which; neither is refused until the fourth does.
+#[test]
+fn alike_ones_are_told_by_one_more() {
+    let mut ends: Vec<&[u64]> = vec![&[1, 2], &[1, 2], &[1, 2]];
+    assert_eq!(quarantined(&evidence(&ends)), [0_u64; 0]);
+    assert!(evidence(&ends).verdicts().of(FATAL).apart());
+    ends.push(&[1]);
+    assert_eq!(quarantined(&evidence(&ends)), [1]);
+}
+
+/// Two requests end targets at the same time, each its own.
+#[test]
+fn two_causes_are_told_apart() {
+    let ends: [&[u64]; 6] = [&[1], &[1], &[1, 3], &[2], &[2, 3], &[2]];
+    assert_eq!(quarantined(&evidence(&ends)), [1, 2]);
+}
+
+/// Five targets are killed at once, with the same long lookup under way on each. Its callers repeat it, and
+/// must not be refused: nothing connects it with those ends but the moment.
+#[test]
+fn killed_together_accuses_nobody() {
+    let mut evidence = Evidence::new(MEMORY);
+    let now = Instant::now();
+    for id in 0..5 {
+        let then = now + Duration::from_millis(20 * id);
+        evidence.merge(then, &crash(id, &[7]));
+    }
+    assert_eq!(quarantined(&evidence), [0_u64; 0]);
+    // Something else goes on ending targets, and is found all the same.
+    for id in 10..13_u32 {
+        evidence.merge(now + MOMENT * 10 * id, &crash(id.into(), &[1, 7]));
+    }
+    evidence.clear(Fingerprint(7));
+    assert_eq!(quarantined(&evidence), [1]);
+}
+
+/// The same long lookup is under way on three targets that end. It is served by the next one, and held to be
+/// the cause no longer.
+#[test]
+fn answered_one_is_cleared() {
+    let mut evidence = evidence(&[&[7], &[7], &[7]]);
+    assert_eq!(quarantined(&evidence), [7]);
+    let cleared = evidence.clear(Fingerprint(7));
+    assert_eq!(cleared.len(), ENDS);
+    assert_eq!(quarantined(&evidence), [0_u64; 0]);
+    // An older word of the same ends does not accuse it again.
+    assert!(!evidence.merge(Instant::now(), &crash(0, &[7])));
+    assert_eq!(quarantined(&evidence), [0_u64; 0]);
+}
+
+#[test]
+fn quarantine_ends_with_its_time() {
+    let mut evidence = evidence(&[&[1], &[1], &[1]]);
+    let until = evidence.verdicts().of(FATAL).until.expect("it is refused");
+    assert!(!evidence.expire(Instant::now() + MEMORY / 2));
+    assert!(evidence.expire(until));
+    assert_eq!(quarantined(&evidence), [0_u64; 0]);
+    let old = Crash::by(CrashId(9), FATAL, Millis::from(MEMORY));
+    assert!(
+        !evidence.merge(Instant::now(), &old),
+        "it is not taken in again"
+    );
+}
+
+/// A host whose targets end by the thousand must not make its daemons forget what they refuse, nor take
+/// their memory.
+#[test]
+fn flood_is_bounded() {
+    let mut evidence = evidence(&[&[1], &[1], &[1]]);
+    let now = Instant::now();
+    for id in 100..500 {
+        let running: Vec<u64> = (0..200).map(|run| id * 1_000 + run).collect();
+        evidence.merge(now, &crash(id, &running));
+    }
+    let told = evidence.told(now, None);
+    assert_eq!(told.len(), MOST_CRASHES);
+    assert!(told.iter().all(|crash| crash.running.len() <= MOST_RUNNING));
+    assert_eq!(quarantined(&evidence), [1]);
+}
+
+/// All daemons have died. The note that one of them left is as good as what they knew.
+#[test]
+fn note_restores_the_quarantine() {
+    let known = evidence(&[&[1, 2], &[1, 3], &[1, 4]]);
+    let now = Instant::now() + Duration::from_secs(1);
+    let note = Note::of(&known.ends_of(FATAL, now), 1_000_000);
+    let read: Note = note.to_string().parse().expect("it was written so");
+    let mut started = Evidence::new(MEMORY);
+    for crash in read.told(FATAL, 1_060_000) {
+        started.merge(now, &crash);
+    }
+    assert_eq!(quarantined(&started), [1]);
+    let left = started.verdicts().of(FATAL).until.expect("it is refused") - now;
+    assert!(left + Duration::from_mins(1) <= MEMORY, "{left:?}");
+    for text in ["", "x", "1@", "1@2,zz@3", "1@2,,3@4"] {
+        assert!(text.parse::<Note>().is_err(), "{text}");
+    }
+}
+
+/// What one daemon hears of a few ends.
+#[derive(Debug, Clone)]
+enum Word {
+    Crash(u64, Vec<u64>),
+    Answered(u64),
+}
+
+fn word() -> impl Strategy<Value = Word> {
+    prop_oneof![
+        3 => (0_u64..6, prop::collection::vec(0_u64..5, 0..4)).prop_map(|(id, run)| Word::Crash(id, run)),
+        1 => (0_u64..5).prop_map(Word::Answered),
+    ]
+}
+
+fn hear(words: &[Word]) -> Evidence {
+    let mut evidence = Evidence::new(MEMORY);
+    for word in words {
+        match word {
+            Word::Crash(id, running) => {
+                evidence.merge(Instant::now(), &crash(*id, running));
+            }
+            Word::Answered(request) => {
+                evidence.clear(Fingerprint(*request));
+            }
+        }
+    }
+    evidence
+}
+
+fn take_in(evidence: &mut Evidence, other: &Evidence) {
+    let now = Instant::now();
+    for crash in other.told(now, None) {
+        evidence.merge(now, &crash);
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(300))]
+
+    /// Daemons that have told each other everything hold the same against the same requests, whoever spoke
+    /// first and however often.
+    #[test]
+    fn all_come_to_the_same(
+        one in prop::collection::vec(word(), 0..12),
+        two in prop::collection::vec(word(), 0..12),
+        three in prop::collection::vec(word(), 0..12),
+    ) {
+        let all = [hear(&one), hear(&two), hear(&three)];
+        let mut forward = Evidence::new(MEMORY);
+        let mut backward = Evidence::new(MEMORY);
+        for index in [0, 1, 2, 0] {
+            take_in(&mut forward, &all[index]);
+        }
+        for index in [2, 1, 0] {
+            take_in(&mut backward, &all[index]);
+        }
+        prop_assert_eq!(forward.hash(), backward.hash());
+        let standings = |evidence: &Evidence| {
+            let verdicts = evidence.verdicts();
+            (0..5).map(|request| {
+                let standing = verdicts.of(Fingerprint(request));
+                (standing.ends, standing.until.is_some())
+            }).collect::<Vec<_>>()
+        };
+        prop_assert_eq!(standings(&forward), standings(&backward));
+    }
+}
--- a/tests/running.rs
+++ b/tests/running.rs
@@ -27,7 +27,7 @@
     let broken = running.begin(run("/broken", now));
     running.begin(run("/running", now));
     let refused = running.begin(run("/refused", now));
-    running.finish(now, refused, End::NotRun);
+    running.finish(now, refused, End::Over);
     running.finish(now, broken, End::Open);
     assert_eq!(
         end(&mut running, now),
