Keep answers to bystanders at home until they matter

Each request that ran at a target which ended, and was answered at the next one, was told to the whole fleet: four datagrams a member. Seen by reckoning, before any run: where fifty targets of a fleet of 300 are killed at once with 18 requests under way on each, that is 1,080,000 datagrams, against 60,000 for the ends themselves. An answer matters only to a request that ran at two ends or more. The test shows that nothing is told and that the hash, by which daemons compare what they know, stays; the answer counts all the same between two ends. It failed before.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -221,12 +221,13 @@
         }
     }
 
-    /// Notes that a target has answered a request, which caused none of the ends known so far; the ends at
-    /// which it ran.
-    pub fn clear(&mut self, fingerprint: Fingerprint) -> Vec<CrashId> {
-        let accusing = self.known.iter_mut().map(|known| &mut known.crash);
-        let accusing = accusing.filter(|crash| crash.accuses(fingerprint));
-        accusing
+    /// Notes that a target has answered a request, which did not cause the end `id`, or any of those known
+    /// so far; the ends that accused it.
+    pub fn clear(&mut self, fingerprint: Fingerprint, id: Option<CrashId>) -> Vec<CrashId> {
+        let crashes = self.known.iter_mut().map(|known| &mut known.crash);
+        let meant = crashes.filter(|crash| id.is_none_or(|id| crash.id == id));
+        meant
+            .filter(|crash| crash.accuses(fingerprint))
             .map(|crash| {
                 crash.clear(fingerprint);
                 crash.id
--- a/src/quarantine/shared.rs
+++ b/src/quarantine/shared.rs
@@ -1,5 +1,6 @@
 //! The evidence of one daemon, shared by its controllers and read on the path of a request.
 
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,10 @@
 use crate::fingerprint::Fingerprint;
 use crate::units::Millis;
 
+/// Answered requests of one end each that are remembered: as many as run on fifty targets that are killed at
+/// once.
+const MOST_ANSWERED: usize = 1_024;
+
 /// What is known of requests that end targets.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -24,6 +29,8 @@
     evidence: Evidence,
     /// Ends of this daemon's own target that are remembered.
     seen: Vec<CrashId>,
+    /// Requests that were answered here after the one end at which they ran; the first one first.
+    answered: VecDeque<(Fingerprint, CrashId)>,
     /// Ends with something that has not been passed on yet.
     news: Vec<CrashId>,
     hash: u64,
@@ -36,6 +43,7 @@
         let state = State {
             evidence: Evidence::new(memory),
             seen: Vec::new(),
+            answered: VecDeque::new(),
             news: Vec::new(),
             hash: 0,
         };
@@ -90,22 +98,32 @@
         }
         if state.news.len() > before {
             self.judge(&mut state);
+            self.clear_answered(&mut state);
         }
     }
 
     /// Notes that a target has answered a request, which is then not the cause of any end known so far.
     ///
     /// Guards against a request that was under way at the ends of three targets by chance, as one that
-    /// many callers send may be: it would be refused everywhere.
+    /// many callers send may be: it would be refused everywhere. While it ran at one end only, the answer is
+    /// kept here until it matters. Where fifty targets are killed at once, each with 18 requests under way,
+    /// telling a fleet of 300 each of those answers would take 1,080,000 datagrams, by reckoning.
     pub fn answered(&self, fingerprint: Fingerprint) {
-        if self.standing(fingerprint).ends == 0 {
+        let standing = self.standing(fingerprint);
+        if standing.ends == 0 {
             return;
         }
         let mut state = self.state();
-        let cleared = state.evidence.clear(fingerprint);
-        if !cleared.is_empty() {
-            state.news.extend(cleared);
-            self.judge(&mut state);
+        if standing.apart() {
+            self.clear(&mut state, fingerprint, None);
+            return;
+        }
+        let ends = state.evidence.ends_of(fingerprint, Instant::now());
+        for (id, _) in ends {
+            if state.answered.len() == MOST_ANSWERED {
+                state.answered.pop_front();
+            }
+            state.answered.push_back((fingerprint, id));
         }
     }
 
@@ -145,6 +163,29 @@
         self.changes.subscribe()
     }
 
+    /// Takes in the answers that were kept here to requests that ran at another end since.
+    fn clear_answered(&self, state: &mut State) {
+        let verdicts = self.verdicts();
+        let matters = |known: &(Fingerprint, CrashId)| verdicts.of(known.0).apart();
+        let matter: Vec<_> = state.answered.iter().copied().filter(matters).collect();
+        if matter.is_empty() {
+            return;
+        }
+        state.answered.retain(|known| !matters(known));
+        for (fingerprint, id) in matter {
+            self.clear(state, fingerprint, Some(id));
+        }
+    }
+
+    /// Takes a request out of one end or all ends that are known.
+    fn clear(&self, state: &mut State, fingerprint: Fingerprint, id: Option<CrashId>) {
+        let cleared = state.evidence.clear(fingerprint, id);
+        if !cleared.is_empty() {
+            state.news.extend(cleared);
+            self.judge(state);
+        }
+    }
+
     fn judge(&self, state: &mut State) {
         state.hash = state.evidence.hash();
         self.verdicts.store(Arc::new(state.evidence.verdicts()));
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -83,7 +83,7 @@
     for id in 10..13_u32 {
         evidence.merge(now + MOMENT * 10 * id, &crash(id.into(), &[1, 7]));
     }
-    evidence.clear(Fingerprint(7));
+    evidence.clear(Fingerprint(7), None);
     assert_eq!(quarantined(&evidence), [1]);
 }
 
@@ -93,7 +93,7 @@
 fn answered_one_is_cleared() {
     let mut evidence = evidence(&[&[7], &[7], &[7]]);
     assert_eq!(quarantined(&evidence), [7]);
-    let cleared = evidence.clear(Fingerprint(7));
+    let cleared = evidence.clear(Fingerprint(7), None);
     assert_eq!(cleared.len(), ENDS);
     assert_eq!(quarantined(&evidence), [0_u64; 0]);
     // An older word of the same ends does not accuse it again.
@@ -172,7 +172,7 @@
                 evidence.merge(Instant::now(), &crash(*id, running));
             }
             Word::Answered(request) => {
-                evidence.clear(Fingerprint(*request));
+                evidence.clear(Fingerprint(*request), None);
             }
         }
     }
--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,73 @@
+//! What one daemon makes of ends and answers.
+
+use std::time::{Duration, Instant};
+
+use jackdawpulley::evidence::{Crash, CrashId, MOMENT};
+use jackdawpulley::fingerprint::Fingerprint;
+use jackdawpulley::shared::Quarantine;
+use jackdawpulley::units::Millis;
+
+const BYSTANDER: Fingerprint = Fingerprint(7);
+
+fn quarantine() -> Quarantine {
+    Quarantine::new(Duration::from_hours(1))
+}
+
+/// An end of a target under these requests, so many moments ago.
+fn end(id: u64, moments: u32, running: &[Fingerprint]) -> Crash {
+    Crash {
+        age: Millis::from(MOMENT * moments),
+        ..Crash::new(CrashId(id), running.to_vec())
+    }
+}
+
+fn is_refused(quarantine: &Quarantine, fingerprint: Fingerprint) -> bool {
+    let until = quarantine.standing(fingerprint).until;
+    until.is_some_and(|until| Instant::now() < until)
+}
+
+/// Fifty targets are killed, with work under way on each. All of it is tried again and answered, and every
+/// answer was told to the whole fleet: 1,200 datagrams for each of 900 requests. What ran at one end is no
+/// news to anybody.
+#[test]
+fn answers_of_bystanders_stay_here() {
+    let quarantine = quarantine();
+    let running: Vec<Fingerprint> = (0..18).map(Fingerprint).collect();
+    quarantine.merge(&[end(1, 0, &running)]);
+    assert_eq!(quarantine.take_news().len(), 1);
+    let hash = quarantine.hash();
+    for one in &running {
+        quarantine.answered(*one);
+    }
+    assert!(quarantine.take_news().is_empty());
+    assert_eq!(quarantine.hash(), hash);
+}
+
+/// A lookup is under way at one end, is answered, and is under way at two more. Its answer counts, though
+/// nobody was told of it at the time.
+#[test]
+fn answer_between_two_ends_counts() {
+    let quarantine = quarantine();
+    quarantine.merge(&[end(1, 9, &[BYSTANDER])]);
+    quarantine.answered(BYSTANDER);
+    quarantine.merge(&[end(2, 6, &[BYSTANDER])]);
+    quarantine.merge(&[end(3, 3, &[BYSTANDER])]);
+    assert!(!is_refused(&quarantine, BYSTANDER));
+    let told = quarantine.told();
+    assert_eq!(told[0].cleared, [BYSTANDER], "the others hear of it now");
+    quarantine.merge(&[end(4, 0, &[BYSTANDER])]);
+    assert!(
+        is_refused(&quarantine, BYSTANDER),
+        "three more without an answer"
+    );
+}
+
+#[test]
+fn answer_after_two_ends_is_told() {
+    let quarantine = quarantine();
+    quarantine.merge(&[end(1, 9, &[BYSTANDER]), end(2, 6, &[BYSTANDER])]);
+    assert_eq!(quarantine.take_news().len(), 2);
+    quarantine.answered(BYSTANDER);
+    assert_eq!(quarantine.take_news().len(), 2);
+    assert_eq!(quarantine.standing(BYSTANDER).ends, 0);
+}
