Look at once whether a target has ended

A supervisor that starts a target again within 10 ms hid its end: the gate waited that long before it looked, found somebody listening, and took the end for a cut connection. The request went on ending targets.

The others that break with it are gathered for 10 ms as before; where several broke together and the target listened, it is looked at once more, since connections may be closed before the listener. The state dump names requests in quarantine.

--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::board::{Board, Target};
+use crate::evidence::Verdicts;
 use crate::gate::Gate;
 use crate::guard::Keys;
 use crate::member::{Health, Member, Stage};
@@ -45,6 +46,8 @@
     pub waiting: usize,
     /// Idempotency keys that are remembered.
     pub keys: usize,
+    /// Requests that are refused, since targets ended under them.
+    pub quarantined: Vec<QuarantineDump>,
     /// Control bytes.
     pub control: Reading,
     /// Members that are not gone.
@@ -57,6 +60,17 @@
     pub upstreams: Vec<UpstreamDump>,
 }
 
+/// A request that is refused, since targets ended under it.
+#[derive(Debug, Serialize)]
+pub struct QuarantineDump {
+    /// What stays the same when it is sent again.
+    pub fingerprint: String,
+    /// Ends of targets that it explains.
+    pub ends: usize,
+    /// Time until it may run again.
+    pub left_ms: Millis,
+}
+
 /// What is known of one upstream.
 #[derive(Debug, Serialize)]
 pub struct UpstreamDump {
@@ -140,6 +154,7 @@
             running,
             waiting,
             keys: keys.len(),
+            quarantined: quarantined(&board.quarantine.verdicts(), now),
             control: board.meter.read(),
             live: roster
                 .members
@@ -157,6 +172,17 @@
     }
 }
 
+fn quarantined(verdicts: &Verdicts, now: Instant) -> Vec<QuarantineDump> {
+    let quarantined = verdicts.quarantined().take(MOST);
+    quarantined
+        .map(|(cause, until)| QuarantineDump {
+            fingerprint: cause.to_string(),
+            ends: verdicts.of(cause).ends,
+            left_ms: until.saturating_duration_since(now).into(),
+        })
+        .collect()
+}
+
 impl UpstreamDump {
     fn of(service: &Service, upstream: &Upstream, now: Instant) -> Self {
         let (own, reported) = upstream.load();
--- a/src/quarantine/inspect.rs
+++ b/src/quarantine/inspect.rs
@@ -15,8 +15,7 @@
 use crate::running::{End, Run, Running, Ticket};
 use crate::units::Millis;
 
-/// Time between the first broken connection and the look at the target: the others that break with it are
-/// noticed meanwhile.
+/// Time after the first broken connection in which the others that break with it are noticed.
 const SETTLE: Duration = Duration::from_millis(10);
 /// Time in which a host refuses a connection to a port of its own that nobody listens on, many times over.
 const REFUSAL: Duration = Duration::from_millis(200);
@@ -82,8 +81,14 @@
         }
         let (inspector, target) = (self.clone(), Arc::clone(target));
         tokio::spawn(async move {
+            // At once: a supervisor may have the next life listen within a few milliseconds.
+            let mut gone = is_refused(target.address).await;
             tokio::time::sleep(SETTLE).await;
-            let gone = is_refused(target.address).await;
+            let together = inspector.running().ended_within(Instant::now(), 2 * SETTLE) > 1;
+            if !gone && together {
+                // Its connections may have been closed before its listener.
+                gone = is_refused(target.address).await;
+            }
             let runs = inspector.running().inspected(Instant::now(), gone);
             if gone {
                 inspector.board.drop_target(&target);
--- a/src/quarantine/running.rs
+++ b/src/quarantine/running.rs
@@ -98,6 +98,15 @@
         }
     }
 
+    /// Runs that were over with an unknown fate in the last `time`.
+    #[must_use]
+    pub fn ended_within(&self, now: Instant, time: Duration) -> usize {
+        let ended = self.ended.iter();
+        ended
+            .filter(|(over, _)| now.saturating_duration_since(*over) < time)
+            .count()
+    }
+
     /// Notes that the target has said that it ends: what is cut then is not the cause.
     pub const fn leave(&mut self) {
         self.leaving = true;
--- /dev/null
+++ b/trial/tests/quarantine.rs
@@ -0,0 +1,91 @@
+//! A request in quarantine on daemons that read the platform's log.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{document, fleet, places};
+use futures_util::future::join_all;
+use http::Method;
+use jackdaw_trial::fleet::{Fleet, get, until};
+use jackdaw_trial::session::{Answer, Session};
+use jackdawpulley::outcome::REASON;
+use rustix::process::Signal;
+
+const PATIENCE: Duration = Duration::from_secs(8);
+const HOSTS: usize = 3;
+/// Time for which the request runs until its target ends, longer than ends at one moment are apart.
+const WORK: Duration = Duration::from_millis(400);
+
+/// Sends a request that works for a second; a target that is killed meanwhile has ended under it.
+async fn grant(fleet: &Fleet, index: usize, name: &str) -> Answer {
+    let headers = [("x-request", name), ("x-work-ms", "1000")];
+    let request = Session::request(Method::POST, "/grants", &headers, "a studio");
+    let mut session = Session::new(fleet.hosts[index].calls());
+    let answer = session.send(request, PATIENCE).await;
+    answer.expect("a whole answer")
+}
+
+/// Has the target end that runs a request, and come back.
+async fn end_under(fleet: &mut Fleet, name: &str) {
+    let runs = || fleet.runs().into_iter().find(|run| run.request == name);
+    let (answer, target) = tokio::join!(grant(fleet, 0, name), async {
+        assert!(until(PATIENCE, || std::future::ready(runs().is_some())).await);
+        tokio::time::sleep(WORK).await;
+        let target = runs().expect("it runs").target;
+        let mut hosts = fleet.hosts.iter();
+        let index = hosts.position(|host| host.work() == target).expect("known");
+        let target = fleet.hosts[index].target.as_ref().expect("it runs");
+        target.signal(Signal::KILL);
+        index
+    });
+    assert_eq!(answer.header(REASON), "broken");
+    fleet.start_target(target);
+    assert!(fleet.offers(HOSTS, PATIENCE).await);
+}
+
+/// Whether all daemons refuse one request before long.
+async fn all_refuse(fleet: &Fleet) -> bool {
+    let all = fleet.hosts.iter().map(|host| {
+        let operator = host.operator();
+        until(PATIENCE, move || async move {
+            let state: Option<serde_json::Value> = get(operator, "/state").await;
+            let refused = state.and_then(|state| state["quarantined"].as_array().map(Vec::len));
+            refused == Some(1)
+        })
+    });
+    join_all(all).await.into_iter().all(|refuses| refuses)
+}
+
+/// A fleet that refuses one request, since three targets have ended under it.
+async fn refusing() -> Fleet {
+    let mut fleet = fleet(&[]).await;
+    fleet.add(&places(HOSTS, 1)).await;
+    assert!(fleet.meets(HOSTS, PATIENCE).await);
+    let version = fleet.put(0, document(1)).await;
+    assert!(fleet.converges(version, PATIENCE).await && fleet.offers(HOSTS, PATIENCE).await);
+    for name in ["first", "second", "third"] {
+        end_under(&mut fleet, name).await;
+    }
+    assert!(all_refuse(&fleet).await);
+    fleet
+}
+
+async fn assert_refused(fleet: &Fleet, name: &str) {
+    for index in 0..HOSTS {
+        let answer = grant(fleet, index, name).await;
+        assert_eq!(answer.header(REASON), "quarantined", "{answer:?}");
+        assert_eq!(answer.status, 503);
+        let wait: u64 = answer.header("retry-after").parse().expect("a number");
+        assert!((3_500..=3_600).contains(&wait), "an hour: {wait}");
+    }
+    assert_eq!(fleet.runs().len(), 3, "nothing runs after the third end");
+}
+
+/// A supervisor starts a target again within milliseconds of its end. A gate that looked 10 ms later found
+/// somebody listening, took the end for a cut connection, and the request went on ending targets.
+#[tokio::test(flavor = "multi_thread")]
+async fn quick_restart_is_noticed() {
+    let fleet = refusing().await;
+    assert_refused(&fleet, "known").await;
+}
