Keep the quarantine on the log where no platform keeps it

After the loss of a whole fleet that reads the product's own log, the daemons that started knew no request in quarantine, and it would have ended three targets more. The platform's adapter kept notes, the log did not.

An archive keeps them now in either place; a start reads the log's notes after it has reached its floor and before it serves. With the log away the peers' welcomes tell. Left: the log forgets notes with its other records, so a quarantine that outlives both its retention and all daemons ends early. The test failed first ('no-target' in place of 'quarantined' after the restart). daemon.rs builds the operators' face in a function of its own.

--- a/src/configuration/log.rs
+++ b/src/configuration/log.rs
@@ -32,6 +32,8 @@
     Config,
     /// Daemons to join through.
     Contacts,
+    /// Notes of requests in quarantine.
+    Quarantine,
     /// Claims of idempotency keys of one service.
     Claims(Service),
 }
@@ -41,6 +43,7 @@
         match self {
             Self::Config => f.write_str("config"),
             Self::Contacts => f.write_str("contacts"),
+            Self::Quarantine => f.write_str("quarantine"),
             Self::Claims(service) => write!(f, "claims-{service}"),
         }
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::announce::Desk;
+use crate::archive::Archive;
 use crate::board::Board;
 use crate::callers::Callers;
 use crate::config::Store;
@@ -138,6 +139,9 @@
         Arc::clone(&board.meter),
     ));
     let (log, source) = sources(&board, origin.as_ref());
+    let archive = origin
+        .clone()
+        .map_or_else(|| Archive::Log(log.clone()), Archive::Platform);
     let relay = Arc::new(Relay::new(
         Arc::clone(&board),
         Arc::clone(&store),
@@ -165,18 +169,13 @@
         reader: Arc::clone(&reader),
         membership: Arc::clone(&membership),
     });
-    let operator = Arc::new(Operator {
-        board: Arc::clone(&board),
-        publisher: Publisher::new(
-            Arc::clone(&board),
-            Arc::clone(&store),
-            Arc::clone(&reader),
-            log.clone(),
-        ),
-        gate: Arc::clone(&gate),
-        keys: Arc::clone(&keys),
-        metrics: recorder(),
-    });
+    let publisher = Publisher::new(
+        Arc::clone(&board),
+        Arc::clone(&store),
+        Arc::clone(&reader),
+        log.clone(),
+    );
+    let operator = operator(&board, publisher, &gate, &keys);
     let desk = Arc::new(Desk::new(Arc::clone(&board), Arc::clone(&membership)));
     let contacts = Contacts {
         board: Arc::clone(&board),
@@ -199,6 +198,7 @@
         reader: Arc::clone(&reader),
         contacts,
         origin: origin.clone(),
+        archive: archive.clone(),
         desk: Arc::clone(&desk),
     };
     let entry = Arc::new(Entry::new(Arc::clone(&board), gate));
@@ -212,7 +212,7 @@
     tokio::spawn(relay.run());
     tokio::spawn(reader.run());
     tokio::spawn(Arc::new(joiner).run());
-    tokio::spawn(Keeper::new(&board, &membership, origin.clone()).run());
+    tokio::spawn(Keeper::new(&board, &membership, archive).run());
     let stopping = Stopping {
         board,
         membership,
@@ -224,6 +224,22 @@
     stopping.run().await
 }
 
+/// What operators are served by.
+fn operator(
+    board: &Arc<Board>,
+    publisher: Publisher,
+    gate: &Arc<Gate>,
+    keys: &Arc<Keys>,
+) -> Arc<Operator> {
+    Arc::new(Operator {
+        board: Arc::clone(board),
+        publisher,
+        gate: Arc::clone(gate),
+        keys: Arc::clone(keys),
+        metrics: recorder(),
+    })
+}
+
 /// The log, which stays closed where a platform keeps the configuration, and what readers read.
 fn sources(board: &Board, origin: Option<&Arc<dyn Origin>>) -> (Log, Source) {
     let (address, meter) = (board.settings.log_addr, Arc::clone(&board.meter));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,4 +81,4 @@
 use idempotency::{claim, gates, guard, replay};
 use membership::{contacts, greeters, greeting, join, listing, probe, roster};
 use operation::{command, operator, state, survey};
-use quarantine::{inspect, keeper};
+use quarantine::{archive, inspect, keeper};
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -9,8 +9,10 @@
 use tokio::sync::mpsc;
 
 use crate::announce::Desk;
+use crate::archive::Archive;
 use crate::backoff::Backoff;
 use crate::board::Board;
+use crate::clock;
 use crate::config::Store;
 use crate::contacts::{Contacts, RENEWAL};
 use crate::error::Result;
@@ -58,6 +60,8 @@
     pub contacts: Contacts,
     /// The platform, where it keeps the configuration and lists daemons.
     pub origin: Option<Arc<dyn Origin>>,
+    /// What is kept of requests in quarantine.
+    pub archive: Archive,
     /// Finds the target of a daemon that was killed.
     pub desk: Arc<Desk>,
 }
@@ -69,6 +73,7 @@
         tokio::time::sleep(jitter(ROUND)).await;
         let Some(origin) = self.origin.clone() else {
             self.reach_floor().await;
+            self.recall().await;
             self.serve().await;
             self.contacts.keep().await;
             return;
@@ -85,6 +90,16 @@
         self.keep_listed(&listing).await;
     }
 
+    /// Takes in what is kept of requests in quarantine. With the log away, the peers have told it.
+    async fn recall(&self) {
+        match self.archive.recall().await {
+            Ok(notes) => self.board.quarantine.recall(&notes, clock::unix_ms()),
+            Err(error) => {
+                warn!(self.board.logger, "notes of the quarantine can't be read"; "error" => %error);
+            }
+        }
+    }
+
     /// Begins to serve, unless a stop has been ordered meanwhile.
     async fn serve(&self) {
         if self.board.stage() == Stage::Starting {
--- a/src/quarantine/keeper.rs
+++ b/src/quarantine/keeper.rs
@@ -1,17 +1,17 @@
-//! Passes on what is learnt of requests that end targets, and has the platform keep what must last.
+//! Passes on what is learnt of requests that end targets, and has the archive keep what must last.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{info, warn};
 
+use crate::archive::Archive;
 use crate::backoff::Backoff;
 use crate::board::Board;
 use crate::clock;
 use crate::evidence::Verdicts;
 use crate::fingerprint::Fingerprint;
 use crate::note::Note;
-use crate::origin::Origin;
 use crate::probe::Membership;
 
 /// Time between two looks for ends that are too long ago: small beside the quarantine.
@@ -24,21 +24,17 @@
 pub struct Keeper {
     board: Arc<Board>,
     membership: Arc<Membership>,
-    origin: Option<Arc<dyn Origin>>,
+    archive: Archive,
 }
 
 impl Keeper {
-    /// A keeper of what `board` knows, which has `origin` keep notes where there is one.
+    /// A keeper of what `board` knows, which has `archive` keep notes.
     #[must_use]
-    pub fn new(
-        board: &Arc<Board>,
-        membership: &Arc<Membership>,
-        origin: Option<Arc<dyn Origin>>,
-    ) -> Self {
+    pub fn new(board: &Arc<Board>, membership: &Arc<Membership>, archive: Archive) -> Self {
         Self {
             board: Arc::clone(board),
             membership: Arc::clone(membership),
-            origin,
+            archive,
         }
     }
 
@@ -77,26 +73,23 @@
         metrics::gauge!("jackdaw_quarantined").set(f64::from(count));
     }
 
-    /// Has the platform keep what holds of a request now.
+    /// Has the archive keep what holds of a request now.
     ///
     /// Guards against the loss of all daemons at once: those that start know nothing, and the request
     /// would end three targets again, and as many more as run it meanwhile. Each gate whose own target
     /// ended under the request writes, so that one that dies before it is done is not missed.
     fn note(&self, cause: Fingerprint) {
-        let Some(origin) = self.origin.clone() else {
-            return;
-        };
         if !self.board.quarantine.has_seen(cause) {
             return;
         }
-        let board = Arc::clone(&self.board);
+        let (board, archive) = (Arc::clone(&self.board), self.archive.clone());
         tokio::spawn(async move {
             let mut pauses = PAUSES;
             while !board.stage().is_stopping() {
                 let ends = board.quarantine.ends_of(cause);
                 let held = board.quarantine.standing(cause).until.is_some();
                 let note = held.then(|| Note::of(&ends, clock::unix_ms()));
-                if origin.note(cause, note.as_ref()).await.is_ok() {
+                if archive.note(cause, note.as_ref()).await.is_ok() {
                     return;
                 }
                 tokio::time::sleep(pauses.random_pause()).await;
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -10,5 +10,6 @@
 pub mod running;
 pub mod shared;
 
+pub(crate) mod archive;
 pub(crate) mod inspect;
 pub(crate) mod keeper;
--- a/src/quarantine/note.rs
+++ b/src/quarantine/note.rs
@@ -17,6 +17,8 @@
 use std::num::ParseIntError;
 use std::str::FromStr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::evidence::{Crash, CrashId};
 use crate::fingerprint::Fingerprint;
 use crate::units::Millis;
@@ -25,7 +27,7 @@
 const MOST_ENDS: usize = 16;
 
 /// The ends of targets that put a request into quarantine.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Note {
     /// Each with its time, in Unix milliseconds, the first one first.
     ends: Vec<(CrashId, u64)>,
--- a/src/quarantine/shared.rs
+++ b/src/quarantine/shared.rs
@@ -9,6 +9,7 @@
 
 use crate::evidence::{Crash, CrashId, Evidence, Standing, Verdicts};
 use crate::fingerprint::Fingerprint;
+use crate::note::Note;
 use crate::units::Millis;
 
 /// Answered requests of one end each that are remembered: as many as run on fifty targets that are killed at
@@ -102,6 +103,13 @@
         }
     }
 
+    /// Takes in notes as they are read at `now_ms`, in Unix milliseconds.
+    pub fn recall(&self, notes: &[(Fingerprint, Note)], now_ms: u64) {
+        for (cause, note) in notes {
+            self.merge(&note.told(*cause, now_ms));
+        }
+    }
+
     /// Notes that a target has answered a request, which is then not the cause of any end known so far.
     ///
     /// Guards against a request that was under way at the ends of three targets by chance, as one that
--- a/trial/tests/quarantine.rs
+++ b/trial/tests/quarantine.rs
@@ -89,3 +89,20 @@
     let fleet = refusing().await;
     assert_refused(&fleet, "known").await;
 }
+
+/// Three targets have ended under a request, and the whole fleet loses power. Nobody is left who remembers
+/// it, and its caller goes on: the daemons that start find it on the log and refuse it.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_keeps_the_quarantine() {
+    let mut fleet = refusing().await;
+    for index in 0..HOSTS {
+        fleet.kill_daemon(index);
+    }
+    for index in 0..HOSTS {
+        fleet.start_daemon(index);
+    }
+    for index in 0..HOSTS {
+        assert!(fleet.serves(index, PATIENCE).await);
+    }
+    assert_refused(&fleet, "after").await;
+}
