Test: daemons that were cut off hear of a request in quarantine

Two data centres part, targets of one end under a request three times, the cut heals: the other side refuses the request without an end of its own. It fails where the hash on a probe is not looked at (tried). The test with frozen daemons passes without it: their sockets keep the news that came meanwhile.

--- a/trial/tests/quarantine.rs
+++ b/trial/tests/quarantine.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::{document, fleet, places};
 use futures_util::future::join_all;
 use http::Method;
+use jackdaw_trial::deployment::Place;
 use jackdaw_trial::fleet::{Fleet, get, until};
 use jackdaw_trial::session::{Answer, Session};
 use jackdawpulley::outcome::REASON;
@@ -14,6 +16,8 @@
 
 const PATIENCE: Duration = Duration::from_secs(8);
 const HOSTS: usize = 3;
+/// Time in which the daemons on the two sides of a cut find each other gone: one probe in four crosses it.
+const PARTING: Duration = Duration::from_secs(20);
 /// Time for which the request runs until its target ends, longer than ends at one moment are apart.
 const WORK: Duration = Duration::from_millis(400);
 
@@ -28,6 +32,11 @@
 
 /// Has the target end that runs a request, and come back.
 async fn end_under(fleet: &mut Fleet, name: &str) {
+    end_under_with(fleet, name, HOSTS).await;
+}
+
+/// The same where so many targets are offered.
+async fn end_under_with(fleet: &mut Fleet, name: &str, targets: usize) {
     let runs = || fleet.runs().into_iter().find(|run| run.request == name);
     let (answer, target) = tokio::join!(grant(fleet, 0, name), async {
         assert!(until(PATIENCE, || std::future::ready(runs().is_some())).await);
@@ -41,7 +50,7 @@
     });
     assert_eq!(answer.header(REASON), "broken");
     fleet.start_target(target);
-    assert!(fleet.offers(HOSTS, PATIENCE).await);
+    assert!(fleet.offers(targets, PATIENCE).await);
 }
 
 /// Whether all daemons refuse one request before long.
@@ -57,13 +66,19 @@
     join_all(all).await.into_iter().all(|refuses| refuses)
 }
 
+/// A fleet that serves.
+async fn serving(mut fleet: Fleet, places: &[Place]) -> Fleet {
+    fleet.add(places).await;
+    assert!(fleet.meets(places.len(), PATIENCE).await);
+    let version = fleet.put(0, document(1)).await;
+    assert!(fleet.converges(version, PATIENCE).await);
+    assert!(fleet.offers(places.len(), PATIENCE).await);
+    fleet
+}
+
 /// A fleet that refuses one request, since three targets have ended under it.
 async fn refusing() -> Fleet {
-    let mut fleet = fleet(&[]).await;
-    fleet.add(&places(HOSTS, 1)).await;
-    assert!(fleet.meets(HOSTS, PATIENCE).await);
-    let version = fleet.put(0, document(1)).await;
-    assert!(fleet.converges(version, PATIENCE).await && fleet.offers(HOSTS, PATIENCE).await);
+    let mut fleet = serving(fleet(&[]).await, &places(HOSTS, 1)).await;
     for name in ["first", "second", "third"] {
         end_under(&mut fleet, name).await;
     }
@@ -71,8 +86,31 @@
     fleet
 }
 
+/// One of two data centres is cut off while targets of the other end under a request. The cut heals, and the
+/// caller goes on in the data centre that has heard of nothing: its targets must not end as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_off_daemons_hear_of_it() {
+    let mut fleet = fleet(&["--suspicion-ms", "1000"]).await.with_net();
+    let net = Arc::clone(fleet.net.as_ref().expect("it has one"));
+    let mut places = places(HOSTS + 1, 2);
+    places.sort_by(|a, b| a.data_centre.cmp(&b.data_centre));
+    fleet = serving(fleet, &places).await;
+    net.cut("dc-0", "dc-1");
+    let inside = HOSTS.div_ceil(2);
+    assert!(fleet.offers(inside, PARTING).await);
+    for name in ["first", "second", "third"] {
+        end_under_with(&mut fleet, name, inside).await;
+    }
+    net.heal();
+    assert!(
+        all_refuse(&fleet).await,
+        "within the time of a cut daemon to be well again"
+    );
+    assert_refused(&fleet, "known").await;
+}
+
 async fn assert_refused(fleet: &Fleet, name: &str) {
-    for index in 0..HOSTS {
+    for index in 0..fleet.hosts.len() {
         let answer = grant(fleet, index, name).await;
         assert_eq!(answer.header(REASON), "quarantined", "{answer:?}");
         assert_eq!(answer.status, 503);
