--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -173,11 +173,11 @@
     }
 }
 
-/// An end with the time at which it happened.
+/// An end with the time at which it will be forgotten.
 #[derive(Debug, Clone)]
 struct Known {
     crash: Crash,
-    since: Instant,
+    until: Instant,
 }
 
 /// All ends that are remembered.
@@ -203,16 +203,16 @@
 
     /// Takes in what was told of an end; whether any of it was news.
     pub fn merge(&mut self, now: Instant, crash: &Crash) -> bool {
-        if crash.age.duration() >= self.memory {
+        let left = self.memory.saturating_sub(crash.age.duration());
+        if left.is_zero() {
             return false;
         }
         match self.find(crash.id) {
             Ok(index) => self.known[index].crash.unite(crash),
             Err(index) => {
-                let since = now.checked_sub(crash.age.duration()).unwrap_or(now);
                 let known = Known {
                     crash: crash.clone(),
-                    since,
+                    until: now + left,
                 };
                 self.known.insert(index, known);
                 self.make_room();
@@ -238,9 +238,7 @@
     /// Forgets ends that are too long ago; whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.known.len();
-        let memory = self.memory;
-        self.known
-            .retain(|known| now.saturating_duration_since(known.since) < memory);
+        self.known.retain(|known| now < known.until);
         self.known.len() < before
     }
 
@@ -257,8 +255,9 @@
             .known
             .iter()
             .filter(|known| known.crash.accuses(fingerprint));
-        let age = |known: &Known| Millis::from(now.saturating_duration_since(known.since));
-        accusing.map(|known| (known.crash.id, age(known))).collect()
+        accusing
+            .map(|known| (known.crash.id, self.age(known, now)))
+            .collect()
     }
 
     /// What is to be told of some ends, or of all.
@@ -266,7 +265,7 @@
     pub fn told(&self, now: Instant, ids: Option<&[CrashId]>) -> Vec<Crash> {
         let wanted = |known: &&Known| ids.is_none_or(|ids| ids.contains(&known.crash.id));
         let told = |known: &Known| Crash {
-            age: Millis::from(now.saturating_duration_since(known.since)),
+            age: self.age(known, now),
             ..known.crash.clone()
         };
         self.known.iter().filter(wanted).map(told).collect()
@@ -306,7 +305,8 @@
                 all.extend(counts.into_iter().map(standing));
                 break;
             };
-            let until = self.until(&open, cause);
+            // When too few of its ends will be remembered.
+            let until = times(&open, cause).iter().rev().nth(ENDS - 1).copied();
             all.push((cause, Standing { ends, until }));
             open.retain(|known| !known.crash.accuses(cause));
         }
@@ -314,11 +314,9 @@
         Verdicts { all }
     }
 
-    /// When too few of the ends of a cause will be remembered.
-    fn until(&self, open: &[&Known], cause: Fingerprint) -> Option<Instant> {
-        let mut since = times(open, cause);
-        since.reverse();
-        since.get(ENDS - 1).map(|since| *since + self.memory)
+    fn age(&self, known: &Known, now: Instant) -> Millis {
+        let left = known.until.saturating_duration_since(now);
+        self.memory.saturating_sub(left).into()
     }
 
     fn find(&self, id: CrashId) -> Result<usize, usize> {
@@ -332,7 +330,7 @@
             let causes: Vec<Fingerprint> = verdicts.quarantined().map(|(cause, _)| cause).collect();
             let needed = |known: &Known| causes.iter().any(|cause| known.crash.accuses(*cause));
             let ranked = self.known.iter().enumerate();
-            let first = ranked.min_by_key(|(_, known)| (needed(known), known.since));
+            let first = ranked.min_by_key(|(_, known)| (needed(known), known.until));
             let Some((index, _)) = first else {
                 return;
             };
@@ -369,12 +367,12 @@
     others.any(|other| *other != one && ends_of(*other) == ends)
 }
 
-/// When the ends happened that accuse a request, the first one first.
+/// When the ends will be forgotten that accuse a request, in the order in which they happened.
 fn times(open: &[&Known], fingerprint: Fingerprint) -> Vec<Instant> {
     let accusing = open.iter().filter(|known| known.crash.accuses(fingerprint));
-    let mut since: Vec<Instant> = accusing.map(|known| known.since).collect();
-    since.sort_unstable();
-    since
+    let mut times: Vec<Instant> = accusing.map(|known| known.until).collect();
+    times.sort_unstable();
+    times
 }
 
 /// Moments to which sorted times belong.
--- a/src/quarantine/shared.rs
+++ b/src/quarantine/shared.rs
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 struct State {
     evidence: Evidence,
-    /// Ends of this daemon's own target that are remembered.
+    /// Ends of this daemon's own target; those that are forgotten go with the next one.
     seen: Vec<CrashId>,
     /// Requests that were answered here after the one end at which they ran; the first one first.
     answered: VecDeque<(Fingerprint, CrashId)>,
@@ -69,7 +69,11 @@
 
     /// Takes in an end of this daemon's own target.
     pub fn see(&self, crash: &Crash) {
-        self.state().seen.push(crash.id);
+        let mut state = self.state();
+        let State { seen, evidence, .. } = &mut *state;
+        seen.retain(|id| evidence.knows(*id));
+        seen.push(crash.id);
+        drop(state);
         self.merge(std::slice::from_ref(crash));
     }
 
@@ -139,8 +143,6 @@
     pub fn expire(&self) {
         let mut state = self.state();
         if state.evidence.expire(Instant::now()) {
-            let State { seen, evidence, .. } = &mut *state;
-            seen.retain(|id| evidence.knows(*id));
             self.judge(&mut state);
         }
     }
