Split the view and the evidence: rounds, timing and crash in files of their own

Whom to probe next is one decision with its own state; times of the protocol and one end of a target are types of their own.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,9 +69,9 @@
 pub use document::Document;
 pub use error::{Error, Result};
 pub use idempotency::{keys, ledger};
-pub use membership::{announce, census, datagram, entries, member, target, view};
+pub use membership::{announce, census, datagram, entries, member, target, timing, view};
 pub use operation::ctl;
-pub use quarantine::{evidence, fingerprint, note, running, shared};
+pub use quarantine::{crash, evidence, fingerprint, note, running, shared};
 
 use calls::{
     answer, attempt, call, callers, choice, dispatch, entry, experience, gate, http_server, line,
@@ -79,6 +79,6 @@
 };
 use configuration::{config, publish, reader, relay};
 use idempotency::{claim, gates, guard, replay};
-use membership::{contacts, greeters, greeting, join, listing, probe, roster};
+use membership::{contacts, greeters, greeting, join, listing, probe, roster, rounds};
 use operation::{command, operator, state, survey};
 use quarantine::{archive, inspect, keeper};
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::evidence::Crash;
+use crate::crash::Crash;
 use crate::exchange::Digest;
 use crate::member::Member;
 use crate::units::{Slots, Version};
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -7,8 +7,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::crash::Crash;
 use crate::datagram::Probe;
-use crate::evidence::Crash;
 use crate::probe::{Membership, State};
 use crate::view::Send;
 use crate::wire;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -9,6 +9,7 @@
 pub mod entries;
 pub mod member;
 pub mod target;
+pub mod timing;
 pub mod view;
 
 pub(crate) mod contacts;
@@ -19,3 +20,4 @@
 pub(crate) mod listing;
 pub(crate) mod probe;
 pub(crate) mod roster;
+pub(crate) mod rounds;
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -20,8 +20,9 @@
 use crate::relay::{Relay, jitter};
 use crate::roster::{Departed, Home, Roster};
 use crate::settings::{Delivery, Settings};
+use crate::timing::Timing;
 use crate::units::{Incarnation, Millis};
-use crate::view::{Effects, Send, Timing, View};
+use crate::view::{Effects, Send, View};
 use crate::wire;
 use snafu::ResultExt;
 
--- /dev/null
+++ b/src/membership/rounds.rs
@@ -0,0 +1,71 @@
+//! Whom to probe next.
+//!
+//! Members are probed in shuffled rounds, so that each waits no longer than a round; those of the own data
+//! centre and those of the others have rounds of their own.
+
+use std::net::SocketAddr;
+
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+
+use crate::entries::Entries;
+use crate::units::DataCentre;
+
+/// One probe in this many goes to another data centre.
+///
+/// A member is noticed to be gone by those beside it; the probes between data centres carry news
+/// and notice when a whole one is gone. When every member was probed alike, and joined through any
+/// other, a calm day of 82 daemons sent 15 MB between data centres, and 5 MB since (one run each).
+const FAR_PROBE: u64 = 4;
+
+/// The rounds of one daemon.
+#[derive(Debug, Default)]
+pub struct Rounds {
+    /// Members still to be probed: of the own data centre, and of the others.
+    left: [Vec<SocketAddr>; 2],
+    /// Probes so far.
+    probes: u64,
+}
+
+impl Rounds {
+    /// Next member to probe: mostly one of the data centre `home`, now and then one of another.
+    pub fn draw(
+        &mut self,
+        entries: &Entries,
+        home: &DataCentre,
+        rng: &mut SmallRng,
+    ) -> Option<SocketAddr> {
+        self.probes += 1;
+        let far = self.probes.is_multiple_of(FAR_PROBE);
+        let first = self.draw_from(far, entries, home, rng);
+        // Where one side has nobody, the other one gets all probes.
+        first.or_else(|| self.draw_from(!far, entries, home, rng))
+    }
+
+    /// Next member of the own data centre, or of the others: each is probed once in a round.
+    fn draw_from(
+        &mut self,
+        far: bool,
+        entries: &Entries,
+        home: &DataCentre,
+        rng: &mut SmallRng,
+    ) -> Option<SocketAddr> {
+        let left = &mut self.left[usize::from(far)];
+        let is_live = |peer: SocketAddr| {
+            let entry = entries.get(peer);
+            entry.is_some_and(|entry| entry.member.health.is_live())
+        };
+        if !left.iter().any(|peer| is_live(*peer)) {
+            let side = entries.live();
+            let side = side.filter(|member| (member.data_centre != *home) == far);
+            *left = side.map(|member| member.peer).collect();
+            left.shuffle(rng);
+        }
+        while let Some(peer) = left.pop() {
+            if is_live(peer) {
+                return Some(peer);
+            }
+        }
+        None
+    }
+}
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -19,6 +19,8 @@
 use crate::entries::{Entries, Entry};
 use crate::exchange::Digest;
 use crate::member::{Health, Member, Offer, Stage};
+use crate::rounds::Rounds;
+use crate::timing::Timing;
 use crate::units::{DataCentre, Incarnation, Slots, Version};
 use crate::wire;
 
@@ -31,39 +33,9 @@
 /// Members of each other data centre that hear of a version from a reader: one may be gone without
 /// anybody knowing it yet.
 const HEARERS: usize = 2;
-/// One probe in this many goes to another data centre.
-///
-/// A member is noticed to be gone by those beside it; the probes between data centres carry news
-/// and notice when a whole one is gone. When every member was probed alike, and joined through any
-/// other, a calm day of 82 daemons sent 15 MB between data centres, and 5 MB since (one run each).
-const FAR_PROBE: u64 = 4;
 /// Periods between two probes of a member that is thought to be gone.
 const REVISIT: u64 = 5;
 
-/// Times of the protocol.
-#[derive(Debug, Clone)]
-pub struct Timing {
-    /// Between two probes of a daemon.
-    pub period: Duration,
-    /// Until a direct probe counts as missed.
-    pub patience: Duration,
-    /// Until a suspect counts as gone.
-    pub suspicion: Duration,
-    /// Until a gone member is forgotten.
-    pub memory: Duration,
-}
-
-impl Default for Timing {
-    fn default() -> Self {
-        Self {
-            period: Duration::from_secs(1),
-            patience: Duration::from_millis(400),
-            suspicion: Duration::from_secs(3),
-            memory: Duration::from_mins(10),
-        }
-    }
-}
-
 /// A datagram on its way out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Send {
@@ -105,10 +77,7 @@
     evidence: u64,
     entries: Entries,
     pending: Vec<Pending>,
-    /// Members still to be probed: of the own data centre, and of the others.
-    rounds: [Vec<SocketAddr>; 2],
-    /// Probes so far.
-    probes: u64,
+    rounds: Rounds,
     seq: u64,
     next_probe: Option<Instant>,
     last_tick: Option<Instant>,
@@ -125,8 +94,7 @@
             evidence: 0,
             entries: Entries::default(),
             pending: Vec::new(),
-            rounds: [Vec::new(), Vec::new()],
-            probes: 0,
+            rounds: Rounds::default(),
             seq: 0,
             next_probe: None,
             last_tick: None,
@@ -380,46 +348,13 @@
             let revisit = self.datagram(peer, Probe::Ping { seq: 0 });
             effects.sends.push(revisit);
         }
-        if let Some(subject) = self.draw(rng) {
+        let subject = self.rounds.draw(&self.entries, &self.me.data_centre, rng);
+        if let Some(subject) = subject {
             let ping = self.ping(now, subject, None);
             effects.sends.push(ping);
         }
     }
 
-    /// Next member to probe: mostly one of the own data centre, now and then one of another.
-    fn draw(&mut self, rng: &mut SmallRng) -> Option<SocketAddr> {
-        self.probes += 1;
-        let far = self.probes.is_multiple_of(FAR_PROBE);
-        let first = self.draw_from(far, rng);
-        // Where one side has nobody, the other one gets all probes.
-        first.or_else(|| self.draw_from(!far, rng))
-    }
-
-    /// Next member of the own data centre, or of the others: each is probed once in a shuffled
-    /// round.
-    fn draw_from(&mut self, far: bool, rng: &mut SmallRng) -> Option<SocketAddr> {
-        let mut round = std::mem::take(&mut self.rounds[usize::from(far)]);
-        if !round.iter().any(|peer| self.is_live(*peer)) {
-            let home = &self.me.data_centre;
-            let side = self.live().filter(|m| (m.data_centre != *home) == far);
-            round = side.map(|member| member.peer).collect();
-            round.shuffle(rng);
-        }
-        let mut drawn = None;
-        while drawn.is_none()
-            && let Some(peer) = round.pop()
-        {
-            drawn = Some(peer).filter(|peer| self.is_live(*peer));
-        }
-        self.rounds[usize::from(far)] = round;
-        drawn
-    }
-
-    fn is_live(&self, peer: SocketAddr) -> bool {
-        let entry = self.entries.get(peer);
-        entry.is_some_and(|entry| entry.member.health.is_live())
-    }
-
     fn ping(&mut self, now: Instant, to: SocketAddr, asker: Option<(SocketAddr, u64)>) -> Send {
         self.seq += 1;
         let seq = self.seq;
--- /dev/null
+++ b/src/quarantine/crash.rs
@@ -0,0 +1,109 @@
+//! One end of a target without a word, and what ran there.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::fingerprint::Fingerprint;
+use crate::units::Millis;
+
+/// Requests that one end names at most, so that it fits into a datagram.
+pub const MOST_RUNNING: usize = 128;
+
+/// Name of one end of a target, drawn at random.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CrashId(pub u64);
+
+impl fmt::Display for CrashId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for CrashId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// A target's end without a word, as daemons tell each other of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Which one.
+    pub id: CrashId,
+    /// Time since then, when it was told.
+    pub age: Millis,
+    /// Requests that ran there and may have caused it, sorted.
+    pub running: Vec<Fingerprint>,
+    /// Others that ran there, which a target has answered since, sorted.
+    pub cleared: Vec<Fingerprint>,
+}
+
+impl Crash {
+    /// An end that has just happened.
+    #[must_use]
+    pub fn new(id: CrashId, mut running: Vec<Fingerprint>) -> Self {
+        running.truncate(MOST_RUNNING);
+        running.sort_unstable();
+        running.dedup();
+        Self {
+            id,
+            age: Millis(0),
+            running,
+            cleared: Vec::new(),
+        }
+    }
+
+    /// The same end as one told `age` ago, as far as it accuses one request.
+    #[must_use]
+    pub fn by(id: CrashId, cause: Fingerprint, age: Millis) -> Self {
+        Self {
+            age,
+            ..Self::new(id, vec![cause])
+        }
+    }
+
+    /// Whether a request may have caused it.
+    #[must_use]
+    pub fn accuses(&self, fingerprint: Fingerprint) -> bool {
+        contains(&self.running, fingerprint)
+    }
+
+    /// Adds what another told of the same end; whether any of it was news.
+    pub fn unite(&mut self, other: &Self) -> bool {
+        let cleared = other.cleared.iter().map(|one| self.clear(*one));
+        let cleared = cleared.filter(|news| *news).count() > 0;
+        let running = other
+            .running
+            .iter()
+            .filter(|one| !contains(&self.cleared, **one));
+        let running: Vec<Fingerprint> = running.copied().collect();
+        let added = running.iter().map(|one| insert(&mut self.running, *one));
+        added.filter(|news| *news).count() > 0 || cleared
+    }
+
+    /// Notes that a request is not the cause; whether that was news.
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
+        self.running.retain(|one| *one != fingerprint);
+        insert(&mut self.cleared, fingerprint)
+    }
+}
+
+fn contains(list: &[Fingerprint], one: Fingerprint) -> bool {
+    list.binary_search(&one).is_ok()
+}
+
+/// Adds one to a sorted list within its bound; whether it was not there.
+fn insert(list: &mut Vec<Fingerprint>, one: Fingerprint) -> bool {
+    match list.binary_search(&one) {
+        Err(index) if list.len() < MOST_RUNNING => {
+            list.insert(index, one);
+            true
+        }
+        _ => false,
+    }
+}
--- a/src/quarantine/inspect.rs
+++ b/src/quarantine/inspect.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 
 use crate::board::{Board, Target};
-use crate::evidence::{Crash, CrashId};
+use crate::crash::{Crash, CrashId};
 use crate::fingerprint::Fingerprint;
 use crate::outcome::Reason;
 use crate::running::{End, Run, Running, Ticket};
--- a/src/quarantine/note.rs
+++ b/src/quarantine/note.rs
@@ -4,7 +4,7 @@
 //! request in quarantine; without it, the request would have to end as many targets again.
 //!
 //! ```
-//! use jackdawpulley::evidence::CrashId;
+//! use jackdawpulley::crash::CrashId;
 //! use jackdawpulley::note::Note;
 //! use jackdawpulley::units::Millis;
 //!
@@ -19,7 +19,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::evidence::{Crash, CrashId};
+use crate::crash::{Crash, CrashId};
 use crate::fingerprint::Fingerprint;
 use crate::units::Millis;
 
--- a/src/quarantine/shared.rs
+++ b/src/quarantine/shared.rs
@@ -7,7 +7,8 @@
 use arc_swap::ArcSwap;
 use tokio::sync::watch;
 
-use crate::evidence::{Crash, CrashId, Evidence, Standing, Verdicts};
+use crate::crash::{Crash, CrashId};
+use crate::evidence::{Evidence, Standing, Verdicts};
 use crate::fingerprint::Fingerprint;
 use crate::note::Note;
 use crate::units::Millis;
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use common::fixed;
-use jackdawpulley::evidence::{Crash, CrashId, ENDS, Evidence, MOMENT, MOST_CRASHES, MOST_RUNNING};
+use jackdawpulley::crash::{Crash, CrashId, MOST_RUNNING};
+use jackdawpulley::evidence::{ENDS, Evidence, MOMENT, MOST_CRASHES};
 use jackdawpulley::fingerprint::Fingerprint;
 use jackdawpulley::note::Note;
 use jackdawpulley::units::Millis;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawpulley::evidence::{Crash, CrashId, MOMENT};
+use jackdawpulley::crash::{Crash, CrashId};
+use jackdawpulley::evidence::MOMENT;
 use jackdawpulley::fingerprint::Fingerprint;
 use jackdawpulley::shared::Quarantine;
 use jackdawpulley::units::Millis;
