--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -13,8 +13,8 @@
 use crate::view::Send;
 use crate::wire;
 
-/// Members that hear of an end from each daemon: all but two in a hundred hear of it this way, at one small
-/// datagram each, and those two by a probe.
+/// Members that hear of an end from each daemon. By reckoning all but two in a hundred hear of it this way, at
+/// four small datagrams a daemon, and those two by a probe.
 const FANOUT: usize = 4;
 /// Bytes of ends in one datagram; the rest is for its sender's own entry.
 const PAGE: usize = 1_100;
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -32,8 +32,8 @@
 use crate::fingerprint::Fingerprint;
 use crate::units::Millis;
 
-/// Ends of targets at which a request ran that is taken for their cause: one end has many bystanders, and
-/// the fewer ends it takes, the fewer targets are lost.
+/// Ends of targets at which a request ran that is taken for their cause. One end has as many bystanders as
+/// the target has slots, and one of them may be repeated onto the next target; each end more costs a target.
 pub const ENDS: usize = 3;
 /// Ends after which a request is kept apart from others under the same suspicion: the next end tells which
 /// of them it was.
