--- a/src/quarantine/running.rs
+++ b/src/quarantine/running.rs
@@ -11,11 +11,10 @@
 /// Time for which a request counts that its entry or caller has given up: not every target stops the work
 /// when its connection closes, and what takes longer to end a target than this is told by later ends.
 const LINGER: Duration = Duration::from_secs(1);
-/// Requests with a known fate that are kept while a target is looked at: as many as a target of many slots
-/// may have under way.
+/// Requests of unknown fate that are kept: as many as a target of many slots may have under way.
 const MOST_ENDED: usize = 256;
-/// Answered requests that are remembered of one life of the target, in about as many bytes times eight. At
-/// a hundred answers a second they span ten seconds, many times what a request takes.
+/// Answered requests that are remembered of one life of the target, in 8 KB. At a hundred answers a second
+/// they span ten seconds, many times what a request takes.
 const MOST_ANSWERED: usize = 1_024;
 
 /// One request at the target.
