--- a/src/board.rs
+++ b/src/board.rs
@@ -20,13 +20,14 @@
 use crate::exchange::Digest;
 use crate::lines::Throttle;
 use crate::member::{Offer, Stage};
+use crate::rollout::shared::Rollouts;
 use crate::roster::Roster;
 use crate::route::Table;
 use crate::running::Running;
 use crate::settings::Settings;
 use crate::shared::Quarantine;
 use crate::telemetry::Meter;
-use crate::units::{Birth, Instance, Millis, Slots, Version};
+use crate::units::{Birth, Era, Instance, Millis, Revision, Slots, Version};
 
 /// Lines a second that requests may cause. At about 50 microseconds each, as measured on a day of
 /// overload (27.5 s of processor time with them, 26.3 s without), they stay at 0.2 % of a core.
@@ -76,6 +77,11 @@
     pub service: crate::units::Service,
     /// Calls that it takes at the same time.
     pub slots: Slots,
+    /// Version of its software; not known of one that was found and has not announced itself.
+    pub revision: Option<Revision>,
+    /// When it is past the slow time after its start.
+    #[serde(skip)]
+    pub cold_until: Instant,
     /// When its announcement lapses.
     #[serde(skip)]
     pub lease_until: Instant,
@@ -89,6 +95,7 @@
             service: self.service.clone(),
             slots: self.slots,
             born: self.born,
+            revision: self.revision.clone(),
             open: true,
         }
     }
@@ -114,12 +121,16 @@
     pub running: Mutex<Running>,
     /// Requests that end targets.
     pub quarantine: Quarantine,
+    /// Revisions that are rolled out.
+    pub rollouts: Rollouts,
     stage: AtomicU8,
     /// Whether this daemon may stand on the platform's list.
     listed: AtomicBool,
     drain_ms: AtomicU64,
     in_flight: AtomicU64,
     versions: watch::Sender<Version>,
+    /// Highest era of the platform that is known.
+    eras: watch::Sender<Era>,
     rosters: watch::Sender<u64>,
     stages: watch::Sender<Stage>,
     /// Whether a planned stop waits no longer.
@@ -133,6 +144,7 @@
         Self {
             drain_ms: AtomicU64::new(settings.drain_ms.0),
             quarantine: Quarantine::new(settings.quarantine_ms.duration()),
+            rollouts: Rollouts::default(),
             settings,
             logger,
             lines: Throttle::new(LINES),
@@ -146,6 +158,7 @@
             listed: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
             versions: watch::Sender::new(Version(0)),
+            eras: watch::Sender::new(Era(0)),
             rosters: watch::Sender::new(0),
             stages: watch::Sender::new(Stage::Starting),
             cut: watch::Sender::new(false),
@@ -190,6 +203,27 @@
         self.versions.subscribe()
     }
 
+    /// Highest era of the platform that is known.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        *self.eras.borrow()
+    }
+
+    /// Notes an era that the platform or another daemon has told.
+    pub fn note_era(&self, era: Era) {
+        self.eras.send_if_modified(|known| {
+            let later = era > *known;
+            *known = era.max(*known);
+            later
+        });
+    }
+
+    /// Follows the eras of the platform: in each, what was written to it before may be gone.
+    #[must_use]
+    pub fn eras(&self) -> watch::Receiver<Era> {
+        self.eras.subscribe()
+    }
+
     /// The members, as the path of a request sees them.
     #[must_use]
     pub fn roster(&self) -> Arc<Roster> {
@@ -227,6 +261,16 @@
         }
     }
 
+    /// Whether a target of this daemon's own host may take requests by the roll-outs that are known.
+    #[must_use]
+    pub fn admits(&self, target: &Target, now: Instant) -> bool {
+        let (revision, me) = (target.revision.as_ref(), self.settings.identity());
+        match self.rollouts.rules().get(&target.service) {
+            Some(rule) => rule.side(revision, me, now).is_some(),
+            None => self.settings.exposure_share.is_none() || self.roster.load().is_usual(target),
+        }
+    }
+
     /// Whether this daemon may stand on the platform's list, so that it has to be taken off.
     #[must_use]
     pub fn is_listed(&self) -> bool {
--- a/src/calls/choice.rs
+++ b/src/calls/choice.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::board::Board;
 use crate::call::Call;
@@ -15,8 +16,9 @@
 use crate::keys;
 use crate::pace::Typical;
 use crate::pick::{self, Candidate, Cost};
-use crate::roster::Upstream;
-use crate::units::CallKey;
+use crate::rollout::rules::Side;
+use crate::roster::{Roster, Upstream};
+use crate::units::{CallKey, Revision};
 
 /// Chooses among the upstreams of a board.
 #[derive(Debug)]
@@ -51,9 +53,7 @@
     /// fingerprint where it has to run apart, else by load.
     pub fn choose(&self, call: &Call) -> Option<Arc<Upstream>> {
         let roster = self.board.roster();
-        let upstreams = roster.upstreams(&call.handover.service).iter();
-        let fresh = upstreams.filter(|upstream| !call.tried.contains(&upstream.peer));
-        let fresh: Vec<&Arc<Upstream>> = fresh.collect();
+        let fresh = self.eligible(&roster, call);
         let by_key = |key: &CallKey| {
             let indices = 0..fresh.len();
             indices.max_by_key(|index| keys::rank(key, fresh[*index].peer))
@@ -71,6 +71,39 @@
         index.map(|index| Arc::clone(fresh[index]))
     }
 
+    /// Upstreams that have not been tried and may take the call, by the roll-outs that are known.
+    fn eligible<'a>(&self, roster: &'a Roster, call: &Call) -> Vec<&'a Arc<Upstream>> {
+        let service = &call.handover.service;
+        let upstreams = roster.upstreams(service).iter();
+        let told = upstreams.zip(roster.revisions(service));
+        let fresh = told.filter(|(upstream, _)| !call.tried.contains(&upstream.peer));
+        let rules = self.board.rollouts.rules();
+        let Some(rule) = rules.get(service) else {
+            let usual = roster.usual(service);
+            let staged = self.board.settings.exposure_share.is_some();
+            let may = |revision: &Option<Revision>| {
+                !staged || revision.is_none() || revision.as_ref() == usual
+            };
+            let may = fresh.filter(|(_, revision)| may(revision));
+            return may.map(|(upstream, _)| upstream).collect();
+        };
+        let now = Instant::now();
+        let sides = fresh.filter_map(|(upstream, revision)| {
+            let side = rule.side(revision.as_ref(), upstream.peer, now)?;
+            Some((upstream, side))
+        });
+        let sides: Vec<(&Arc<Upstream>, Side)> = sides.collect();
+        let again = !call.tried.is_empty();
+        let draw = rule.draw(draw(call), again, now);
+        let drawn = sides.iter().filter(|(_, side)| *side == draw);
+        let drawn: Vec<&Arc<Upstream>> = drawn.map(|(upstream, _)| *upstream).collect();
+        if !drawn.is_empty() || draw == Side::Old {
+            return drawn;
+        }
+        // No new target is left to take it.
+        sides.into_iter().map(|(upstream, _)| upstream).collect()
+    }
+
     /// Whether a call has to run apart, since targets have ended under the same request.
     pub fn is_suspect(&self, call: &Call) -> bool {
         let fingerprint = call.handover.fingerprint;
@@ -98,3 +131,12 @@
         pick::choose(settings.pick, &candidates, &mut rng)
     }
 }
+
+/// A number from 0 to 1: the same for all requests of a key, which belongs to one gate.
+#[expect(clippy::cast_precision_loss, reason = "a share needs few digits")]
+fn draw(call: &Call) -> f64 {
+    match &call.handover.key {
+        Some(key) => xxh3_64(key.as_str().as_bytes()) as f64 / u64::MAX as f64,
+        None => rand::rng().random_range(0.0..1.0),
+    }
+}
--- a/src/calls/work.rs
+++ b/src/calls/work.rs
@@ -21,6 +21,7 @@
 use crate::member::Stage;
 use crate::outcome::{Fate, OUTCOME, Reason};
 use crate::patience;
+use crate::rollout::tally::Outcome;
 use crate::running::{End, Run};
 use crate::settings::Limits;
 use crate::stream::{self, Gathered, Held, HeldBack};
@@ -34,6 +35,8 @@
 /// Largest body that is taken in whole before it goes to the target, in bytes; what is larger is
 /// passed on as it comes.
 const WHOLE_BODY: usize = 1 << 20;
+/// Time before its deadline in which a run that is given up counts as one without an answer.
+const AT_THE_END: Duration = Duration::from_millis(50);
 /// Slots and places where nothing is limited.
 const UNLIMITED: u32 = u32::MAX;
 
@@ -108,8 +111,11 @@
             return Err(Reason::Draining);
         }
         let target = self.board.target().ok_or(Reason::NoTarget)?;
-        let offered = target.service == handover.service && Instant::now() < target.lease_until;
-        if offered {
+        let now = Instant::now();
+        let offered = target.service == handover.service && now < target.lease_until;
+        // Guards against an entry that has not heard of a roll-out, or of its end: it would send a bad
+        // revision its share for as long. The gates hold each target to what it may take.
+        if offered && self.board.admits(&target, now) {
             Ok(target)
         } else {
             Err(Reason::NoTarget)
@@ -289,6 +295,7 @@
             began,
         });
         let watched = watched?;
+        let mut counted = Counted::begin(&work.board, &handover.route, deadline);
         let exchange = async {
             let sending = work
                 .dispatcher
@@ -305,6 +312,7 @@
             Err(Reason::TimedOut)
         });
         watched.finish(end(&result));
+        counted.finish(&result);
         let mut response = result.inspect_err(|reason| work.doubt_target(*reason, &self.target))?;
         let headers = response.headers_mut();
         stream::strip_hop_by_hop(headers);
@@ -354,3 +362,48 @@
         headers.insert(name, instance);
     }
 }
+
+/// A run that is counted for the roll-out of its target's revision when it is over.
+struct Counted<'a> {
+    board: &'a Board,
+    route: &'a str,
+    began: Instant,
+    deadline: Instant,
+    is_over: bool,
+}
+
+impl<'a> Counted<'a> {
+    fn begin(board: &'a Board, route: &'a str, deadline: Instant) -> Self {
+        board.rollouts.arrive();
+        Self {
+            board,
+            route,
+            began: Instant::now(),
+            deadline,
+            is_over: false,
+        }
+    }
+
+    fn finish(&mut self, result: &Result<Response<Body>, Reason>) {
+        self.is_over = true;
+        let outcome = match result {
+            Ok(response) if !response.status().is_server_error() => {
+                Outcome::Answered(self.began.elapsed())
+            }
+            Ok(_) | Err(Reason::Broken | Reason::TimedOut) => Outcome::Failed,
+            // It has not run.
+            Err(_) => return,
+        };
+        self.board.rollouts.answer(self.route, outcome);
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        // Guards against a target that is silent until its callers have gone: its runs are dropped here
+        // and would count as nothing. A caller that leaves early says nothing of the target.
+        if !self.is_over && Instant::now() + AT_THE_END >= self.deadline {
+            self.board.rollouts.answer(self.route, Outcome::Failed);
+        }
+    }
+}
--- a/src/configuration/log.rs
+++ b/src/configuration/log.rs
@@ -167,9 +167,9 @@
             .http
             .exchange(self.address, method, path, body, patience)
             .await;
-        let (status, body) = answer.map_err(|reason| self.failed(&reason))?;
-        self.meter.log(body.len());
-        Ok((status, body))
+        let answer = answer.map_err(|reason| self.failed(&reason))?;
+        self.meter.log(answer.body.len());
+        Ok((answer.status, answer.body))
     }
 
     fn parse<T: DeserializeOwned>(&self, body: &[u8]) -> Result<T> {
--- a/src/configuration/origin.rs
+++ b/src/configuration/origin.rs
@@ -8,12 +8,15 @@
 use std::net::SocketAddr;
 
 use futures_util::future::BoxFuture;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 use crate::document::Document;
 use crate::error::Result;
 use crate::fingerprint::Fingerprint;
 use crate::note::Note;
-use crate::units::{DataCentre, Millis, Offset, Version};
+use crate::rollout::order::{Notice, Order, Status};
+use crate::units::{DataCentre, Era, Millis, Offset, Version};
 
 /// A version that the platform has accepted.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,13 +27,24 @@
     pub document: Document,
 }
 
+/// Where a read goes on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Position {
+    /// Era of the platform in which the offset holds: in a later one it may be another record's.
+    pub era: Era,
+    /// Offset of the next record.
+    pub offset: Offset,
+}
+
 /// What a read of the platform found.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Found {
     /// The newest version, if any is there that was not read before.
     pub release: Option<Release>,
+    /// Orders to roll out a revision that were not read before, the last one last.
+    pub orders: Vec<Notice>,
     /// Where to read on.
-    pub next: Offset,
+    pub next: Position,
     /// What was wrong with records that could not be read; the others hold all the same.
     pub faults: Vec<String>,
 }
@@ -59,7 +73,12 @@
     fn newest(&self) -> BoxFuture<'_, Result<Found>>;
 
     /// Reads what follows `from`; waits up to `wait` for it.
-    fn follow(&self, from: Offset, wait: Millis) -> BoxFuture<'_, Result<Found>>;
+    ///
+    /// Fails with [`Error::Rewound`](crate::Error::Rewound) in a later era than that of `from`.
+    fn follow(&self, from: Position, wait: Millis) -> BoxFuture<'_, Result<Found>>;
+
+    /// Follows the eras of the platform, as its answers tell them.
+    fn eras(&self) -> watch::Receiver<Era>;
 
     /// Lists a daemon, in place of what was listed for its address.
     fn list<'a>(&'a self, contact: &'a Contact) -> BoxFuture<'a, Result<()>>;
@@ -71,6 +90,14 @@
     /// requests in quarantine, which come with them, so that a start asks no more often.
     fn directory(&self, enough: usize) -> BoxFuture<'_, Result<Directory>>;
 
+    /// Tells the operator how a roll-out stands, unless there is a verdict already; what stands now.
+    ///
+    /// The first verdict on an order counts, whoever tells it and however often.
+    fn tell<'a>(&'a self, order: &'a Order, status: Status) -> BoxFuture<'a, Result<Status>>;
+
+    /// Notes when a roll-out began, in Unix milliseconds, unless that is noted already; what is noted now.
+    fn note_begin<'a>(&'a self, order: &'a Order, begin_ms: u64) -> BoxFuture<'a, Result<u64>>;
+
     /// Notes a request in quarantine, in place of what was noted of it; drops that note without one.
     fn note<'a>(&'a self, cause: Fingerprint, note: Option<&'a Note>) -> BoxFuture<'a, Result<()>>;
 }
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -19,9 +19,10 @@
 use crate::fold::Record;
 use crate::log::{Log, Stream};
 use crate::member::Stage;
-use crate::origin::{Origin, Release};
+use crate::origin::{Origin, Position, Release};
 use crate::peer::Links;
 use crate::relay::{jitter, order};
+use crate::rollout::order::Notice;
 use crate::settings::Delivery;
 use crate::units::{Millis, Offset};
 use crate::wire;
@@ -76,7 +77,7 @@
     source: Source,
     links: Arc<Links>,
     /// Where to read on in an origin; none before its newest version was read.
-    next: Mutex<Option<Offset>>,
+    next: Mutex<Option<Position>>,
     /// The last fault of a record that was written to the log.
     fault: Mutex<Option<String>>,
 }
@@ -239,23 +240,47 @@
             None => origin.newest().await,
         };
         let found = match found {
-            Err(Error::Expired { .. }) => {
-                // The newest version is kept whatever else was dropped.
-                origin.newest().await?
-            }
+            // The newest version is kept whatever else was dropped. After a platform came back from
+            // an older copy, offsets are given out again: what is read on from the old one leaves out
+            // the records that were written again before it.
+            Err(Error::Expired { .. } | Error::Rewound) => origin.newest().await?,
             found => found?,
         };
         self.note_faults(&found.faults);
-        if let Some(Release { version, document }) = found.release {
+        let accepted = found.release.map(|Release { version, document }| {
             let update = Update {
                 version,
                 body: Body::Whole(document.sorted()),
                 accepted: Vec::new(),
             };
-            self.store.accept(update)?;
+            self.store.accept(update)
+        });
+        // A version that can't be accepted holds up no order.
+        for notice in &found.orders {
+            self.note_order(notice);
         }
+        accepted.transpose()?;
         *self.next() = Some(found.next);
-        Ok(found.next)
+        Ok(found.next.offset)
+    }
+
+    fn note_order(&self, notice: &Notice) {
+        if !self.board.rollouts.notice(notice) {
+            return;
+        }
+        let Some(order) = &notice.order else {
+            info!(self.board.logger, "order taken away"; "service" => %notice.service);
+            return;
+        };
+        info!(self.board.logger, "order to roll out"; "service" => %order.service,
+            "revision" => %order.revision, "duration_ms" => order.duration.0,
+            "era" => notice.at.era.0, "offset" => notice.at.offset.0);
+        let config = self.board.config();
+        let mut groups = config.document.groups.iter();
+        if !groups.any(|group| group.service == order.service) {
+            warn!(self.board.logger, "order for a service of no group: publish one, or correct it";
+                "service" => %order.service);
+        }
     }
 
     /// Says once what is wrong with records that can't be read.
@@ -269,7 +294,7 @@
         }
     }
 
-    fn next(&self) -> MutexGuard<'_, Option<Offset>> {
+    fn next(&self) -> MutexGuard<'_, Option<Position>> {
         self.next.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -37,10 +37,11 @@
 use crate::publish::Publisher;
 use crate::reader::{Reader, Source};
 use crate::relay::Relay;
+use crate::rollout::controller::Controller;
 use crate::settings::Settings;
 use crate::stop::Stopping;
 use crate::telemetry;
-use crate::units::Millis;
+use crate::units::{Era, Millis};
 
 pub use crate::stop::{EXIT_CUT_SHORT, EXIT_STOPPED};
 
@@ -212,7 +213,7 @@
     tokio::spawn(relay.run());
     tokio::spawn(reader.run());
     tokio::spawn(Arc::new(joiner).run());
-    tokio::spawn(Keeper::new(&board, &membership, archive).run());
+    spawn_keepers(&board, &membership, origin.clone(), archive);
     let stopping = Stopping {
         board,
         membership,
@@ -224,6 +225,29 @@
     stopping.run().await
 }
 
+/// Has what the daemons know together kept in step: eras, roll-outs and requests in quarantine.
+fn spawn_keepers(
+    board: &Arc<Board>,
+    membership: &Arc<Membership>,
+    origin: Option<Arc<dyn Origin>>,
+    archive: Archive,
+) {
+    if let Some(origin) = &origin {
+        tokio::spawn(follow_eras(Arc::clone(board), origin.eras()));
+    }
+    tokio::spawn(Controller::new(board, membership, origin).run());
+    tokio::spawn(Keeper::new(board, membership, archive).run());
+}
+
+/// Notes each era that the platform tells this daemon.
+async fn follow_eras(board: Arc<Board>, mut eras: watch::Receiver<Era>) {
+    while eras.changed().await.is_ok() {
+        let era = *eras.borrow_and_update();
+        info!(board.logger, "platform in another era"; "era" => era.0);
+        board.note_era(era);
+    }
+}
+
 /// What operators are served by.
 fn operator(
     board: &Arc<Board>,
--- a/src/error.rs
+++ b/src/error.rs
@@ -58,6 +58,9 @@
         /// First offset that is still there.
         first: Offset,
     },
+    /// The platform has come back from an older copy, so an offset of before names another record.
+    #[snafu(display("the platform came back from an older copy; read the newest of each key"))]
+    Rewound,
     /// Records expired before any daemon folded them.
     #[snafu(display(
         "records before offset {first} were never folded, so no base can be judged; look at what \
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt;
 
 /// Time to open a connection.
@@ -13,6 +13,17 @@
 /// Time after which an idle connection is not used again.
 const IDLE: Duration = Duration::from_secs(2);
 
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
 /// A client with pooled connections.
 #[derive(Clone)]
 pub struct Client {
@@ -60,7 +71,7 @@
         path: &str,
         body: Vec<u8>,
         patience: Duration,
-    ) -> Result<(StatusCode, Vec<u8>), String> {
+    ) -> Result<Answer, String> {
         let asking = async {
             let request = self
                 .inner
@@ -72,8 +83,8 @@
             Ok(response) => response?,
             Err(_) => return Err(format!("no answer within {} ms", patience.as_millis())),
         };
-        let status = response.status();
-        let mut body = response.into_body();
+        let (parts, mut body) = response.into_parts();
+        let (status, headers) = (parts.status, parts.headers);
         let mut bytes = Vec::new();
         // Guards against a large answer over a slow link: it takes longer than any answer should
         // be waited for, and asked for again and again it would never come. As long as parts of
@@ -81,7 +92,13 @@
         loop {
             let frame = match tokio::time::timeout(PROGRESS, body.frame()).await {
                 Ok(Some(frame)) => frame.map_err(|error| chain(error.as_ref()))?,
-                Ok(None) => return Ok((status, bytes)),
+                Ok(None) => {
+                    return Ok(Answer {
+                        status,
+                        headers,
+                        body: bytes,
+                    });
+                }
                 Err(_) => return Err(format!("the answer stopped after {} bytes", bytes.len())),
             };
             if let Some(data) = frame.data_ref() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod membership;
 pub mod operation;
 pub mod quarantine;
+pub mod rollout;
 pub mod settings;
 pub mod telemetry;
 pub mod units;
--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -22,13 +22,15 @@
 use crate::member::Stage;
 use crate::probe::Membership;
 use crate::target::{Beat, Life, Lives, Standing};
-use crate::units::{Birth, Instance, Millis, Service, Slots, Version};
+use crate::units::{Birth, Instance, Millis, Revision, Service, Slots, Version};
 
 /// Longest lease, in milliseconds.
 pub const MAX_LEASE_MS: u64 = 60_000;
 /// Time by which a birth may lie ahead of this host's clock, in milliseconds: clocks differ by
 /// seconds at most.
 const MAX_AHEAD_MS: u64 = 60_000;
+/// Longest name of a revision, in bytes: it travels with each target's entry.
+pub const MAX_REVISION: usize = 64;
 /// Largest announcement, in bytes.
 const MAX_BODY: usize = 4_096;
 /// Time for a target to tell its health; it is on the same host.
@@ -52,6 +54,12 @@
     pub slots: Slots,
     /// Time until it has to renew.
     pub lease_ms: Millis,
+    /// Version of its software.
+    #[serde(default)]
+    pub revision: Option<Revision>,
+    /// Time for which it is slow yet after its start.
+    #[serde(default)]
+    pub cold_ms: Millis,
 }
 
 impl Announcement {
@@ -67,6 +75,13 @@
         if self.lease_ms.0 == 0 || self.lease_ms.0 > MAX_LEASE_MS {
             return Some("lease_ms must be 1 to 60000; renew at a third of it");
         }
+        let revision = self.revision.as_ref().map_or("", Revision::as_str);
+        if revision.len() > MAX_REVISION {
+            return Some("revision must have at most 64 bytes");
+        }
+        if self.cold_ms.0 > MAX_LEASE_MS {
+            return Some("cold_ms must be at most 60000; tell what is left of it");
+        }
         None
     }
 }
@@ -129,6 +144,8 @@
             address: beat.address,
             slots: beat.slots,
             lease_ms: beat.lease,
+            revision: beat.revision.clone(),
+            cold_ms: beat.cold,
         };
         let fault = announcement.fault().or_else(|| self.fault(&beat));
         if let Some(fault) = fault {
@@ -153,6 +170,7 @@
                 info!(self.board.logger, "target announced"; "service" => %beat.service,
                     "instance" => %beat.life.instance, "born" => beat.life.born.map(|born| born.0),
                     "sequence" => beat.sequence,
+                    "revision" => beat.revision.as_ref().map(ToString::to_string),
                     "slots" => beat.slots.0);
             }
             Standing::Current => {}
@@ -175,6 +193,8 @@
             address: beat.address,
             service: beat.service,
             slots: beat.slots,
+            revision: beat.revision,
+            cold_until: Instant::now() + beat.cold.duration(),
             lease_until: Instant::now() + beat.lease.duration(),
         })
         .await;
@@ -239,6 +259,8 @@
             address,
             service,
             slots: slots.unwrap_or(UNTOLD_SLOTS),
+            revision: None,
+            cold_until: Instant::now(),
             lease_until: Instant::now() + UNTOLD_LEASE,
         })
         .await;
@@ -317,6 +339,8 @@
             address: announcement.address,
             service: announcement.service,
             slots: announcement.slots,
+            revision: announcement.revision,
+            cold_until: Instant::now() + announcement.cold_ms.duration(),
             lease_until: Instant::now() + announcement.lease_ms.duration(),
         };
         if !known {
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -9,7 +9,9 @@
 use crate::crash::Crash;
 use crate::exchange::Digest;
 use crate::member::Member;
-use crate::units::{Slots, Version};
+use crate::rollout::progress::Progress;
+use crate::rollout::tally::Report;
+use crate::units::{Era, Slots, Version};
 
 /// A membership datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,7 +22,9 @@
     pub from: Member,
     /// What the sender has in force.
     pub digest: Digest,
-    /// Hash of what the sender knows of requests that end targets; 0 for nothing.
+    /// Highest era of the platform that the sender knows.
+    pub era: Era,
+    /// Hash of what the sender knows of requests that end targets and of roll-outs; 0 for nothing.
     pub evidence: u64,
     /// What it is about.
     pub probe: Probe,
@@ -52,6 +56,10 @@
     News,
     /// Tells ends of targets.
     Crashes(Vec<Crash>),
+    /// Tells roll-outs.
+    Rollouts(Vec<Progress>),
+    /// Tells one that decides on a roll-out how a target answers.
+    Report(Report),
 }
 
 /// Asks to become a member.
@@ -74,4 +82,8 @@
     pub slots: Option<Slots>,
     /// Ends of targets that the answerer knows of.
     pub crashes: Vec<Crash>,
+    /// Roll-outs that the answerer knows of.
+    pub rollouts: Vec<Progress>,
+    /// Highest era of the platform that the answerer knows.
+    pub era: Era,
 }
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -1,4 +1,4 @@
-//! Telling the other daemons which targets ended under which requests.
+//! Telling the other daemons which targets ended under which requests, and how roll-outs stand.
 //!
 //! What is new goes on at once to a few members drawn at random, who do the same: a fleet of 4,000 has heard
 //! of it after six steps. Each probe carries a hash of everything that its sender knows, so that who missed
@@ -7,9 +7,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use serde::Serialize;
+
 use crate::crash::Crash;
 use crate::datagram::Probe;
 use crate::probe::{Membership, State};
+use crate::rollout::progress::Progress;
+use crate::rollout::tally::Report;
 use crate::view::Send;
 use crate::wire;
 
@@ -24,15 +28,38 @@
 impl Membership {
     /// Passes ends of targets on to a few members.
     pub async fn pass_on(&self, crashes: Vec<Crash>) {
+        let pages = pages(crashes);
+        self.spread(pages.into_iter().map(Probe::Crashes).collect())
+            .await;
+    }
+
+    /// Passes roll-outs on to a few members.
+    pub async fn pass_on_rollouts(&self, news: Vec<Progress>) {
+        let pages = pages(news);
+        self.spread(pages.into_iter().map(Probe::Rollouts).collect())
+            .await;
+    }
+
+    /// Tells one that decides on a roll-out how the co-located target answers.
+    pub async fn report(&self, peer: SocketAddr, report: Report) {
+        let send = {
+            let mut guard = self.state();
+            self.refresh(&mut guard);
+            guard.view.bare(peer, Probe::Report(report))
+        };
+        self.send(vec![send]).await;
+    }
+
+    /// Sends something to a few members drawn at random.
+    async fn spread(&self, probes: Vec<Probe>) {
         let sends = {
             let mut guard = self.state();
             self.refresh(&mut guard);
             let State { view, rng, .. } = &mut *guard;
             let receivers = view.draw_live(FANOUT, rng);
-            let pages = pages(crashes);
             let sends = receivers.into_iter().flat_map(|peer| {
-                let pages = pages.iter().cloned();
-                pages.map(move |page| (peer, Probe::Crashes(page)))
+                let probes = probes.iter().cloned();
+                probes.map(move |probe| (peer, probe))
             });
             let sends: Vec<(SocketAddr, Probe)> = sends.collect();
             let sends = sends.into_iter();
@@ -46,30 +73,33 @@
     pub(super) fn reconcile(&self, peer: SocketAddr) -> Vec<Send> {
         let now = Instant::now();
         let crashes = self.board().quarantine.told();
+        let rollouts = self.board().rollouts.told();
         let mut guard = self.state();
         let told = guard.reconciled;
         let soon = told.is_some_and(|told| now.saturating_duration_since(told) < PAUSE);
-        if soon || crashes.is_empty() {
+        if soon || crashes.is_empty() && rollouts.is_empty() {
             return Vec::new();
         }
         guard.reconciled = Some(now);
-        let pages = pages(crashes).into_iter();
-        pages
-            .map(|page| guard.view.datagram(peer, Probe::Crashes(page)))
+        let crashes = pages(crashes).into_iter().map(Probe::Crashes);
+        let rollouts = pages(rollouts).into_iter().map(Probe::Rollouts);
+        crashes
+            .chain(rollouts)
+            .map(|probe| guard.view.datagram(peer, probe))
             .collect()
     }
 }
 
-/// Ends in parts that fit into a datagram each.
-fn pages(crashes: Vec<Crash>) -> Vec<Vec<Crash>> {
-    let mut pages: Vec<Vec<Crash>> = Vec::new();
+/// What is told in parts that fit into a datagram each.
+fn pages<T: Serialize>(all: Vec<T>) -> Vec<Vec<T>> {
+    let mut pages: Vec<Vec<T>> = Vec::new();
     let mut room = 0;
-    for crash in crashes {
-        let size = wire::encode(&crash).len();
+    for one in all {
+        let size = wire::encode(&one).len();
         match pages.last_mut() {
-            Some(page) if size <= room => page.push(crash),
+            Some(page) if size <= room => page.push(one),
             _ => {
-                pages.push(vec![crash]);
+                pages.push(vec![one]);
                 room = PAGE;
             }
         }
--- a/src/membership/greeting.rs
+++ b/src/membership/greeting.rs
@@ -108,7 +108,9 @@
             .floor
             .heard(&greeter, welcome.digest.version, welcome.ran);
         heard.slots = welcome.slots.or(heard.slots);
+        self.board.note_era(welcome.era);
         self.board.quarantine.merge(&welcome.crashes);
+        self.board.rollouts.merge(&welcome.rollouts);
         self.look_back(&welcome.members, heard);
         self.membership.learn(&welcome.members);
     }
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -40,6 +40,8 @@
 const READ_SPACING: Duration = Duration::from_millis(10);
 /// Time that a read waits for the first version while there is none.
 const ORIGIN_WAIT: Millis = Millis(1_500);
+/// Time over which listed daemons list themselves again.
+const LIST_SPREAD: Duration = Duration::from_secs(1);
 /// Time between two looks at the list for a daemon that knows nobody; each look doubles it.
 const ALONE: Duration = Duration::from_secs(2);
 
@@ -241,15 +243,21 @@
     /// Keeps enough daemons listed, and meets those that were listed meanwhile.
     async fn keep_listed(&self, listing: &Listing) {
         let mut alone = ALONE;
+        let mut eras = self.board.eras();
         loop {
             // It has just read who was listed before it.
             let pause = RENEWAL / 2 + jitter(RENEWAL);
-            let listed = if self.is_alone() {
-                tokio::time::sleep(pause.min(alone)).await;
+            let is_alone = self.is_alone();
+            let pause = if is_alone { pause.min(alone) } else { pause };
+            let waiting = tokio::time::timeout(pause, eras.changed());
+            if waiting.await.is_ok_and(|changed| changed.is_ok()) {
+                self.list_again(listing).await;
+                continue;
+            }
+            let listed = if is_alone {
                 alone *= 2;
                 listing.enter().await
             } else {
-                tokio::time::sleep(pause).await;
                 listing.tend().await
             };
             // An error leaves it for the next round.
@@ -257,6 +265,22 @@
         }
     }
 
+    /// Lists this daemon once more if it was listed before.
+    ///
+    /// Guards against a platform that comes back from a copy of before that: with too few daemons on the
+    /// list, one that starts alone in its view would find nobody. Those that were listed do it alone, each
+    /// after a random pause, so the calls fit the platform however large the fleet is.
+    async fn list_again(&self, listing: &Listing) {
+        let mut pauses = PAUSES;
+        tokio::time::sleep(jitter(LIST_SPREAD)).await;
+        while self.board.is_listed() && !self.board.stage().is_stopping() {
+            if listing.list().await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(pauses.random_pause()).await;
+        }
+    }
+
     async fn reach_floor(&self) {
         let began = Instant::now();
         let mut heard = Heard::default();
--- a/src/membership/listing.rs
+++ b/src/membership/listing.rs
@@ -56,10 +56,19 @@
     ///
     /// As [`Listing::consult`].
     pub async fn enter(&self) -> Result<Listed> {
+        self.list().await?;
+        Ok(listed(self.read(usize::MAX).await?))
+    }
+
+    /// Lists this daemon.
+    ///
+    /// # Errors
+    ///
+    /// As [`Origin::list`].
+    pub async fn list(&self) -> Result<()> {
         // It may be done although no answer comes.
         self.board.set_listed();
-        self.origin.list(&self.contact()).await?;
-        Ok(listed(self.read(usize::MAX).await?))
+        self.origin.list(&self.contact()).await
     }
 
     /// Reads everybody who is listed, and lists this daemon where too few of them are members.
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, VariantNames};
 
-use crate::units::{Birth, DataCentre, Incarnation, Service, Slots};
+use crate::units::{Birth, DataCentre, Incarnation, Revision, Service, Slots};
 
 /// One daemon, as others know it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +37,8 @@
     pub slots: Slots,
     /// When its life began, where targets tell it.
     pub born: Option<Birth>,
+    /// Version of its software, where targets tell it.
+    pub revision: Option<Revision>,
     /// Whether the target is there; its daemon still remembers its keys when it is not.
     pub open: bool,
 }
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -193,6 +193,8 @@
             ran,
             slots,
             crashes: self.board.quarantine.told(),
+            rollouts: self.board.rollouts.told(),
+            era: self.board.era(),
         }
     }
 
@@ -247,8 +249,14 @@
     }
 
     async fn take(&self, datagram: &Datagram) {
-        if let Probe::Crashes(crashes) = &datagram.probe {
-            self.board.quarantine.merge(crashes);
+        self.board.note_era(datagram.era);
+        match &datagram.probe {
+            Probe::Crashes(crashes) => self.board.quarantine.merge(crashes),
+            Probe::Rollouts(told) => self.board.rollouts.merge(told),
+            Probe::Report(report) => {
+                self.board.rollouts.hear(datagram.from.peer, report.clone());
+            }
+            _ => {}
         }
         let effects = {
             let mut guard = self.state();
@@ -336,7 +344,9 @@
     /// Has the view tell what this daemon has and knows now.
     pub(super) fn refresh(&self, state: &mut State) {
         state.view.set_digest(self.board.digest());
-        state.view.set_evidence(self.board.quarantine.hash());
+        state.view.set_era(self.board.era());
+        let known = self.board.quarantine.hash() ^ self.board.rollouts.hash();
+        state.view.set_evidence(known);
     }
 
     pub(super) fn state(&self) -> MutexGuard<'_, State> {
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -8,12 +8,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::board::Target;
 use crate::document::{Ejection, Group};
 use crate::member::{Health, Member};
 use crate::pace::{Pace, Typical, Underway};
 use crate::peer::Link;
 use crate::pick::{self, Candidate, Cost, Evidence};
-use crate::units::{Birth, DataCentre, Millis, Service};
+use crate::units::{Birth, DataCentre, Millis, Revision, Service};
 
 /// Bytes in a kilobyte.
 const KB: f64 = 1_024.0;
@@ -57,6 +58,10 @@
 struct Pool {
     service: Service,
     upstreams: Vec<Arc<Upstream>>,
+    /// Revision of each, in the same order.
+    revisions: Vec<Option<Revision>>,
+    /// Revision that gets the requests while nobody has ordered another one.
+    usual: Option<Revision>,
 }
 
 /// A target that takes calls, reached through its daemon.
@@ -114,7 +119,10 @@
                 .suspect
                 .store(member.health == Health::Suspect, Ordering::Relaxed);
             match pools.binary_search_by(|pool| pool.service.cmp(&offer.service)) {
-                Ok(index) => pools[index].upstreams.push(upstream),
+                Ok(index) => {
+                    pools[index].upstreams.push(upstream);
+                    pools[index].revisions.push(offer.revision.clone());
+                }
                 Err(index) => {
                     let service = offer.service.clone();
                     pools.insert(
@@ -122,11 +130,16 @@
                         Pool {
                             service,
                             upstreams: vec![upstream],
+                            revisions: vec![offer.revision.clone()],
+                            usual: None,
                         },
                     );
                 }
             }
         }
+        for pool in &mut pools {
+            pool.usual = usual(&pool.revisions, old.usual(&pool.service));
+        }
         Self {
             fleet: fleet(&members),
             members,
@@ -138,13 +151,32 @@
     /// Upstreams of a service, sorted by address.
     #[must_use]
     pub fn upstreams(&self, service: &Service) -> &[Arc<Upstream>] {
-        match self
-            .pools
-            .binary_search_by(|pool| pool.service.cmp(service))
-        {
-            Ok(index) => &self.pools[index].upstreams,
-            Err(_) => &[],
-        }
+        self.pool(service).map_or(&[], |pool| &pool.upstreams)
+    }
+
+    /// Revision of each upstream of a service, in the same order.
+    #[must_use]
+    pub fn revisions(&self, service: &Service) -> &[Option<Revision>] {
+        self.pool(service).map_or(&[], |pool| &pool.revisions)
+    }
+
+    /// Revision that gets a service's requests while nobody has ordered another one.
+    #[must_use]
+    pub fn usual(&self, service: &Service) -> Option<&Revision> {
+        self.pool(service)?.usual.as_ref()
+    }
+
+    /// Whether a target is of the revision that gets the requests without an order.
+    #[must_use]
+    pub fn is_usual(&self, target: &Target) -> bool {
+        let usual = self.usual(&target.service);
+        usual.is_none() || target.revision.is_none() || target.revision.as_ref() == usual
+    }
+
+    fn pool(&self, service: &Service) -> Option<&Pool> {
+        let pools = &self.pools;
+        let found = pools.binary_search_by(|pool| pool.service.cmp(service));
+        found.ok().map(|index| &pools[index])
     }
 
     /// All upstreams with their services.
@@ -173,6 +205,23 @@
     }
 }
 
+/// The revision that gets the requests without an order: the one that had them before while any target of it
+/// is there, else that of most targets.
+///
+/// Guards against targets of a new revision that are there before their order is known: they would get
+/// their full share at once.
+fn usual(revisions: &[Option<Revision>], before: Option<&Revision>) -> Option<Revision> {
+    let mut told: Vec<&Revision> = revisions.iter().flatten().collect();
+    if let Some(before) = before.filter(|before| told.contains(before)) {
+        return Some(before.clone());
+    }
+    told.sort_unstable();
+    let groups = told.chunk_by(|a, b| a == b);
+    // Of two that are as frequent the first one is taken, by all daemons alike.
+    let most = groups.rev().max_by_key(|group| group.len());
+    most.map(|group| group[0].clone())
+}
+
 /// Hosts of each service, sorted by it.
 fn fleet(members: &[Member]) -> Vec<(Service, usize)> {
     let mut fleet: Vec<(Service, usize)> = Vec::new();
--- a/src/membership/target.rs
+++ b/src/membership/target.rs
@@ -23,7 +23,7 @@
 
 use std::net::SocketAddr;
 
-use crate::units::{Birth, Instance, Millis, Service, Slots};
+use crate::units::{Birth, Instance, Millis, Revision, Service, Slots};
 
 /// Lives that are remembered after their end.
 const REMEMBERED: usize = 32;
@@ -66,6 +66,10 @@
     pub address: SocketAddr,
     /// Calls that it takes at the same time.
     pub slots: Slots,
+    /// Version of its software, where it tells that.
+    pub revision: Option<Revision>,
+    /// Time for which it is slow yet after its start.
+    pub cold: Millis,
     /// Whether it is about to end and wants no new calls.
     pub leaving: bool,
     /// Orders the announcements of one life.
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -21,7 +21,7 @@
 use crate::member::{Health, Member, Offer, Stage};
 use crate::rounds::Rounds;
 use crate::timing::Timing;
-use crate::units::{DataCentre, Incarnation, Slots, Version};
+use crate::units::{DataCentre, Era, Incarnation, Slots, Version};
 use crate::wire;
 
 /// Daemons that probe a silent one on another's behalf.
@@ -74,6 +74,7 @@
 pub struct View {
     me: Member,
     digest: Digest,
+    era: Era,
     evidence: u64,
     entries: Entries,
     pending: Vec<Pending>,
@@ -91,6 +92,7 @@
         Self {
             me,
             digest: Digest::default(),
+            era: Era(0),
             evidence: 0,
             entries: Entries::default(),
             pending: Vec::new(),
@@ -131,6 +133,11 @@
         self.digest = digest;
     }
 
+    /// Sets the highest era of the platform that its own daemon knows.
+    pub const fn set_era(&mut self, era: Era) {
+        self.era = era;
+    }
+
     /// Sets the hash of what its own daemon knows of requests that end targets.
     pub const fn set_evidence(&mut self, evidence: u64) {
         self.evidence = evidence;
@@ -192,18 +199,7 @@
         let few = far.chunk_by(|a, b| a.0 == b.0);
         let few = few.flat_map(|members| members.iter().take(HEARERS));
         let receivers: Vec<SocketAddr> = few.map(|(_, peer)| *peer).collect();
-        let datagram = Datagram {
-            release: wire::RELEASE,
-            from: self.me.clone(),
-            digest: self.digest,
-            evidence: self.evidence,
-            probe: Probe::News,
-            news: Vec::new(),
-        };
-        let send = |to| Send {
-            to,
-            datagram: datagram.clone(),
-        };
+        let send = |to| self.bare(to, Probe::News);
         receivers.into_iter().map(send).collect()
     }
 
@@ -281,7 +277,7 @@
                 let ping = self.ping(now, subject, Some((sender, seq)));
                 effects.sends.push(ping);
             }
-            Probe::News | Probe::Crashes(_) => {}
+            Probe::News | Probe::Crashes(_) | Probe::Rollouts(_) | Probe::Report(_) => {}
         }
     }
 
@@ -368,12 +364,27 @@
         self.datagram(to, Probe::Ping { seq })
     }
 
+    /// A datagram without news of members.
+    pub(crate) fn bare(&self, to: SocketAddr, probe: Probe) -> Send {
+        let datagram = Datagram {
+            release: wire::RELEASE,
+            from: self.me.clone(),
+            digest: self.digest,
+            era: self.era,
+            evidence: self.evidence,
+            probe,
+            news: Vec::new(),
+        };
+        Send { to, datagram }
+    }
+
     /// A datagram with as much news as fits.
     pub(crate) fn datagram(&mut self, to: SocketAddr, probe: Probe) -> Send {
         let mut datagram = Datagram {
             release: wire::RELEASE,
             from: self.me.clone(),
             digest: self.digest,
+            era: self.era,
             evidence: self.evidence,
             probe,
             news: self.entries.news(to),
--- a/src/operation/command.rs
+++ b/src/operation/command.rs
@@ -16,6 +16,7 @@
 use crate::http_client::Client;
 use crate::member::Member;
 use crate::operator::{InForce, Published};
+use crate::rollout::progress::Progress;
 use crate::state::Brief;
 use crate::survey::{Summary, summarise, table};
 use crate::units::{EditId, Version};
@@ -207,7 +208,7 @@
                 .await;
             let brief = sent
                 .ok()
-                .and_then(|(_, body)| serde_json::from_slice::<Brief>(&body).ok());
+                .and_then(|answer| serde_json::from_slice::<Brief>(&answer.body).ok());
             (member, brief)
         });
         let answers: Vec<_> = stream::iter(asked)
@@ -222,6 +223,25 @@
         Ok(summarise(&answers, wanted.unwrap_or(newest)))
     }
 
+    /// Shows the roll-outs that a daemon knows.
+    ///
+    /// # Errors
+    ///
+    /// What failed, with its remedy.
+    pub async fn rollouts(&self) -> Result<()> {
+        let told: Vec<Progress> = self.get(self.daemon, "/rollouts").await?;
+        self.say(&serde_json::json!(told), || {
+            let lines: Vec<String> = told.iter().map(line).collect();
+            let none = || "no roll-out has been ordered".to_owned();
+            if lines.is_empty() {
+                none()
+            } else {
+                lines.join("\n")
+            }
+        });
+        Ok(())
+    }
+
     /// Dumps the state of a daemon.
     ///
     /// # Errors
@@ -278,7 +298,8 @@
             .client
             .exchange(daemon, method, path, body, PATIENCE)
             .await;
-        sent.map_err(|reason| Error::NoDaemon { daemon, reason })
+        sent.map(|answer| (answer.status, answer.body))
+            .map_err(|reason| Error::NoDaemon { daemon, reason })
     }
 
     fn say(&self, value: &serde_json::Value, text: impl FnOnce() -> String) {
@@ -290,6 +311,20 @@
     }
 }
 
+/// A roll-out for a person at a terminal.
+fn line(progress: &Progress) -> String {
+    let Progress { order, plan, .. } = progress;
+    let stands = progress
+        .verdict
+        .map_or_else(|| plan.step.to_string(), |verdict| verdict.to_string());
+    let percent = f64::from(plan.permille) / 10.0;
+    let left = order.duration.0.saturating_sub(progress.age.0);
+    format!(
+        "{} to {}: {stands}, {percent:.1} % of the requests, {left} ms left",
+        order.service, order.revision
+    )
+}
+
 fn read(file: &str) -> Result<Document> {
     let text = std::fs::read(file).context(FileSnafu { path: file })?;
     Document::parse(&text)
--- a/src/operation/ctl.rs
+++ b/src/operation/ctl.rs
@@ -81,6 +81,8 @@
         #[arg(long, default_value_t = Millis(30_000))]
         patience_ms: Millis,
     },
+    /// Show revisions that are rolled out, as one daemon knows them
+    Rollouts,
     /// Dump the state of one daemon
     State {
         /// Its operator address; the one of --daemon when left out
@@ -170,6 +172,7 @@
         Verb::Show => ctl.show().await,
         Verb::Diff { file } => ctl.diff(file).await,
         Verb::Status { watch, patience_ms } => ctl.status(*watch, patience_ms.duration()).await,
+        Verb::Rollouts => ctl.rollouts().await,
         Verb::State { address } => ctl.dump(address.unwrap_or(args.daemon)).await,
         Verb::Drain { address } => ctl.drain(*address).await,
     }
--- a/src/operation/operator.rs
+++ b/src/operation/operator.rs
@@ -21,6 +21,7 @@
 use crate::guard::Keys;
 use crate::member::Member;
 use crate::publish::Publisher;
+use crate::rollout::progress::Progress;
 use crate::state::{Brief, Dump};
 use crate::units::{EditId, Version};
 
@@ -113,6 +114,7 @@
             .route("/health/ready", get(self.view(Self::ready)))
             .route("/state", get(self.view(Self::state)))
             .route("/members", get(self.view(Self::members)))
+            .route("/rollouts", get(self.view(Self::rollouts)))
             .route("/metrics", get(self.view(Self::render)))
             .route("/drain", post(self.view(Self::drain)))
             .route("/config", get(self.view(Self::config)).post(publish))
@@ -151,6 +153,11 @@
         json(StatusCode::OK, &members)
     }
 
+    fn rollouts(&self) -> Answer {
+        let told: Vec<Progress> = self.board.rollouts.told();
+        json(StatusCode::OK, &told)
+    }
+
     fn config(&self) -> Answer {
         let config = self.board.config();
         let in_force = InForce {
--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -11,10 +11,11 @@
 use crate::guard::Keys;
 use crate::member::{Health, Member, Stage};
 use crate::reader;
-use crate::roster::Upstream;
+use crate::rollout::progress::Progress;
+use crate::roster::{Roster, Upstream};
 use crate::settings::Settings;
 use crate::telemetry::Reading;
-use crate::units::{DataCentre, Millis, Service, Version};
+use crate::units::{DataCentre, Era, Millis, Revision, Service, Version};
 
 /// Most members and upstreams that a dump names.
 const MOST: usize = 500;
@@ -48,6 +49,10 @@
     pub keys: usize,
     /// Requests that are refused, since targets ended under them.
     pub quarantined: Vec<QuarantineDump>,
+    /// Revisions that are rolled out, or were.
+    pub rollouts: Vec<Progress>,
+    /// Highest era of the platform that is known.
+    pub era: Era,
     /// Control bytes.
     pub control: Reading,
     /// Members that are not gone.
@@ -78,6 +83,8 @@
     pub service: Service,
     /// Address of its daemon.
     pub peer: SocketAddr,
+    /// Version of its target's software.
+    pub revision: Option<Revision>,
     /// Whether it is in this data centre.
     pub local: bool,
     /// Requests that this daemon has in flight there.
@@ -154,6 +161,8 @@
             running,
             waiting,
             keys: keys.len(),
+            rollouts: board.rollouts.told(),
+            era: board.era(),
             quarantined: quarantined(&board.quarantine.verdicts(), now),
             control: board.meter.read(),
             live: roster
@@ -166,12 +175,18 @@
             upstreams: roster
                 .all()
                 .take(MOST)
-                .map(|(s, u)| UpstreamDump::of(s, u, now))
+                .map(|(s, u)| UpstreamDump::of(s, u, revision(&roster, u), now))
                 .collect(),
         }
     }
 }
 
+/// Version of an upstream's software, as its daemon tells it.
+fn revision(roster: &Roster, upstream: &Upstream) -> Option<Revision> {
+    let offer = roster.member(upstream.peer)?.offer.as_ref()?;
+    offer.revision.clone()
+}
+
 fn quarantined(verdicts: &Verdicts, now: Instant) -> Vec<QuarantineDump> {
     let quarantined = verdicts.quarantined().take(MOST);
     quarantined
@@ -184,12 +199,18 @@
 }
 
 impl UpstreamDump {
-    fn of(service: &Service, upstream: &Upstream, now: Instant) -> Self {
+    fn of(
+        service: &Service,
+        upstream: &Upstream,
+        revision: Option<Revision>,
+        now: Instant,
+    ) -> Self {
         let (own, reported) = upstream.load();
         let age: Duration = upstream.age(now);
         Self {
             service: service.clone(),
             peer: upstream.peer,
+            revision,
             local: upstream.local,
             own,
             reported,
--- a/src/quarantine/keeper.rs
+++ b/src/quarantine/keeper.rs
@@ -41,10 +41,15 @@
     /// Follows what is learnt for as long as the daemon runs.
     pub async fn run(self) {
         let mut changes = self.board.quarantine.changes();
-        let mut verdicts = Arc::default();
+        let mut eras = self.board.eras();
+        let mut verdicts: Arc<Verdicts> = Arc::default();
         loop {
             // Nobody learns of anything without a change; time alone lets ends go.
-            let _ = tokio::time::timeout(LOOK, changes.changed()).await;
+            tokio::select! {
+                _ = changes.changed() => {}
+                _ = eras.changed() => self.note_again(&verdicts),
+                () = tokio::time::sleep(LOOK) => {}
+            }
             self.board.quarantine.expire();
             let news = self.board.quarantine.take_news();
             if !news.is_empty() {
@@ -73,6 +78,16 @@
         metrics::gauge!("jackdaw_quarantined").set(f64::from(count));
     }
 
+    /// Has the archive keep once more what it may have lost.
+    ///
+    /// Guards against a platform that comes back from a copy of before a note: when all daemons are lost
+    /// then, the request would end three targets again.
+    fn note_again(&self, verdicts: &Verdicts) {
+        verdicts
+            .quarantined()
+            .for_each(|(cause, _)| self.note(cause));
+    }
+
     /// Has the archive keep what holds of a request now.
     ///
     /// Guards against the loss of all daemons at once: those that start know nothing, and the request
--- /dev/null
+++ b/src/rollout/controller.rs
@@ -0,0 +1,526 @@
+//! Carrying roll-outs out: counts to those who decide, plans to everybody, the verdict to the platform.
+//!
+//! Who decides is advisory, as reading is: two daemons that decide at once merge their plans, and the platform
+//! takes one verdict. The one that comes first in rendezvous order for the service decides, the next one steps
+//! in when no plan comes from it.
+
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use slog::{info, warn};
+
+use crate::backoff::Backoff;
+use crate::board::Board;
+use crate::clock;
+use crate::configuration::origin::Origin;
+use crate::idempotency::keys;
+use crate::membership::member::{Health, Member, Stage};
+use crate::membership::probe::Membership;
+use crate::rollout::evidence::Evidence;
+use crate::rollout::order::{Order, Status};
+use crate::rollout::plan::{Decision, Limits, Observed, Plan, RENEWAL, Step, decide};
+use crate::rollout::progress::Known;
+use crate::rollout::tally::Report;
+use crate::rollout::test::Test;
+use crate::units::{CallKey, Era, Revision, Service};
+
+/// Time between two looks at a roll-out that is under way.
+const TICK: Duration = Duration::from_millis(250);
+/// Time between two looks where all have a verdict.
+const REST: Duration = Duration::from_secs(2);
+/// Daemons that get the counts of a service: the one that decides, and the next one.
+const DECIDERS: usize = 2;
+/// Time without a plan after which the next one decides: before plans lapse.
+const TAKE_OVER: Duration = Duration::from_secs(1);
+/// Gates of old targets that report, so that their number does not grow with the fleet.
+const SAMPLED: usize = 16;
+/// Reports a tick that one daemon takes; where more gates report, each does so less often.
+const REPORTS: usize = 32;
+/// Weight of the last tick in the rate of a service's requests.
+const LATEST: f64 = 0.3;
+/// Ticks with requests after which that rate is known.
+const MEASURED: u32 = 4;
+/// Time between two looks at what the platform says of a roll-out: it may have forgotten.
+const RECHECK: Duration = Duration::from_secs(10);
+/// Time for which it is looked at after the end of an order.
+const AFTERMATH: Duration = Duration::from_mins(1);
+/// Pauses after calls to the platform that failed.
+const PAUSES: Backoff = Backoff::new(Duration::from_millis(200), Duration::from_secs(1));
+
+/// Carries out what is ordered, as far as it is this daemon's part.
+pub struct Controller {
+    board: Arc<Board>,
+    membership: Arc<Membership>,
+    origin: Option<Arc<dyn Origin>>,
+    limits: Limits,
+    /// Sorted by service.
+    duties: Vec<Duty>,
+    ticks: u64,
+}
+
+/// What this daemon knows of a roll-out on which it decides, or may have to.
+struct Duty {
+    order: Order,
+    evidence: Evidence,
+    step: Step,
+    since: Instant,
+    /// Requests seen so far, and when.
+    seen: (Instant, f64),
+    /// Requests a second, and the ticks that it is made from.
+    rate: (f64, u32),
+    asked: Arc<Asked>,
+    /// When the platform was asked last, and in which era.
+    checked: Option<(Instant, Era)>,
+}
+
+/// What is going on with the platform about one order.
+#[derive(Debug, Default)]
+struct Asked {
+    under_way: AtomicBool,
+    /// Whether the platform has said that there is no verdict.
+    confirmed: AtomicBool,
+}
+
+/// Gates of one service, as the view has them.
+struct Gates {
+    /// Of the revision that is rolled out, by rank.
+    new: Vec<SocketAddr>,
+    /// Of others, by rank.
+    old: Vec<SocketAddr>,
+}
+
+impl Controller {
+    /// A controller of what `board` knows.
+    #[must_use]
+    pub fn new(
+        board: &Arc<Board>,
+        membership: &Arc<Membership>,
+        origin: Option<Arc<dyn Origin>>,
+    ) -> Self {
+        Self {
+            limits: board.settings.exposure(),
+            board: Arc::clone(board),
+            membership: Arc::clone(membership),
+            origin,
+            duties: Vec::new(),
+            ticks: 0,
+        }
+    }
+
+    /// Follows roll-outs for as long as the daemon runs.
+    pub async fn run(mut self) {
+        let mut changes = self.board.rollouts.changes();
+        let mut next = Instant::now();
+        loop {
+            let known = self.board.rollouts.known();
+            if known.is_empty() {
+                let _ = changes.changed().await;
+                next = Instant::now();
+            }
+            tokio::select! {
+                _ = changes.changed() => {}
+                () = tokio::time::sleep_until(next.into()) => {}
+            }
+            self.pass_on().await;
+            if Instant::now() < next {
+                continue;
+            }
+            let known = self.board.rollouts.known();
+            let open = known.iter().any(|known| known.progress().verdict.is_none());
+            next = Instant::now() + if open { TICK } else { REST };
+            self.ticks += 1;
+            self.report(&known).await;
+            self.take_reports();
+            for known in &known {
+                self.attend(known);
+            }
+            self.pass_on().await;
+        }
+    }
+
+    async fn pass_on(&self) {
+        let news = self.board.rollouts.take_news();
+        if !news.is_empty() {
+            self.membership.pass_on_rollouts(news).await;
+        }
+    }
+
+    /// Tells those who decide how the co-located target answers.
+    async fn report(&self, known: &[Known]) {
+        let board = &self.board;
+        let target = board.target();
+        let rules = board.rollouts.rules();
+        let rule = target
+            .as_ref()
+            .and_then(|target| rules.get(&target.service));
+        let rule = rule.filter(|rule| rule.is_open());
+        board.rollouts.count(rule.is_some());
+        let (Some(rule), Some(target)) = (rule, target) else {
+            return;
+        };
+        let Some(revision) = target.revision.clone() else {
+            return;
+        };
+        let now = Instant::now();
+        let step = rule.step(now).unwrap_or_default();
+        let gates = self.gates(&target.service, &rule.revision);
+        let me = board.settings.identity();
+        let is_new = revision == rule.revision;
+        let sampled = gates.old.iter().take(SAMPLED).any(|peer| *peer == me);
+        if !is_new && !sampled && step != Step::All {
+            return;
+        }
+        let reporting = gates.new.len() + gates.old.len();
+        let every = reporting.div_ceil(REPORTS).max(1) as u64;
+        let own = known
+            .iter()
+            .find(|known| known.progress().order.service == target.service);
+        if own.is_none() || !self.ticks.is_multiple_of(every) {
+            return;
+        }
+        let report = Report {
+            service: target.service.clone(),
+            revision,
+            step,
+            busy: self.busy(),
+            warm: now >= target.cold_until,
+            tally: board.rollouts.counted(),
+        };
+        for peer in self.deciders(&target.service).into_iter().take(DECIDERS) {
+            if peer == me {
+                board.rollouts.hear(me, report.clone());
+            } else {
+                self.membership.report(peer, report.clone()).await;
+            }
+        }
+    }
+
+    fn busy(&self) -> u32 {
+        let running = crate::quarantine::inspect::lock(&self.board.running);
+        u32::try_from(running.under_way().count()).unwrap_or(u32::MAX)
+    }
+
+    /// Serving daemons in the order in which they decide on a service.
+    fn deciders(&self, service: &Service) -> Vec<SocketAddr> {
+        let roster = self.board.roster();
+        let serving = roster
+            .members
+            .iter()
+            .filter(|member| member.stage == Stage::Serving && member.health == Health::Alive);
+        ranked(service, serving)
+    }
+
+    fn gates(&self, service: &Service, revision: &Revision) -> Gates {
+        let roster = self.board.roster();
+        let of = |new: bool| {
+            let members = roster.members.iter().filter(|member| {
+                let offer = member.offer.as_ref().filter(|offer| offer.open);
+                let offer = offer.filter(|offer| offer.service == *service);
+                let told = offer.and_then(|offer| offer.revision.as_ref());
+                told.is_some_and(|told| (told == revision) == new)
+            });
+            ranked(service, members)
+        };
+        Gates {
+            new: of(true),
+            old: of(false),
+        }
+    }
+
+    fn take_reports(&mut self) {
+        let now = Instant::now();
+        for (peer, report) in self.board.rollouts.take_reports() {
+            let found = self.find(&report.service);
+            if let Ok(index) = found {
+                self.duties[index].evidence.hear(now, peer, report);
+            }
+        }
+        for duty in &mut self.duties {
+            duty.evidence.tick();
+        }
+    }
+
+    fn find(&self, service: &Service) -> Result<usize, usize> {
+        let duties = &self.duties;
+        duties.binary_search_by(|duty| duty.order.service.cmp(service))
+    }
+
+    /// Looks after one roll-out, where that is this daemon's part.
+    fn attend(&mut self, known: &Known) {
+        let order = known.progress().order.clone();
+        let me = self.board.settings.identity();
+        let deciders = self.deciders(&order.service);
+        let rank = deciders.iter().position(|peer| *peer == me);
+        let Some(rank) = rank.filter(|rank| *rank < DECIDERS) else {
+            if let Ok(index) = self.find(&order.service) {
+                self.duties.remove(index);
+            }
+            return;
+        };
+        let index = match self.find(&order.service) {
+            Ok(index) if self.duties[index].order == order => index,
+            Ok(index) => {
+                self.duties[index] = Duty::new(order, known);
+                index
+            }
+            Err(index) => {
+                self.duties.insert(index, Duty::new(order, known));
+                index
+            }
+        };
+        let now = Instant::now();
+        let quiet = now.saturating_duration_since(known.renewed());
+        let number = u32::try_from(rank).unwrap_or(u32::MAX);
+        let is_turn = quiet >= TAKE_OVER.saturating_mul(number);
+        self.measure(index);
+        if is_turn {
+            self.steer(index, known);
+        }
+    }
+
+    /// Notes how many requests the service gets.
+    fn measure(&mut self, index: usize) {
+        let duty = &self.duties[index];
+        let gates = self.gates(&duty.order.service, &duty.order.revision);
+        let duty = &mut self.duties[index];
+        let now = Instant::now();
+        let heard = duty.evidence.heard(now);
+        let heard = heard.filter(|(_, report)| report.revision != duty.order.revision);
+        let part = float(gates.old.len()) / float(heard.count().max(1)).max(1.0);
+        let requests =
+            float_of(duty.evidence.others()) * part.max(1.0) + float_of(duty.evidence.exposed());
+        let (before, then) = duty.seen;
+        let seconds = now.saturating_duration_since(before).as_secs_f64();
+        let rate = (requests - then).max(0.0) / seconds.max(TICK.as_secs_f64() / 2.0);
+        duty.seen = (now, requests);
+        let (known, ticks) = duty.rate;
+        if ticks == 0 && requests <= 0.0 {
+            return;
+        }
+        let mean = if ticks < MEASURED {
+            (known * f64::from(ticks) + rate) / f64::from(ticks + 1)
+        } else {
+            known + LATEST * (rate - known)
+        };
+        duty.rate = (mean, ticks.saturating_add(1));
+    }
+
+    /// Decides what comes next.
+    fn steer(&mut self, index: usize, known: &Known) {
+        let now = Instant::now();
+        let era = self.board.era();
+        let progress = known.progress();
+        if progress.verdict.is_some() {
+            self.check(index, known, Status::from(progress.verdict));
+            return;
+        }
+        let gates = self.gates(&progress.order.service, &progress.order.revision);
+        let duty = &mut self.duties[index];
+        if duty.step != progress.plan.step {
+            duty.step = progress.plan.step;
+            duty.since = now;
+        }
+        let finding = duty.evidence.judge(Test::default());
+        let observed = duty.observe(now, known, &gates, finding.is_some());
+        let decision = decide(&self.limits, &observed);
+        let warm = duty.warm(now, &gates);
+        let chosen = chosen(&warm, decision.targets);
+        let plan = &progress.plan;
+        let same =
+            (plan.step, plan.permille, &plan.chosen) == (decision.step, decision.permille, &chosen);
+        let quiet = now.saturating_duration_since(known.renewed());
+        let order = duty.order.clone();
+        if !same || quiet >= RENEWAL.duration() {
+            let next = Plan {
+                number: plan.number + 1,
+                step: decision.step,
+                permille: decision.permille,
+                chosen,
+            };
+            self.board.rollouts.follow(&order, &next);
+        }
+        if plan.step != decision.step || decision.complete {
+            info!(self.board.logger, "roll-out decided"; "service" => %order.service,
+                "revision" => %order.revision, "step" => %decision.step, "from" => %plan.step,
+                "complete" => decision.complete, "cause" => %decision.cause,
+                "permille" => decision.permille, "targets" => decision.targets,
+                "observed" => ?observed, "finding" => ?finding, "era" => era.0);
+        }
+        match wanted(&decision) {
+            Some(status) => self.ask(index, status),
+            None => self.check(index, known, Status::Running),
+        }
+    }
+
+    /// Looks now and then whether the platform still says how a roll-out stands, and whether it knows better.
+    fn check(&mut self, index: usize, known: &Known, status: Status) {
+        let now = Instant::now();
+        let duty = &self.duties[index];
+        let era = self.board.era();
+        let due = duty.checked.is_none_or(|(checked, then)| {
+            let late = known.age(now) > duty.order.duration.duration() + AFTERMATH;
+            let waited = now.saturating_duration_since(checked) >= RECHECK;
+            then != era || waited && !late
+        });
+        if due || !duty.asked.confirmed.load(Ordering::Acquire) {
+            self.ask(index, status);
+        }
+    }
+
+    /// Tells the platform how a roll-out stands and takes what stands there, unless that is under way.
+    fn ask(&mut self, index: usize, status: Status) {
+        let Some(origin) = self.origin.clone() else {
+            return;
+        };
+        let era = self.board.era();
+        let duty = &mut self.duties[index];
+        if duty.asked.under_way.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        duty.checked = Some((Instant::now(), era));
+        let (order, asked) = (duty.order.clone(), Arc::clone(&duty.asked));
+        let board = Arc::clone(&self.board);
+        tokio::spawn(async move {
+            let outcome = tell(&board, origin.as_ref(), &order, status).await;
+            if outcome.is_err() {
+                let mut pauses = PAUSES;
+                tokio::time::sleep(pauses.random_pause()).await;
+            }
+            asked.confirmed.fetch_or(outcome.is_ok(), Ordering::AcqRel);
+            asked.under_way.store(false, Ordering::Release);
+        });
+    }
+}
+
+/// Tells the platform how a roll-out stands, and takes what stands there.
+async fn tell(
+    board: &Board,
+    origin: &dyn Origin,
+    order: &Order,
+    status: Status,
+) -> crate::Result<()> {
+    let stands = origin.tell(order, status).await?;
+    if let Some(verdict) = stands.verdict() {
+        if board.rollouts.conclude(order, verdict) {
+            metrics::counter!("jackdaw_rollouts_total", "verdict" => verdict.to_string())
+                .increment(1);
+            warn!(board.logger, "roll-out ended"; "service" => %order.service,
+                "revision" => %order.revision, "verdict" => %verdict, "wanted" => %status);
+        }
+        return Ok(());
+    }
+    let Some(known) = board.rollouts.get(&order.service) else {
+        return Ok(());
+    };
+    // Guards against the loss of all daemons at once: those that start would give the order its whole time
+    // once more.
+    let age = known.age(Instant::now());
+    let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    let now_ms = clock::unix_ms();
+    let begin = origin
+        .note_begin(order, now_ms.saturating_sub(age_ms))
+        .await?;
+    let before = Duration::from_millis(now_ms.saturating_sub(begin));
+    if let Some(given) = Instant::now().checked_sub(before) {
+        board.rollouts.date_back(order, given);
+    }
+    Ok(())
+}
+
+/// What the operator is to be told after a decision, if there is a verdict in it.
+fn wanted(decision: &Decision) -> Option<Status> {
+    if decision.step == Step::Back {
+        return Some(Status::RolledBack);
+    }
+    decision.complete.then_some(Status::Completed)
+}
+
+/// The first few of the daemons, sorted; none for all.
+fn chosen(ranked: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
+    let mut chosen: Vec<SocketAddr> = ranked.iter().take(count).copied().collect();
+    chosen.sort_unstable();
+    chosen
+}
+
+/// Daemons in rendezvous order for a service.
+fn ranked<'a>(service: &Service, members: impl Iterator<Item = &'a Member>) -> Vec<SocketAddr> {
+    let key = CallKey(service.to_string());
+    let mut peers: Vec<SocketAddr> = members.map(|member| member.peer).collect();
+    peers.sort_by_cached_key(|peer| Reverse(keys::rank(&key, *peer)));
+    peers
+}
+
+impl Duty {
+    fn new(order: Order, known: &Known) -> Self {
+        let now = Instant::now();
+        Self {
+            evidence: Evidence::new(order.revision.clone()),
+            order,
+            step: known.progress().plan.step,
+            since: now,
+            seen: (now, 0.0),
+            rate: (0.0, 0),
+            asked: Arc::default(),
+            checked: None,
+        }
+    }
+
+    /// New targets that are past the slow time after their start, by rank.
+    fn warm(&self, now: Instant, gates: &Gates) -> Vec<SocketAddr> {
+        let warm = |peer: &&SocketAddr| {
+            let mut heard = self.evidence.heard(now);
+            heard.any(|(known, report)| known == **peer && report.warm)
+        };
+        gates.new.iter().filter(warm).copied().collect()
+    }
+
+    fn observe(&self, now: Instant, known: &Known, gates: &Gates, bad: bool) -> Observed {
+        let heard: Vec<(SocketAddr, &Report)> = self.evidence.heard(now).collect();
+        let old_heard = heard
+            .iter()
+            .filter(|(peer, _)| gates.old.contains(peer))
+            .count();
+        let expected = gates.old.len().min(SAMPLED);
+        let is_drained = |peer: &SocketAddr| {
+            let report = heard.iter().find(|(known, _)| known == peer);
+            report.is_some_and(|(_, report)| report.step == Step::All && report.busy == 0)
+        };
+        let (rate, ticks) = self.rate;
+        Observed {
+            duration: self.order.duration.duration(),
+            age: known.age(now),
+            step: self.step,
+            in_step: now.saturating_duration_since(self.since),
+            confirmed: self.asked.confirmed.load(Ordering::Acquire),
+            warm: self.warm(now, gates).len(),
+            targets: gates.new.len(),
+            in_touch: old_heard * 2 >= expected,
+            per_second: (ticks >= MEASURED).then_some(rate),
+            exposed: self.evidence.exposed(),
+            answers: self.evidence.answers(),
+            bad,
+            drained: gates.old.iter().all(is_drained),
+        }
+    }
+}
+
+impl std::fmt::Debug for Controller {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Controller")
+            .field("limits", &self.limits)
+            .field("duties", &self.duties.len())
+            .finish_non_exhaustive()
+    }
+}
+
+fn float(count: usize) -> f64 {
+    float_of(count as u64)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+const fn float_of(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/src/rollout/evidence.rs
@@ -0,0 +1,264 @@
+//! What all gates of a service have reported, and what it says of the new revision.
+//!
+//! Each tick holds what was counted in it, so that both revisions are compared over the same seconds: a
+//! service beneath that fails, or a slow moment, shows with the old one as well. The last seconds are judged
+//! apart from the whole, so that a fault which comes late is not outweighed by what went well before.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::rollout::tally::{Counts, Report, RouteId, Tally};
+use crate::rollout::test::{Sample, Test};
+use crate::units::Revision;
+
+/// Ticks that are remembered: a minute at four a second.
+const MOST_TICKS: usize = 240;
+/// Buckets above the old revision's median from which an answer counts as slow: about three times its time.
+const SLOWER: usize = 3;
+/// Answers of the old revision that a comparison asks for where it has them.
+const BASE: u32 = 100;
+/// One in this many of the new targets, rounded up, is left out of a comparison: the worst ones.
+///
+/// Guards against a target that is bad alone, as one on a broken host is: the revision would be taken back
+/// for it. A bad revision shows at the other targets too.
+const LEFT_OUT: usize = 3;
+/// Time after which a gate that has not reported counts as not heard.
+const SILENT: Duration = Duration::from_millis(1_500);
+
+/// One gate with its last report.
+#[derive(Debug, Clone)]
+struct Gate {
+    peer: SocketAddr,
+    report: Report,
+    heard: Instant,
+}
+
+/// What was counted between two ticks.
+#[derive(Debug, Clone, Default)]
+struct Tick {
+    old: Vec<(RouteId, Counts)>,
+    new: Vec<(SocketAddr, RouteId, Counts)>,
+}
+
+/// What speaks against a revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Finding {
+    /// Route on which it shows.
+    pub route: RouteId,
+    /// The old revision's answers there.
+    pub old: Sample,
+    /// The new one's, without its worst targets.
+    pub new: Sample,
+    /// Ticks over which they were counted.
+    pub ticks: usize,
+}
+
+/// Reports of the gates of one service during one roll-out.
+#[derive(Debug, Clone)]
+pub struct Evidence {
+    /// Revision that is rolled out.
+    revision: Revision,
+    /// Sorted by address.
+    gates: Vec<Gate>,
+    ticks: VecDeque<Tick>,
+    /// Requests that the new revision was sent, as far as reported.
+    exposed: u64,
+    /// Requests that reported gates of the old one were sent.
+    others: u64,
+    /// Answers of the new revision.
+    answers: u64,
+}
+
+impl Evidence {
+    /// Nothing reported yet on `revision`.
+    #[must_use]
+    pub const fn new(revision: Revision) -> Self {
+        Self {
+            revision,
+            gates: Vec::new(),
+            ticks: VecDeque::new(),
+            exposed: 0,
+            others: 0,
+            answers: 0,
+        }
+    }
+
+    /// Takes in a gate's report.
+    pub fn hear(&mut self, now: Instant, peer: SocketAddr, report: Report) {
+        let found = self.gates.binary_search_by_key(&peer, |gate| gate.peer);
+        let known = found.ok().map(|index| self.gates[index].report.clone());
+        // Counts of another life, or of another target there, begin anew.
+        let same = known.filter(|known| {
+            known.tally.life == report.tally.life && known.revision == report.revision
+        });
+        let before = same.map(|known| known.tally).unwrap_or_default();
+        // Datagrams may overtake each other.
+        if report.tally.arrived < before.arrived {
+            return;
+        }
+        self.count(peer, &report, &before);
+        let gate = Gate {
+            peer,
+            report,
+            heard: now,
+        };
+        match found {
+            Ok(index) => self.gates[index] = gate,
+            Err(index) => self.gates.insert(index, gate),
+        }
+    }
+
+    fn count(&mut self, peer: SocketAddr, report: &Report, before: &Tally) {
+        let arrived = report.tally.arrived - before.arrived;
+        let is_new = report.revision == self.revision;
+        if is_new {
+            self.exposed += arrived;
+        } else {
+            self.others += arrived;
+        }
+        if self.ticks.is_empty() {
+            self.ticks.push_back(Tick::default());
+        }
+        let Some(tick) = self.ticks.back_mut() else {
+            return;
+        };
+        for (route, counts) in &report.tally.routes {
+            let counts = counts.since(&before.of(*route));
+            if counts.total() == 0 {
+                continue;
+            }
+            if is_new {
+                self.answers += u64::from(counts.total());
+                tick.new.push((peer, *route, counts));
+            } else {
+                add(&mut tick.old, *route, &counts);
+            }
+        }
+    }
+
+    /// Begins the next tick.
+    pub fn tick(&mut self) {
+        if self.ticks.len() == MOST_TICKS {
+            self.ticks.pop_front();
+        }
+        self.ticks.push_back(Tick::default());
+    }
+
+    /// Requests that the new revision was sent, as far as reported.
+    #[must_use]
+    pub const fn exposed(&self) -> u64 {
+        self.exposed
+    }
+
+    /// Requests that reported gates of the old revision were sent.
+    #[must_use]
+    pub const fn others(&self) -> u64 {
+        self.others
+    }
+
+    /// Answers and failures of the new revision.
+    #[must_use]
+    pub const fn answers(&self) -> u64 {
+        self.answers
+    }
+
+    /// Gates that have reported a moment ago, with what they said.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, &Report)> {
+        let heard = self
+            .gates
+            .iter()
+            .filter(move |gate| now.saturating_duration_since(gate.heard) < SILENT);
+        heard.map(|gate| (gate.peer, &gate.report))
+    }
+
+    /// What speaks against the new revision, if anything does beyond chance.
+    #[must_use]
+    pub fn judge(&self, test: Test) -> Option<Finding> {
+        let mut routes: Vec<RouteId> = self
+            .ticks
+            .iter()
+            .flat_map(|tick| tick.new.iter().map(|(_, route, _)| *route))
+            .collect();
+        routes.sort_unstable();
+        routes.dedup();
+        routes
+            .into_iter()
+            .find_map(|route| self.judge_route(route, test))
+    }
+
+    /// Judges one route over the last tick, the last two, four and so on.
+    fn judge_route(&self, route: RouteId, test: Test) -> Option<Finding> {
+        let spans = std::iter::successors(Some(1), |span| Some(span * 2));
+        let mut spans: Vec<usize> = spans.take_while(|span| *span < self.ticks.len()).collect();
+        spans.push(self.ticks.len());
+        spans.into_iter().find_map(|span| {
+            let base = self.base(route, span);
+            let slow = base.median().map_or(usize::MAX, |median| median + SLOWER);
+            let old = Sample {
+                bad: base.bad(slow),
+                total: base.total(),
+            };
+            let new = self.sample(route, span, slow);
+            test.rejects(old, new).then_some(Finding {
+                route,
+                old,
+                new,
+                ticks: span,
+            })
+        })
+    }
+
+    /// Counts of the old revision over the last ticks, and over earlier ones as far as it takes to have
+    /// something to compare with.
+    fn base(&self, route: RouteId, span: usize) -> Counts {
+        let mut base = Counts::default();
+        for (age, tick) in self.ticks.iter().rev().enumerate() {
+            if age >= span && base.total() >= BASE {
+                break;
+            }
+            let found = tick.old.binary_search_by_key(&route, |(known, _)| *known);
+            if let Ok(index) = found {
+                base.merge(&tick.old[index].1);
+            }
+        }
+        base
+    }
+
+    /// Answers of the new revision over the last ticks, without its worst targets.
+    fn sample(&self, route: RouteId, span: usize, slow: usize) -> Sample {
+        let mut targets: Vec<(SocketAddr, Sample)> = Vec::new();
+        for tick in self.ticks.iter().rev().take(span) {
+            let here = tick.new.iter().filter(|(_, known, _)| *known == route);
+            for (peer, _, counts) in here {
+                let counted = Sample {
+                    bad: counts.bad(slow),
+                    total: counts.total(),
+                };
+                match targets.binary_search_by_key(peer, |(known, _)| *known) {
+                    Ok(index) => targets[index].1 = targets[index].1.plus(counted),
+                    Err(index) => targets.insert(index, (*peer, counted)),
+                }
+            }
+        }
+        // One that is the only target can't be told from its revision.
+        let reporting = self.gates.iter();
+        let new = reporting.filter(|gate| gate.report.revision == self.revision);
+        let left_out = if new.count() > 1 {
+            targets.len().div_ceil(LEFT_OUT)
+        } else {
+            0
+        };
+        let mut samples: Vec<Sample> = targets.into_iter().map(|(_, sample)| sample).collect();
+        samples.sort_by_key(|sample| std::cmp::Reverse(sample.bad));
+        let kept = samples.into_iter().skip(left_out);
+        kept.fold(Sample::default(), Sample::plus)
+    }
+}
+
+fn add(all: &mut Vec<(RouteId, Counts)>, route: RouteId, counts: &Counts) {
+    match all.binary_search_by_key(&route, |(known, _)| *known) {
+        Ok(index) => all[index].1.merge(counts),
+        Err(index) => all.insert(index, (route, *counts)),
+    }
+}
--- /dev/null
+++ b/src/rollout/shared.rs
@@ -0,0 +1,259 @@
+//! The roll-outs of one daemon, shared by its controllers and read on the path of a request.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use tokio::sync::watch;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::rollout::order::{Notice, Order, Verdict};
+use crate::rollout::plan::Plan;
+use crate::rollout::progress::{Known, Progress};
+use crate::rollout::rules::Rules;
+use crate::rollout::tally::{Outcome, Report, RouteId, Tally};
+use crate::units::Service;
+
+/// Services with a roll-out that are remembered; an order for a further one waits for the daemon's restart.
+const MOST: usize = 256;
+/// Reports that wait to be read, so that memory is bounded: those of a few hundred gates.
+const MOST_REPORTS: usize = 1_024;
+
+/// What is known of roll-outs.
+#[derive(Debug)]
+pub struct Rollouts {
+    /// Held for as long as it takes to merge, and never by a request.
+    state: Mutex<State>,
+    rules: ArcSwap<Rules>,
+    changes: watch::Sender<u64>,
+    /// Whether the co-located target's service has a roll-out that is not decided.
+    counting: AtomicBool,
+    /// Held for a few instructions.
+    tally: Mutex<Tally>,
+    reports: Mutex<Vec<(SocketAddr, Report)>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Sorted by service.
+    known: Vec<Known>,
+    /// Services with something that has not been passed on yet.
+    news: Vec<Service>,
+    hash: u64,
+}
+
+impl Default for Rollouts {
+    fn default() -> Self {
+        Self {
+            state: Mutex::default(),
+            rules: ArcSwap::default(),
+            changes: watch::Sender::new(0),
+            counting: AtomicBool::new(false),
+            tally: Mutex::new(Tally::new(rand::random())),
+            reports: Mutex::default(),
+        }
+    }
+}
+
+impl Rollouts {
+    /// The rules in force.
+    #[must_use]
+    pub fn rules(&self) -> Arc<Rules> {
+        self.rules.load_full()
+    }
+
+    /// What is known of each service.
+    #[must_use]
+    pub fn known(&self) -> Vec<Known> {
+        self.state().known.clone()
+    }
+
+    /// What is known of one service.
+    #[must_use]
+    pub fn get(&self, service: &Service) -> Option<Known> {
+        let state = self.state();
+        let index = find(&state.known, service).ok()?;
+        Some(state.known[index].clone())
+    }
+
+    /// Takes in what was found on the platform; whether it was news.
+    pub fn notice(&self, notice: &Notice) -> bool {
+        let now = Instant::now();
+        self.change(&notice.service, |known| match (known, &notice.order) {
+            (Some(known), _) => known.notice(now, notice).then_some(None),
+            (None, Some(order)) => {
+                let progress = Progress::new(order.clone(), notice.at);
+                Some(Some(Known::new(now, progress)))
+            }
+            // Nothing is known of it that could be taken away.
+            (None, None) => None,
+        })
+    }
+
+    /// Takes in what another daemon told.
+    pub fn merge(&self, told: &[Progress]) {
+        let now = Instant::now();
+        for progress in told {
+            self.change(&progress.order.service, |known| match known {
+                Some(known) => known.merge(now, progress).then_some(None),
+                None => Some(Some(Known::new(now, progress.clone()))),
+            });
+        }
+    }
+
+    /// Goes by a plan for an order; whether it supersedes the one before.
+    pub fn follow(&self, order: &Order, plan: &Plan) -> bool {
+        let now = Instant::now();
+        self.revise(order, |known| known.follow(now, plan))
+    }
+
+    /// Notes the verdict on an order; whether it was news.
+    pub fn conclude(&self, order: &Order, verdict: Verdict) -> bool {
+        self.revise(order, |known| known.conclude(verdict))
+    }
+
+    /// Notes when an order was given; whether that is earlier than it seemed.
+    pub fn date_back(&self, order: &Order, given: Instant) -> bool {
+        self.revise(order, |known| known.date_back(given))
+    }
+
+    /// The same for daemons that know the same; 0 for nothing.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        self.state().hash
+    }
+
+    /// Everything that is known.
+    #[must_use]
+    pub fn told(&self) -> Vec<Progress> {
+        let now = Instant::now();
+        let state = self.state();
+        state.known.iter().map(|known| known.told(now)).collect()
+    }
+
+    /// What has not been passed on yet, which counts as passed on from now on.
+    #[must_use]
+    pub fn take_news(&self) -> Vec<Progress> {
+        let now = Instant::now();
+        let mut state = self.state();
+        let news = std::mem::take(&mut state.news);
+        let known = state.known.iter();
+        let new = known.filter(|known| news.contains(&known.progress().order.service));
+        new.map(|known| known.told(now)).collect()
+    }
+
+    /// Follows changes.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Has what the co-located target answers counted from now on, or no more.
+    pub fn count(&self, counting: bool) {
+        let before = self.counting.swap(counting, Ordering::AcqRel);
+        if counting && !before {
+            *self.tally() = Tally::new(rand::random());
+        }
+    }
+
+    /// Counts a request that is sent to the co-located target, where that is wanted.
+    pub fn arrive(&self) {
+        if self.counting.load(Ordering::Acquire) {
+            self.tally().arrived += 1;
+        }
+    }
+
+    /// Counts how the co-located target is done with a request, where that is wanted.
+    pub fn answer(&self, route: &str, outcome: Outcome) {
+        if self.counting.load(Ordering::Acquire) {
+            self.tally().add(RouteId::of(route), outcome);
+        }
+    }
+
+    /// What has been counted.
+    #[must_use]
+    pub fn counted(&self) -> Tally {
+        self.tally().clone()
+    }
+
+    /// Keeps a gate's report until it is read.
+    pub fn hear(&self, peer: SocketAddr, report: Report) {
+        let mut reports = self.reports();
+        // Each counts everything that the ones before it did.
+        reports.retain(|(known, _)| *known != peer);
+        if reports.len() < MOST_REPORTS {
+            reports.push((peer, report));
+        }
+    }
+
+    /// The reports that have come since they were taken last.
+    #[must_use]
+    pub fn take_reports(&self) -> Vec<(SocketAddr, Report)> {
+        std::mem::take(&mut *self.reports())
+    }
+
+    /// Changes what is known of an order, if it is the current one.
+    fn revise(&self, order: &Order, revise: impl FnOnce(&mut Known) -> bool) -> bool {
+        self.change(&order.service, |known| {
+            let known = known.filter(|known| known.progress().order == *order)?;
+            revise(known).then_some(None)
+        })
+    }
+
+    /// Changes what is known of a service: something is returned when it is news, with what is known from
+    /// now on where nothing was.
+    fn change(
+        &self,
+        service: &Service,
+        change: impl FnOnce(Option<&mut Known>) -> Option<Option<Known>>,
+    ) -> bool {
+        let mut state = self.state();
+        let found = find(&state.known, service);
+        let Some(added) = change(found.ok().map(|index| &mut state.known[index])) else {
+            return false;
+        };
+        if let (Err(index), Some(known)) = (found, added)
+            && state.known.len() < MOST
+        {
+            state.known.insert(index, known);
+        }
+        if !state.news.contains(service) {
+            state.news.push(service.clone());
+        }
+        state.hash = hash(&state.known);
+        self.rules.store(Arc::new(Rules::of(&state.known)));
+        drop(state);
+        self.changes.send_modify(|count| *count += 1);
+        true
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tally(&self) -> MutexGuard<'_, Tally> {
+        self.tally.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn reports(&self) -> MutexGuard<'_, Vec<(SocketAddr, Report)>> {
+        self.reports.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn find(known: &[Known], service: &Service) -> Result<usize, usize> {
+    known.binary_search_by(|known| known.progress().order.service.cmp(service))
+}
+
+/// The same for equal knowledge; 0 for none.
+fn hash(known: &[Known]) -> u64 {
+    if known.is_empty() {
+        return 0;
+    }
+    let mut hasher = Xxh3::new();
+    for known in known {
+        known.add_to(&mut hasher);
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/src/rollout/test.rs
@@ -0,0 +1,77 @@
+//! Telling a worse revision from chance.
+//!
+//! Two tests are offered. The sequential one weighs each answer by how much likelier it is for a bad revision
+//! than for one like the old, and decides as soon as the weight is enough; the threshold waits for a number of
+//! answers and compares shares.
+
+use strum::{Display, EnumString, VariantNames};
+
+/// Rise of the share of bad answers that makes a revision a bad one.
+const RISE: f64 = 0.12;
+/// Weight of evidence, as a natural logarithm of odds, that decides: one in 10,000 by chance.
+const ENOUGH: f64 = 9.2;
+/// Answers that the old revision is credited with, none of them bad, beside its own.
+const PRIOR: f64 = 20.0;
+/// Bad ones among them: an old revision that never failed may do so with the next answer.
+const PRIOR_BAD: f64 = 0.2;
+/// Largest share of bad answers that is reckoned with.
+const MOST: f64 = 0.98;
+/// Answers that the threshold waits for.
+const SAMPLE: u32 = 50;
+/// Rise of the share at which the threshold decides.
+const THRESHOLD: f64 = 0.05;
+
+/// How the two revisions are compared.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display, EnumString, VariantNames)]
+#[strum(serialize_all = "snake_case")]
+pub enum Test {
+    /// Odds, answer by answer.
+    #[default]
+    Sequential,
+    /// Shares, after a number of answers.
+    Threshold,
+}
+
+/// Bad answers among all of one side.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sample {
+    /// Failures and slow answers.
+    pub bad: u32,
+    /// All answers and failures.
+    pub total: u32,
+}
+
+impl Sample {
+    /// Both together.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            bad: self.bad + other.bad,
+            total: self.total + other.total,
+        }
+    }
+}
+
+impl Test {
+    /// Whether `new` is worse than `old` beyond chance.
+    #[must_use]
+    pub fn rejects(self, old: Sample, new: Sample) -> bool {
+        match self {
+            Self::Sequential => weight(old, new) >= ENOUGH,
+            Self::Threshold => {
+                let share = |s: Sample| f64::from(s.bad) / f64::from(s.total.max(1));
+                new.total >= SAMPLE && share(new) - share(old) >= THRESHOLD
+            }
+        }
+    }
+}
+
+/// Logarithm of the odds that the new revision has bad answers more often by the rise, rather than as often
+/// as the old one.
+fn weight(old: Sample, new: Sample) -> f64 {
+    let usual = (f64::from(old.bad) + PRIOR_BAD) / (f64::from(old.total) + PRIOR);
+    let usual = usual.min(MOST);
+    let risen = (usual + RISE).min(f64::midpoint(1.0, MOST));
+    let good = f64::from(new.total.saturating_sub(new.bad));
+    f64::from(new.bad) * (risen / usual).ln() + good * ((1.0 - risen) / (1.0 - usual)).ln()
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,8 +11,12 @@
 
 use crate::error::{Error, Result};
 use crate::pick;
+use crate::rollout::plan;
 use crate::units::{DataCentre, Millis, Percent, Service};
 
+/// Share of a service's requests that a bad revision may get, where the operators name none.
+const EXPOSURE_SHARE: f64 = 0.1;
+
 /// How configuration travels.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Display, EnumString, VariantNames,
@@ -174,6 +178,13 @@
     /// Retries to each service that all daemons together save up, in place of --retry-reserve; 0: none
     #[arg(long, env = "JACKDAW_SHARED_RESERVE", default_value_t = 0)]
     pub shared_reserve: u32,
+    /// Largest share of a service's requests that a bad revision may get while it is rolled out, above 0 and
+    /// up to 1; with it, a revision that nobody ordered gets no requests beside another one
+    #[arg(long, env = "JACKDAW_EXPOSURE_SHARE")]
+    pub exposure_share: Option<f64>,
+    /// Requests that it may get beside that share
+    #[arg(long, env = "JACKDAW_EXPOSURE_SLACK", default_value_t = 50)]
+    pub exposure_slack: u64,
     /// Callers' connections that are kept open; for a new one the longest idle is closed
     #[arg(long, env = "JACKDAW_CALLERS", default_value_t = 4_096)]
     pub callers: usize,
@@ -202,6 +213,15 @@
         self.advertise_addr.unwrap_or(self.peer_addr)
     }
 
+    /// What a bad revision may get while it is rolled out.
+    #[must_use]
+    pub fn exposure(&self) -> plan::Limits {
+        plan::Limits {
+            share: self.exposure_share.unwrap_or(EXPOSURE_SHARE),
+            slack: self.exposure_slack,
+        }
+    }
+
     /// Names of the settings that differ in `other` and are fixed while the daemon runs.
     #[must_use]
     pub fn differences(&self, other: &Self) -> Vec<String> {
@@ -330,6 +350,11 @@
             self.quarantine_ms.0 > 0,
             "--quarantine-ms is 0; targets would go on ending, use 3600000",
         );
+        let share = self.exposure_share.unwrap_or(EXPOSURE_SHARE);
+        require(
+            share > 0.0 && share <= 1.0,
+            "--exposure-share is not above 0 and up to 1; use 0.1",
+        );
         require(self.checkpoint_ms.0 > 0, "--checkpoint-ms is 0; use 600000");
     }
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -113,11 +113,21 @@
     Percent, u8
 }
 
+number! {
+    /// How often the platform's store has come back from an older copy; 0 where it does not tell.
+    Era, u64
+}
+
 text! {
     /// Name of a data centre.
     DataCentre
 }
 
+text! {
+    /// Version of a target's software.
+    Revision
+}
+
 text! {
     /// Name of a service that targets offer.
     Service
--- a/trial/src/scale.rs
+++ b/trial/src/scale.rs
@@ -134,6 +134,7 @@
             service: Service(format!("service-{:03}", index % 100)),
             slots: Slots(20),
             born: None,
+            revision: None,
             open: true,
         }),
     }
--- a/trial/src/target.rs
+++ b/trial/src/target.rs
@@ -181,6 +181,8 @@
             address: self.args.listen,
             slots: self.args.slots,
             lease_ms: self.args.lease_ms,
+            revision: None,
+            cold_ms: Millis(0),
         };
         let body = serde_json::to_string(&announcement).expect("plain data is JSON");
         while !self.leaving.load(Ordering::Acquire) {
--- a/trial/tests/common/fake.rs
+++ b/trial/tests/common/fake.rs
@@ -67,6 +67,8 @@
         address,
         slots: Slots(20),
         lease_ms: Millis(60_000),
+        revision: None,
+        cold_ms: Millis(0),
     };
     let body = serde_json::to_string(&announcement).expect("plain data is JSON");
     let daemon = SocketAddr::new(host.ip, 7_003);
