Weigh a roll-out's targets together; its tests in virtual time

Cause: a third of the targets, rounded up, was left out of the comparison, half of the evidence where two are tried; and a revision counted as one with a single target until a second one had reported. Ruled out: a larger first share (1.6 of what is allowed with the move, by reckoning). Change: each target adds its weight, capped at 0.6 of what decides, and the number of targets is what the view says.

--- a/src/rollout/controller.rs
+++ b/src/rollout/controller.rs
@@ -323,7 +323,7 @@
             duty.step = progress.plan.step;
             duty.since = now;
         }
-        let finding = duty.evidence.judge(Test::default());
+        let finding = duty.evidence.judge(Test::default(), gates.new.len());
         let observed = duty.observe(now, known, &gates, finding.is_some());
         let decision = decide(&self.limits, &observed);
         let warm = duty.warm(now, &gates);
--- a/src/rollout/evidence.rs
+++ b/src/rollout/evidence.rs
@@ -17,12 +17,7 @@
 /// Buckets above the old revision's median from which an answer counts as slow: about three times its time.
 const SLOWER: usize = 3;
 /// Answers of the old revision that a comparison asks for where it has them.
-const BASE: u32 = 100;
-/// One in this many of the new targets, rounded up, is left out of a comparison: the worst ones.
-///
-/// Guards against a target that is bad alone, as one on a broken host is: the revision would be taken back
-/// for it. A bad revision shows at the other targets too.
-const LEFT_OUT: usize = 3;
+const BASE: u32 = 300;
 /// Time after which a gate that has not reported counts as not heard.
 const SILENT: Duration = Duration::from_millis(1_500);
 
@@ -48,7 +43,7 @@
     pub route: RouteId,
     /// The old revision's answers there.
     pub old: Sample,
-    /// The new one's, without its worst targets.
+    /// The new one's.
     pub new: Sample,
     /// Ticks over which they were counted.
     pub ticks: usize,
@@ -172,9 +167,9 @@
         heard.map(|gate| (gate.peer, &gate.report))
     }
 
-    /// What speaks against the new revision, if anything does beyond chance.
+    /// What speaks against the new revision, which has so many targets, if anything does beyond chance.
     #[must_use]
-    pub fn judge(&self, test: Test) -> Option<Finding> {
+    pub fn judge(&self, test: Test, targets: usize) -> Option<Finding> {
         let mut routes: Vec<RouteId> = self
             .ticks
             .iter()
@@ -184,11 +179,11 @@
         routes.dedup();
         routes
             .into_iter()
-            .find_map(|route| self.judge_route(route, test))
+            .find_map(|route| self.judge_route(route, test, targets))
     }
 
     /// Judges one route over the last tick, the last two, four and so on.
-    fn judge_route(&self, route: RouteId, test: Test) -> Option<Finding> {
+    fn judge_route(&self, route: RouteId, test: Test, targets: usize) -> Option<Finding> {
         let spans = std::iter::successors(Some(1), |span| Some(span * 2));
         let mut spans: Vec<usize> = spans.take_while(|span| *span < self.ticks.len()).collect();
         spans.push(self.ticks.len());
@@ -199,13 +194,18 @@
                 bad: base.bad(slow),
                 total: base.total(),
             };
-            let new = self.sample(route, span, slow);
-            test.rejects(old, new).then_some(Finding {
-                route,
-                old,
-                new,
-                ticks: span,
-            })
+            let samples = self.samples(route, span, slow);
+            let new = samples
+                .iter()
+                .copied()
+                .fold(Sample::default(), Sample::plus);
+            test.rejects(old, &samples, targets <= 1)
+                .then_some(Finding {
+                    route,
+                    old,
+                    new,
+                    ticks: span,
+                })
         })
     }
 
@@ -225,9 +225,9 @@
         base
     }
 
-    /// Answers of the new revision over the last ticks, without its worst targets.
-    fn sample(&self, route: RouteId, span: usize, slow: usize) -> Sample {
-        let mut targets: Vec<(SocketAddr, Sample)> = Vec::new();
+    /// Answers of each target of the new revision over the last ticks.
+    fn samples(&self, route: RouteId, span: usize, slow: usize) -> Vec<Sample> {
+        let mut samples: Vec<(SocketAddr, Sample)> = Vec::new();
         for tick in self.ticks.iter().rev().take(span) {
             let here = tick.new.iter().filter(|(_, known, _)| *known == route);
             for (peer, _, counts) in here {
@@ -235,24 +235,13 @@
                     bad: counts.bad(slow),
                     total: counts.total(),
                 };
-                match targets.binary_search_by_key(peer, |(known, _)| *known) {
-                    Ok(index) => targets[index].1 = targets[index].1.plus(counted),
-                    Err(index) => targets.insert(index, (*peer, counted)),
+                match samples.binary_search_by_key(peer, |(known, _)| *known) {
+                    Ok(index) => samples[index].1 = samples[index].1.plus(counted),
+                    Err(index) => samples.insert(index, (*peer, counted)),
                 }
             }
         }
-        // One that is the only target can't be told from its revision.
-        let reporting = self.gates.iter();
-        let new = reporting.filter(|gate| gate.report.revision == self.revision);
-        let left_out = if new.count() > 1 {
-            targets.len().div_ceil(LEFT_OUT)
-        } else {
-            0
-        };
-        let mut samples: Vec<Sample> = targets.into_iter().map(|(_, sample)| sample).collect();
-        samples.sort_by_key(|sample| std::cmp::Reverse(sample.bad));
-        let kept = samples.into_iter().skip(left_out);
-        kept.fold(Sample::default(), Sample::plus)
+        samples.into_iter().map(|(_, sample)| sample).collect()
     }
 }
 
--- a/src/rollout/test.rs
+++ b/src/rollout/test.rs
@@ -10,10 +10,18 @@
 const RISE: f64 = 0.12;
 /// Weight of evidence, as a natural logarithm of odds, that decides: one in 10,000 by chance.
 const ENOUGH: f64 = 9.2;
-/// Answers that the old revision is credited with, none of them bad, beside its own.
+/// Largest part of it that one target of several can bring.
+///
+/// Guards against a target that is bad alone, as one on a broken host is: the revision would be taken back
+/// for it. A bad revision shows at other targets too; where those do well, they speak against it.
+const MOST_OF_ONE: f64 = 0.6;
+/// Answers that the old revision is credited with beside its own.
 const PRIOR: f64 = 20.0;
-/// Bad ones among them: an old revision that never failed may do so with the next answer.
-const PRIOR_BAD: f64 = 0.2;
+/// Bad ones among them.
+///
+/// Guards against a share that was measured on few answers: an old revision without a bad one among a hundred
+/// may have one in fifty, and the new one would be taken back for the same.
+const PRIOR_BAD: f64 = 1.0;
 /// Largest share of bad answers that is reckoned with.
 const MOST: f64 = 0.98;
 /// Answers that the threshold waits for.
@@ -53,14 +61,25 @@
 }
 
 impl Test {
-    /// Whether `new` is worse than `old` beyond chance.
+    /// Whether the new revision is worse than the old one beyond chance, by the answers of those of its
+    /// targets that gave any; `alone` where it has only one.
     #[must_use]
-    pub fn rejects(self, old: Sample, new: Sample) -> bool {
+    pub fn rejects(self, old: Sample, new: &[Sample], alone: bool) -> bool {
         match self {
-            Self::Sequential => weight(old, new) >= ENOUGH,
+            Self::Sequential => {
+                let most = if alone { f64::INFINITY } else { MOST_OF_ONE };
+                let weights = new.iter().map(|sample| weight(old, *sample));
+                weights.map(|weight| weight.min(ENOUGH * most)).sum::<f64>() >= ENOUGH
+            }
             Self::Threshold => {
+                let all = new.iter().copied().fold(Sample::default(), Sample::plus);
+                let worst = new.iter().max_by_key(|sample| sample.bad);
+                let rest = worst.filter(|_| !alone).map_or(all, |worst| Sample {
+                    bad: all.bad - worst.bad,
+                    total: all.total - worst.total,
+                });
                 let share = |s: Sample| f64::from(s.bad) / f64::from(s.total.max(1));
-                new.total >= SAMPLE && share(new) - share(old) >= THRESHOLD
+                rest.total >= SAMPLE && share(rest) - share(old) >= THRESHOLD
             }
         }
     }
--- /dev/null
+++ b/tests/canary.rs
@@ -0,0 +1,338 @@
+//! Roll-outs in virtual time: what a bad revision gets, and how sure the verdicts are.
+//!
+//! A fleet is modelled by what its gates would report each tick. Everything that decides is the product's
+//! own: evidence, test and plan.
+#![expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a few thousand requests"
+)]
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use jackdawpulley::rollout::evidence::Evidence;
+use jackdawpulley::rollout::plan::{Limits, Observed, Step, decide};
+use jackdawpulley::rollout::tally::{Outcome, Report, RouteId, Tally};
+use jackdawpulley::rollout::test::Test;
+use jackdawpulley::units::{Revision, Service};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const TICK: Duration = Duration::from_millis(250);
+const LIMITS: Limits = Limits {
+    share: 0.1,
+    slack: 50,
+};
+/// The users' `rollback-s`.
+const ROLLBACK: Duration = Duration::from_secs(5);
+/// Bad answers from which that counts.
+const BAD_ANSWERS: usize = 50;
+/// Requests a second for each old target.
+const RATE: f64 = 30.0;
+/// Old gates that report.
+const SAMPLED: usize = 16;
+/// Time after an order at which its targets are warm.
+const WARM: Duration = Duration::from_secs(3);
+/// Share of the answers of any revision that fail.
+const USUAL_FAILURES: f64 = 0.002;
+
+/// When a bad revision is bad.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Onset {
+    Never,
+    AtOnce,
+    Late(Duration),
+    Loaded,
+    OneRoute,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    /// Targets of the old revision, and as many of the new.
+    targets: usize,
+    onset: Onset,
+    /// Share of its answers that are bad then.
+    share: f64,
+    /// Whether these are slow, and failures otherwise.
+    slow: bool,
+    duration: Duration,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Result {
+    exposed: f64,
+    allowed: f64,
+    completed: bool,
+    /// Time from the fiftieth bad answer to the last request.
+    late: Duration,
+    /// Time from the order to the verdict.
+    took: Duration,
+}
+
+struct Fleet {
+    rng: SmallRng,
+    case: Case,
+    tallies: Vec<(SocketAddr, bool, Tally)>,
+}
+
+fn peer(number: usize) -> SocketAddr {
+    let [_, _, a, b] = u32::try_from(number).expect("a few").to_be_bytes();
+    SocketAddr::from(([127, 0, a, b], 1))
+}
+
+impl Fleet {
+    fn new(case: Case, seed: u64) -> Self {
+        let old = (0..case.targets.min(SAMPLED)).map(|number| (peer(number), false));
+        let new = (0..case.targets).map(|number| (peer(10_000 + number), true));
+        let gates = old.chain(new);
+        let tallies = gates
+            .map(|(peer, new)| (peer, new, Tally::new(1)))
+            .collect();
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            case,
+            tallies,
+        }
+    }
+
+    /// Requests of a mean number, as they come.
+    fn count(&mut self, mean: f64) -> usize {
+        let whole = mean.floor();
+        let rest = usize::from(self.rng.random_bool((mean - whole).clamp(0.0, 1.0)));
+        let spread = self.rng.random_range(0.8..1.2);
+        ((whole * spread).round() as usize) + rest
+    }
+
+    /// What an answer is like: half as long or up to one and a half times as long as usual, with a tail.
+    fn outcome(&mut self, bad: bool) -> Outcome {
+        if bad && !self.case.slow || self.rng.random_bool(USUAL_FAILURES) {
+            return Outcome::Failed;
+        }
+        let mut ms = 200.0 * self.rng.random_range(0.5..1.5_f64);
+        if self.rng.random_bool(0.02) {
+            ms *= 4.0;
+        }
+        if bad {
+            ms *= 5.0;
+        }
+        Outcome::Answered(Duration::from_secs_f64(ms / 1_000.0))
+    }
+
+    /// Plays a tick at a gate that gets so many requests; how many of them were bad.
+    fn play(&mut self, gate: usize, mean: f64, age: Duration) -> (usize, usize) {
+        let count = self.count(mean);
+        let new = self.tallies[gate].1;
+        let mut bad_ones = 0;
+        for _ in 0..count {
+            let first = self.rng.random_bool(0.6);
+            let case = self.case;
+            let on = new
+                && match case.onset {
+                    Onset::Never => false,
+                    Onset::AtOnce => true,
+                    Onset::Late(after) => age >= after,
+                    Onset::Loaded => mean >= RATE * TICK.as_secs_f64() * 0.8,
+                    Onset::OneRoute => !first,
+                };
+            let bad = on && self.rng.random_bool(case.share);
+            bad_ones += usize::from(bad);
+            let outcome = self.outcome(bad);
+            let tally = &mut self.tallies[gate].2;
+            tally.arrived += 1;
+            tally.add(RouteId::of(if first { "a" } else { "b" }), outcome);
+        }
+        (count, bad_ones)
+    }
+
+    fn report(&self, gate: usize, step: Step, age: Duration) -> Report {
+        let (_, new, tally) = &self.tallies[gate];
+        Report {
+            service: Service::from("shelf"),
+            revision: Revision::from(if *new { "v2" } else { "v1" }),
+            step,
+            busy: 0,
+            warm: age >= WARM,
+            tally: tally.clone(),
+        }
+    }
+}
+
+/// Plays an order to its verdict.
+fn play(case: Case, test: Test, seed: u64) -> Result {
+    let mut fleet = Fleet::new(case, seed);
+    let mut evidence = Evidence::new(Revision::from("v2"));
+    let start = Instant::now();
+    let rate = RATE * case.targets as f64;
+    let olds = case.targets.min(SAMPLED);
+    let (mut step, mut since, mut permille, mut chosen) = (Step::Waiting, Duration::ZERO, 0, 0);
+    let mut result = Result {
+        allowed: LIMITS.share * rate * case.duration.as_secs_f64() + 50.0,
+        ..Result::default()
+    };
+    let mut bad_answers = 0;
+    let mut fiftieth = None;
+    let mut age = Duration::ZERO;
+    while age < case.duration + ROLLBACK {
+        // What is played in this tick goes by the plan of the one before: news take a moment.
+        let share = f64::from(permille) / 1_000.0;
+        let takers = if chosen == 0 { case.targets } else { chosen };
+        let per_tick = rate * TICK.as_secs_f64();
+        for gate in 0..olds + case.targets {
+            let new = gate >= olds;
+            let mean = match (new, gate < olds + takers) {
+                (false, _) => per_tick * (1.0 - share) / case.targets as f64,
+                (true, true) => per_tick * share / takers as f64,
+                (true, false) => 0.0,
+            };
+            let (count, bad) = fleet.play(gate, mean, age);
+            if new && count > 0 {
+                result.exposed += count as f64;
+                bad_answers += bad;
+                if let Some(then) = fiftieth {
+                    result.late = age.saturating_sub(then);
+                }
+            }
+            let report = fleet.report(gate, step, age);
+            evidence.hear(start + age, fleet.tallies[gate].0, report);
+        }
+        evidence.tick();
+        if bad_answers >= BAD_ANSWERS && fiftieth.is_none() {
+            fiftieth = Some(age);
+        }
+        age += TICK;
+        let observed = Observed {
+            duration: case.duration,
+            age,
+            step,
+            in_step: age.saturating_sub(since),
+            confirmed: true,
+            warm: if age >= WARM { case.targets } else { 0 },
+            targets: case.targets,
+            in_touch: true,
+            per_second: (age >= Duration::from_secs(1)).then_some(rate),
+            exposed: evidence.exposed(),
+            answers: evidence.answers(),
+            bad: evidence.judge(test, case.targets).is_some(),
+            // Requests under way end within a second.
+            drained: step == Step::All && age.saturating_sub(since) >= Duration::from_secs(1),
+        };
+        let decision = decide(&LIMITS, &observed);
+        if decision.complete || decision.step == Step::Back && step != Step::Back {
+            result.took = age;
+        }
+        if decision.complete {
+            result.completed = true;
+            return result;
+        }
+        if decision.step != step {
+            since = age;
+        }
+        (step, permille, chosen) = (decision.step, decision.permille, decision.targets);
+    }
+    result
+}
+
+const SEEDS: u64 = 20;
+
+fn cases(targets: usize) -> Vec<Case> {
+    let good = Case {
+        targets,
+        onset: Onset::Never,
+        share: 0.0,
+        slow: false,
+        duration: Duration::from_secs(12),
+    };
+    let onsets = [
+        Onset::AtOnce,
+        Onset::Late(Duration::from_secs(6)),
+        Onset::Loaded,
+        Onset::OneRoute,
+    ];
+    let bad = onsets.into_iter().flat_map(|onset| {
+        [(0.3, false), (0.6, true)].map(|(share, slow)| Case {
+            onset,
+            share,
+            slow,
+            ..good
+        })
+    });
+    std::iter::once(good).chain(bad).collect()
+}
+
+/// Verdicts over all seeds of a case.
+fn verdicts(case: Case, test: Test) -> Vec<Result> {
+    (0..SEEDS).map(|seed| play(case, test, seed)).collect()
+}
+
+/// A fleet of one size: no bad revision gets more than the users allow, none completes, and no good one goes
+/// back.
+fn hold(targets: usize) {
+    for case in cases(targets) {
+        let results = verdicts(case, Test::default());
+        let worst = results
+            .iter()
+            .map(|r| r.exposed / r.allowed)
+            .fold(0.0, f64::max);
+        let late = results.iter().map(|r| r.late).max().unwrap_or_default();
+        let completed = results.iter().filter(|r| r.completed).count();
+        let took = results.iter().map(|r| r.took).max().unwrap_or_default();
+        println!(
+            "{targets} targets, {:?} {} {}: exposed at most {worst:.2} of what is allowed, last request {late:?} \
+             after the 50th bad answer, {completed} of {SEEDS} completed, {took:?} at most",
+            case.onset,
+            case.share,
+            if case.slow { "slow" } else { "failing" },
+        );
+        if case.onset == Onset::Never {
+            assert_eq!(completed as u64, SEEDS, "good ones complete");
+            assert!(took <= case.duration);
+        } else {
+            assert_eq!(completed, 0, "{case:?}");
+            assert!(worst <= 1.0, "{case:?}");
+            assert!(late <= ROLLBACK, "{case:?}");
+        }
+    }
+}
+
+#[test]
+fn four_targets() {
+    hold(4);
+}
+
+#[test]
+fn thirty_targets() {
+    hold(30);
+}
+
+#[test]
+fn many_targets() {
+    hold(150);
+}
+
+/// The sequential test against the threshold, on the same seeds: it misses no bad revision that the other one
+/// finds, takes no longer, and takes no more good ones back.
+#[test]
+fn sequential_is_no_worse() {
+    for targets in [4, 30] {
+        for case in cases(targets) {
+            let [sequential, threshold] = [Test::Sequential, Test::Threshold].map(|test| {
+                let results = verdicts(case, test);
+                let completed = results.iter().filter(|r| r.completed).count();
+                let exposed: f64 = results.iter().map(|r| r.exposed / r.allowed).sum();
+                (completed, exposed / SEEDS as f64)
+            });
+            println!(
+                "{targets} targets, {:?} {} slow {}: completed and mean exposure {sequential:?} sequential, \
+                 {threshold:?} threshold",
+                case.onset, case.share, case.slow
+            );
+            if case.onset == Onset::Never {
+                assert!(sequential.0 >= threshold.0);
+            } else {
+                assert!(sequential.0 <= threshold.0);
+            }
+        }
+    }
+}
