--- a/src/bin/jackdawctl.rs
+++ b/src/bin/jackdawctl.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    ExitCode::from(jackdawpulley::ctl::main())
+    ExitCode::from(jackdawpulley::operation::ctl::main())
 }
--- a/src/board.rs
+++ b/src/board.rs
@@ -14,18 +14,18 @@
 use slog::Logger;
 use tokio::sync::watch;
 
+use crate::calls::dialect::Dialect;
+use crate::calls::lines::Throttle;
+use crate::calls::route::Table;
 use crate::clock;
-use crate::dialect::Dialect;
-use crate::document::Document;
-use crate::exchange::Digest;
-use crate::lines::Throttle;
-use crate::member::{Offer, Stage};
+use crate::configuration::document::Document;
+use crate::configuration::exchange::Digest;
+use crate::membership::member::{Offer, Stage};
+use crate::membership::roster::Roster;
+use crate::quarantine::running::Running;
+use crate::quarantine::shared::Quarantine;
 use crate::rollout::shared::Rollouts;
-use crate::roster::Roster;
-use crate::route::Table;
-use crate::running::Running;
 use crate::settings::Settings;
-use crate::shared::Quarantine;
 use crate::telemetry::Meter;
 use crate::units::{Birth, Era, Instance, Millis, Revision, Slots, Version};
 
--- a/src/calls/answer.rs
+++ b/src/calls/answer.rs
@@ -8,10 +8,10 @@
 use hyper::body::Incoming;
 use volo_http::body::Body;
 
-use crate::dialect::Dialect;
-use crate::dispatch::{Dispatcher, Lease};
-use crate::outcome::Reason;
-use crate::stream::{self, Gathered, Held};
+use crate::calls::dialect::Dialect;
+use crate::calls::dispatch::{Dispatcher, Lease};
+use crate::calls::outcome::Reason;
+use crate::calls::stream::{self, Gathered, Held};
 
 /// Largest answer that is taken in whole before its head goes on, in bytes.
 ///
--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -11,15 +11,15 @@
 use volo_http::body::Body;
 
 use crate::board::Board;
-use crate::call::{Call, Part};
-use crate::choice::Chooser;
-use crate::document::{Ejection, Retry};
-use crate::gate::Gate;
-use crate::outcome::{Fate, OUTCOME, REASON, Reason};
-use crate::retry::{Budget, Budgets};
-use crate::roster::Upstream;
+use crate::calls::call::{Call, Part};
+use crate::calls::choice::Chooser;
+use crate::calls::gate::Gate;
+use crate::calls::outcome::{Fate, OUTCOME, REASON, Reason};
+use crate::calls::retry::{Budget, Budgets};
+use crate::calls::stream::Held;
+use crate::configuration::document::{Ejection, Retry};
+use crate::membership::roster::Upstream;
 use crate::settings::{Retries, Settings};
-use crate::stream::Held;
 
 /// Part of the time left after which a repeatable call is also sent to a second upstream.
 const HEDGE_SHARE: u32 = 2;
--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -10,16 +10,16 @@
 use volo_http::body::Body;
 
 use crate::board::Snapshot;
-use crate::dialect::Dialect;
-use crate::document::Group;
-use crate::fingerprint::{Content, Fingerprint};
-use crate::handover::{Handover, write_handover};
-use crate::outcome::Reason;
-use crate::patience;
+use crate::calls::dialect::Dialect;
+use crate::calls::handover::{Handover, write_handover};
+use crate::calls::outcome::Reason;
+use crate::calls::patience;
+use crate::calls::route::Plan;
+use crate::calls::stream::{self, Incoming};
+use crate::configuration::document::Group;
+use crate::membership::roster::Upstream;
 use crate::peer::Failure;
-use crate::roster::Upstream;
-use crate::route::Plan;
-use crate::stream::{self, Incoming};
+use crate::quarantine::fingerprint::{Content, Fingerprint};
 use crate::units::{CallKey, Millis, Service};
 
 /// Header with the caller's idempotency key.
--- a/src/calls/callers.rs
+++ b/src/calls/callers.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::{Notify, oneshot};
 
-use crate::connections::{Admission, Connections, Ticket};
+use crate::calls::connections::{Admission, Connections, Ticket};
 
 /// Who is connected on one address.
 #[derive(Debug)]
--- a/src/calls/choice.rs
+++ b/src/calls/choice.rs
@@ -11,13 +11,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::board::Board;
-use crate::call::Call;
-use crate::experience::Experience;
-use crate::keys;
-use crate::pace::Typical;
-use crate::pick::{self, Candidate, Cost};
+use crate::calls::call::Call;
+use crate::calls::experience::Experience;
+use crate::calls::pace::Typical;
+use crate::calls::pick::{self, Candidate, Cost};
+use crate::idempotency::keys;
+use crate::membership::roster::{Roster, Upstream};
 use crate::rollout::rules::Side;
-use crate::roster::{Roster, Upstream};
 use crate::units::{CallKey, Revision};
 
 /// Chooses among the upstreams of a board.
--- a/src/calls/connections.rs
+++ b/src/calls/connections.rs
@@ -7,7 +7,7 @@
 //!
 //! ```
 //! use std::time::{Duration, Instant};
-//! use jackdawpulley::connections::{Admission, Connections};
+//! use jackdawpulley::calls::connections::{Admission, Connections};
 //!
 //! let now = Instant::now();
 //! let later = now + Duration::from_secs(1);
--- a/src/calls/dispatch.rs
+++ b/src/calls/dispatch.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpStream;
 use volo_http::body::Body;
 
-use crate::outcome::Reason;
+use crate::calls::outcome::Reason;
 
 /// Time to open a connection to the target: it is on the same host, so a later one means that it
 /// takes none.
--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -13,16 +13,16 @@
 use slog::{debug, info};
 use volo_http::body::Body;
 
-use crate::attempt::{Attempt, Attempts};
 use crate::board::{Board, Snapshot};
-use crate::call::Call;
-use crate::document::Retry;
-use crate::gate::{Gate, LOAD};
-use crate::member::Stage;
-use crate::outcome::{self, OUTCOME, REASON, Reason};
-use crate::retry;
-use crate::roster::Upstream;
-use crate::stream::Held;
+use crate::calls::attempt::{Attempt, Attempts};
+use crate::calls::call::Call;
+use crate::calls::gate::{Gate, LOAD};
+use crate::calls::outcome::{self, OUTCOME, REASON, Reason};
+use crate::calls::retry;
+use crate::calls::stream::Held;
+use crate::configuration::document::Retry;
+use crate::membership::member::Stage;
+use crate::membership::roster::Upstream;
 use crate::units::{Millis, Service, Version};
 
 /// Header with the version by which a call was routed.
--- a/src/calls/experience.rs
+++ b/src/calls/experience.rs
@@ -6,11 +6,11 @@
 use http::{Response, header};
 use volo_http::body::Body;
 
-use crate::gate::{LOAD, Load};
-use crate::outcome::Reason;
-use crate::pace::Typical;
-use crate::patience::Patience;
-use crate::roster::Upstream;
+use crate::calls::gate::{LOAD, Load};
+use crate::calls::outcome::Reason;
+use crate::calls::pace::Typical;
+use crate::calls::patience::Patience;
+use crate::membership::roster::Upstream;
 use crate::units::Millis;
 
 /// Routes that are remembered at most: far more than a document's busy ones.
--- a/src/calls/gate.rs
+++ b/src/calls/gate.rs
@@ -14,12 +14,12 @@
 use volo_http::body::Body;
 
 use crate::board::Board;
-use crate::guard::Keys;
-use crate::handover::Handover;
-use crate::origins::Origins;
-use crate::outcome::{self, Reason};
+use crate::calls::handover::Handover;
+use crate::calls::origins::Origins;
+use crate::calls::outcome::{self, Reason};
+use crate::calls::work::{Received, Waited, Work};
+use crate::idempotency::guard::Keys;
 use crate::units::{Millis, Service};
-use crate::work::{Received, Waited, Work};
 
 /// Header with a gate's [`Load`].
 pub const LOAD: &str = "x-jackdaw-load";
--- a/src/calls/handover.rs
+++ b/src/calls/handover.rs
@@ -9,9 +9,9 @@
 use http::{HeaderMap, HeaderValue};
 use serde::{Deserialize, Serialize};
 
-use crate::document::Guard;
+use crate::configuration::document::Guard;
 use crate::error::Result;
-use crate::fingerprint::Fingerprint;
+use crate::quarantine::fingerprint::Fingerprint;
 use crate::units::{CallKey, Millis, Priority, Service};
 use crate::wire;
 
--- a/src/calls/http_server.rs
+++ b/src/calls/http_server.rs
@@ -22,9 +22,9 @@
 use volo_http::context::ServerContext;
 use volo_http::server::{IntoResponse, Router};
 
-use crate::callers::{self, Callers};
-use crate::document::Bounds;
-use crate::stream::Held;
+use crate::calls::callers::{self, Callers};
+use crate::calls::stream::Held;
+use crate::configuration::document::Bounds;
 
 /// Pause after a failed accept: it is mostly a lack of descriptors, which ends with a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/src/calls/limit.rs
+++ b/src/calls/limit.rs
@@ -4,8 +4,8 @@
 //! ticket numbers; the gate wakes the tickets that it names.
 //!
 //! ```
-//! use jackdawpulley::document::Class;
-//! use jackdawpulley::limit::{Admission, Limit};
+//! use jackdawpulley::configuration::document::Class;
+//! use jackdawpulley::calls::limit::{Admission, Limit};
 //!
 //! let mut limit = Limit::new(1, 1);
 //! assert_eq!(limit.enter(1, Class::Interactive), Admission::Run);
--- a/src/calls/line.rs
+++ b/src/calls/line.rs
@@ -8,8 +8,8 @@
 
 use tokio::sync::oneshot;
 
-use crate::limit::{Admission, Limit, Ticket};
-use crate::outcome::Reason;
+use crate::calls::limit::{Admission, Limit, Ticket};
+use crate::calls::outcome::Reason;
 use crate::units::Priority;
 
 /// What a request asks of the line.
--- a/src/calls/lines.rs
+++ b/src/calls/lines.rs
@@ -6,7 +6,7 @@
 //!
 //! ```
 //! use std::time::{Duration, Instant};
-//! use jackdawpulley::lines::Throttle;
+//! use jackdawpulley::calls::lines::Throttle;
 //!
 //! let throttle = Throttle::new(2);
 //! let now = Instant::now();
--- a/src/calls/origins.rs
+++ b/src/calls/origins.rs
@@ -9,7 +9,7 @@
 //! with headers that look alike.
 //!
 //! ```
-//! use jackdawpulley::origins::Origins;
+//! use jackdawpulley::calls::origins::Origins;
 //! use jackdawpulley::units::Service;
 //!
 //! let (shelf, till) = (Service::from("shelf"), Service::from("till"));
--- a/src/calls/pace.rs
+++ b/src/calls/pace.rs
@@ -3,11 +3,11 @@
 //! Targets of one service differ in speed, some slow down when they are nearly full, and some
 //! refuse or fail for a spell. A [`Typical`] holds what a route's requests usually need, a
 //! [`Pace`] how an upstream compares with that, how full it is and how often it fails. Together
-//! they give the time to expect, which [`pick`](crate::pick) compares.
+//! they give the time to expect, which [`pick`](crate::calls::pick) compares.
 //!
 //! ```
 //! use std::time::{Duration, Instant};
-//! use jackdawpulley::pace::{Pace, Typical, Underway};
+//! use jackdawpulley::calls::pace::{Pace, Typical, Underway};
 //!
 //! let now = Instant::now();
 //! let (mut typical, mut slow, fast) = (Typical::default(), Pace::new(now), Pace::new(now));
--- a/src/calls/patience.rs
+++ b/src/calls/patience.rs
@@ -5,7 +5,7 @@
 //!
 //! ```
 //! use std::time::Duration;
-//! use jackdawpulley::patience::Patience;
+//! use jackdawpulley::calls::patience::Patience;
 //! use jackdawpulley::units::Millis;
 //!
 //! let mut patience = Patience::default();
--- a/src/calls/pick.rs
+++ b/src/calls/pick.rs
@@ -6,7 +6,7 @@
 //! one is ejected for a while, but never more than the group's ceiling.
 //!
 //! ```
-//! use jackdawpulley::pick::{Candidate, Policy, choose};
+//! use jackdawpulley::calls::pick::{Candidate, Policy, choose};
 //! use rand::SeedableRng;
 //!
 //! let idle = Candidate { local: true, load: 0, slots: 20, share: 1.0, ejected: false };
@@ -22,7 +22,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, VariantNames};
 
-use crate::document::Ejection;
+use crate::configuration::document::Ejection;
 
 /// Smallest share of a target that has just come.
 const FIRST_SHARE: f64 = 0.1;
--- a/src/calls/retry.rs
+++ b/src/calls/retry.rs
@@ -5,7 +5,7 @@
 //! of a [`Budget`], a share of recent requests, so that a failing group is not buried under them.
 //!
 //! ```
-//! use jackdawpulley::retry::Budget;
+//! use jackdawpulley::calls::retry::Budget;
 //! use jackdawpulley::units::Percent;
 //!
 //! let budget = Budget::default();
@@ -20,8 +20,8 @@
 
 use arc_swap::ArcSwap;
 
-use crate::document::Retry;
-use crate::outcome::Fate;
+use crate::calls::outcome::Fate;
+use crate::configuration::document::Retry;
 use crate::units::{Percent, Priority, Service};
 
 /// Retries that a quiet service may do before any deposit.
--- a/src/calls/route.rs
+++ b/src/calls/route.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use crate::document::{Document, Group, Retry, Route};
+use crate::configuration::document::{Document, Group, Retry, Route};
 
 /// A route with the group and rule that it names, all of one version.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/calls/work.rs
+++ b/src/calls/work.rs
@@ -10,21 +10,21 @@
 use http_body_util::Full;
 use volo_http::body::Body;
 
-use crate::answer::Answer;
 use crate::board::{Board, InFlight, Target};
-use crate::dialect::Dialect;
-use crate::dispatch::Dispatcher;
-use crate::document::Guard;
-use crate::handover::Handover;
-use crate::inspect::Inspector;
-use crate::line::{Bid, Line, Permit};
-use crate::member::Stage;
-use crate::outcome::{Fate, OUTCOME, Reason};
-use crate::patience;
+use crate::calls::answer::Answer;
+use crate::calls::dialect::Dialect;
+use crate::calls::dispatch::Dispatcher;
+use crate::calls::handover::Handover;
+use crate::calls::line::{Bid, Line, Permit};
+use crate::calls::outcome::{Fate, OUTCOME, Reason};
+use crate::calls::patience;
+use crate::calls::stream::{self, Gathered, Held, HeldBack};
+use crate::configuration::document::Guard;
+use crate::membership::member::Stage;
+use crate::quarantine::inspect::Inspector;
+use crate::quarantine::running::{End, Run};
 use crate::rollout::tally::Outcome;
-use crate::running::{End, Run};
 use crate::settings::Limits;
-use crate::stream::{self, Gathered, Held, HeldBack};
 use crate::units::{Millis, Service};
 
 /// Part of the time left that a request may wait for a slot.
--- a/src/configuration/check.rs
+++ b/src/configuration/check.rs
@@ -5,9 +5,9 @@
 
 use snafu::ResultExt;
 
-use crate::document::{Bounds, Document, Group, Retry, Route};
+use crate::configuration::document::{Bounds, Document, Group, Retry, Route};
+use crate::configuration::fault::Fault;
 use crate::error::{DocumentSnafu, Error, Result};
-use crate::fault::Fault;
 
 /// Longest name of a resource, in bytes.
 pub const MAX_NAME: usize = 128;
--- a/src/configuration/config.rs
+++ b/src/configuration/config.rs
@@ -10,13 +10,15 @@
 use slog::{info, warn};
 
 use crate::board::{Board, Snapshot};
-use crate::check;
-use crate::delta::Delta;
-use crate::document::Document;
+use crate::configuration::check;
+use crate::configuration::delta::Delta;
+use crate::configuration::document::Document;
+use crate::configuration::exchange::{Body, Digest, Packed, Reply, Update};
+use crate::configuration::fold::{
+    Base, Checkpoint, Content, Edit, Fold, Proposal, Record, Verdict,
+};
+use crate::configuration::log::Stored;
 use crate::error::{Error, Result};
-use crate::exchange::{Body, Digest, Packed, Reply, Update};
-use crate::fold::{Base, Checkpoint, Content, Edit, Fold, Proposal, Record, Verdict};
-use crate::log::Stored;
 use crate::settings::Delivery;
 use crate::units::{EditId, Offset, Version};
 use crate::wire;
--- a/src/configuration/delta.rs
+++ b/src/configuration/delta.rs
@@ -4,8 +4,8 @@
 //! of the result. [`Delta::apply`] yields the new document whole or not at all.
 //!
 //! ```
-//! use jackdawpulley::delta::Delta;
-//! use jackdawpulley::document::{Document, Retry};
+//! use jackdawpulley::configuration::delta::Delta;
+//! use jackdawpulley::configuration::document::{Document, Retry};
 //! use jackdawpulley::units::{Millis, Percent};
 //!
 //! let old = Document::default();
@@ -22,7 +22,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::document::{Bounds, Document, Group, Retry, Route};
+use crate::configuration::document::{Bounds, Document, Group, Retry, Route};
 use crate::error::{DeltaSnafu, Result};
 
 /// Changes that lead from one document to another.
--- a/src/configuration/exchange.rs
+++ b/src/configuration/exchange.rs
@@ -5,8 +5,8 @@
 use lz4_flex::block;
 use serde::{Deserialize, Serialize};
 
-use crate::delta::Delta;
-use crate::document::Document;
+use crate::configuration::delta::Delta;
+use crate::configuration::document::Document;
 use crate::error::{FrameSnafu, Result};
 use crate::units::{EditId, Millis, Version};
 use crate::wire;
--- a/src/configuration/floor.rs
+++ b/src/configuration/floor.rs
@@ -5,7 +5,7 @@
 //! version of several peers in different data centres, who also remember what its address ran.
 //!
 //! ```
-//! use jackdawpulley::floor::Floor;
+//! use jackdawpulley::configuration::floor::Floor;
 //! use jackdawpulley::units::{DataCentre, Version};
 //!
 //! let mut floor = Floor::default();
--- a/src/configuration/fold.rs
+++ b/src/configuration/fold.rs
@@ -6,8 +6,8 @@
 //! record: totally ordered and never reused.
 //!
 //! ```
-//! use jackdawpulley::document::Document;
-//! use jackdawpulley::fold::{Base, Content, Edit, Fold, Record, Verdict};
+//! use jackdawpulley::configuration::document::Document;
+//! use jackdawpulley::configuration::fold::{Base, Content, Edit, Fold, Record, Verdict};
 //! use jackdawpulley::units::{Offset, Version};
 //!
 //! let mut fold = Fold::new();
@@ -21,11 +21,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::check;
-use crate::delta::Delta;
-use crate::document::Document;
-use crate::exchange::Accepted;
-use crate::fault::Fault;
+use crate::configuration::check;
+use crate::configuration::delta::Delta;
+use crate::configuration::document::Document;
+use crate::configuration::exchange::Accepted;
+use crate::configuration::fault::Fault;
 use crate::units::{EditId, Offset, Version};
 
 /// Verdicts that a fold remembers, to answer a publisher who asks again.
--- a/src/configuration/origin.rs
+++ b/src/configuration/origin.rs
@@ -1,6 +1,6 @@
 //! Where the configuration comes from when a platform keeps it, and where daemons are listed.
 //!
-//! A daemon without an [`Origin`] folds the operators' own edits from the [`log`](crate::log).
+//! A daemon without an [`Origin`] folds the operators' own edits from the [`log`](crate::configuration::log).
 //! With one, the platform has accepted and ordered the versions already: the daemon only reads
 //! the newest and follows. Delivery between daemons is the same for both.
 
@@ -11,10 +11,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::document::Document;
+use crate::configuration::document::Document;
 use crate::error::Result;
-use crate::fingerprint::Fingerprint;
-use crate::note::Note;
+use crate::quarantine::fingerprint::Fingerprint;
+use crate::quarantine::note::Note;
 use crate::rollout::order::{Notice, Order, Status};
 use crate::units::{DataCentre, Era, Millis, Offset, Version};
 
--- a/src/configuration/publish.rs
+++ b/src/configuration/publish.rs
@@ -10,12 +10,12 @@
 use slog::{info, warn};
 
 use crate::board::Board;
-use crate::check;
-use crate::config::Store;
+use crate::configuration::check;
+use crate::configuration::config::Store;
+use crate::configuration::fold::{Proposal, Record, Verdict};
+use crate::configuration::log::{Log, Stream};
+use crate::configuration::reader::Reader;
 use crate::error::{Error, Result};
-use crate::fold::{Proposal, Record, Verdict};
-use crate::log::{Log, Stream};
-use crate::reader::Reader;
 use crate::units::{EditId, Millis, Offset, Version};
 
 /// Pause between two tries.
--- a/src/configuration/relay.rs
+++ b/src/configuration/relay.rs
@@ -16,10 +16,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::board::Board;
-use crate::config::Store;
+use crate::configuration::config::Store;
+use crate::configuration::exchange::{Digest, Packed, Pull, Reply};
 use crate::error::Result;
-use crate::exchange::{Digest, Packed, Pull, Reply};
-use crate::member::{Health, Member};
+use crate::membership::member::{Health, Member};
 use crate::peer::Links;
 use crate::settings::Delivery;
 use crate::units::{DataCentre, Millis, Version};
--- a/src/error.rs
+++ b/src/error.rs
@@ -7,7 +7,7 @@
 
 use snafu::Snafu;
 
-use crate::fault::Fault;
+use crate::configuration::fault::Fault;
 use crate::units::{EditId, Offset, Version};
 
 /// Result of a fallible function of this crate.
--- a/src/extension.rs
+++ b/src/extension.rs
@@ -5,11 +5,11 @@
 
 use volo_http::server::Router;
 
-use crate::announce::Desk;
 use crate::board::Board;
-use crate::dialect::Dialect;
-use crate::member::Stage;
-use crate::origin::Origin;
+use crate::calls::dialect::Dialect;
+use crate::configuration::origin::Origin;
+use crate::membership::announce::Desk;
+use crate::membership::member::Stage;
 use crate::settings::Settings;
 
 /// What a platform's adapter adds to a daemon.
--- a/src/idempotency/claim.rs
+++ b/src/idempotency/claim.rs
@@ -12,12 +12,12 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::board::Board;
+use crate::calls::outcome::Reason;
 use crate::clock;
+use crate::configuration::log::{Log, Page, Stream};
 use crate::error::{Error, Result};
-use crate::keys::Holder;
-use crate::ledger::{Batch, Claim, Entry, Ledger};
-use crate::log::{Log, Page, Stream};
-use crate::outcome::Reason;
+use crate::idempotency::keys::Holder;
+use crate::idempotency::ledger::{Batch, Claim, Entry, Ledger};
 use crate::units::{CallKey, Millis, Offset, Service};
 
 /// Allowance for clocks that differ between hosts, in milliseconds.
--- a/src/idempotency/gates.rs
+++ b/src/idempotency/gates.rs
@@ -4,9 +4,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use crate::keys::{Peer, Standing};
-use crate::member::{Health, Member};
-use crate::roster::Roster;
+use crate::idempotency::keys::{Peer, Standing};
+use crate::membership::member::{Health, Member};
+use crate::membership::roster::Roster;
 use crate::units::Service;
 
 /// The gates of a service other than `me`, those that were lost not long ago included. Those of
--- a/src/idempotency/guard.rs
+++ b/src/idempotency/guard.rs
@@ -11,19 +11,19 @@
 use volo_http::body::Body;
 
 use crate::board::Board;
-use crate::claim::Claims;
-use crate::document::Guard;
-use crate::gates::{self, Heritage};
-use crate::keys::{
+use crate::calls::outcome::{Fate, Reason};
+use crate::calls::work::{Received, Work};
+use crate::configuration::document::Guard;
+use crate::configuration::log::Log;
+use crate::idempotency::claim::Claims;
+use crate::idempotency::gates::{self, Heritage};
+use crate::idempotency::keys::{
     Answer, Handed, Holder, Memory, Own, Ownership, Peer, Standing, State, ownership, proven,
 };
-use crate::keys::{Legacy, Note, Noted, Taken};
-use crate::log::Log;
-use crate::outcome::{Fate, Reason};
+use crate::idempotency::keys::{Legacy, Note, Noted, Taken};
+use crate::idempotency::replay::{keep, response};
 use crate::peer::Links;
-use crate::replay::{keep, response};
 use crate::units::{CallKey, Millis, Service};
-use crate::work::{Received, Work};
 
 /// Path of a [`Note`].
 pub const NOTE: &str = "/control/note";
--- a/src/idempotency/ledger.rs
+++ b/src/idempotency/ledger.rs
@@ -1,8 +1,8 @@
 //! The fold of a service's claims on the log: the first claim of a key in log order holds.
 //!
 //! ```
-//! use jackdawpulley::keys::Holder;
-//! use jackdawpulley::ledger::{Claim, Entry, Ledger};
+//! use jackdawpulley::idempotency::keys::Holder;
+//! use jackdawpulley::idempotency::ledger::{Claim, Entry, Ledger};
 //! use jackdawpulley::units::Offset;
 //!
 //! let claim = |life| Claim {
@@ -19,7 +19,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::keys::Holder;
+use crate::idempotency::keys::Holder;
 use crate::units::{CallKey, Offset};
 
 /// One wish to run a key.
--- a/src/idempotency/replay.rs
+++ b/src/idempotency/replay.rs
@@ -6,8 +6,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use volo_http::body::Body;
 
-use crate::keys::{Answer, State};
-use crate::outcome::Reason;
+use crate::calls::outcome::Reason;
+use crate::idempotency::keys::{Answer, State};
 
 /// Largest answer that is kept, in bytes.
 const KEPT_ANSWER: usize = 64 << 10;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,22 +1,25 @@
 //! Configuration delivery and call routing for a service mesh of long-lived sessions.
 //!
-//! One small daemon runs beside each target. Operators publish a [`document`] of routes, upstream
-//! groups and retry rules to an append-only [`log`]; the [`fold`] of the log decides, alike on
-//! every daemon, which edits are accepted. A few daemons of each data centre read the log and
-//! relay versions to the others as [`delta`]s. Daemons find each other by the membership
-//! protocol, a [`view`] of [`member`]s, without a list.
+//! One small daemon runs beside each target. Operators publish a [`document`](configuration::document) of routes, upstream
+//! groups and retry rules to an append-only [`log`](configuration::log); the
+//! [`fold`](configuration::fold) of the log decides, alike on every daemon, which edits are accepted. A few
+//! daemons of each data centre read the log and relay versions to the others as
+//! [`delta`](configuration::delta)s. Daemons find each other by the [`membership`] protocol, a
+//! [`view`](membership::view) of [`member`](membership::member)s, without a list.
 //!
-//! A caller reaches any daemon, the *entry*. It [`route`]s the request, [`pick`]s an upstream and
-//! hands the request to the daemon beside that target, the *gate*, which [`limit`]s the work,
-//! guards idempotency [`keys`] and dispatches. Only the entry may [`retry`], and the caller is
-//! told the [`outcome`]: answered, provably not run, or unknown.
+//! A caller reaches any daemon, the *entry*. It [`route`](calls::route)s the request,
+//! [`pick`](calls::pick)s an upstream and hands the request to the daemon beside that target, the *gate*,
+//! which [`limit`](calls::limit)s the work, guards idempotency [`keys`](idempotency::keys) and dispatches.
+//! Only the entry may [`retry`](calls::retry), and the caller is told the [`outcome`](calls::outcome):
+//! answered, provably not run, or unknown. A request under which targets end goes into [`quarantine`]; a
+//! new revision of a service's targets gets its share of the requests by a [`rollout`].
 //!
 //! The decisions are plain state machines that get time, randomness and messages as arguments, so
 //! that others can embed them:
 //!
 //! ```
-//! use jackdawpulley::document::Document;
-//! use jackdawpulley::fold::{Base, Content, Edit, Fold, Record, Verdict};
+//! use jackdawpulley::configuration::document::Document;
+//! use jackdawpulley::configuration::fold::{Base, Content, Edit, Fold, Record, Verdict};
 //! use jackdawpulley::units::{Offset, Version};
 //!
 //! let text = br#"{
@@ -38,7 +41,7 @@
 //! # Ok::<(), jackdawpulley::Error>(())
 //! ```
 //!
-//! [`daemon`] and [`ctl`] are the two programs; `src/bin/` only calls them.
+//! [`daemon`] and [`ctl`](operation::ctl) are the two programs; `src/bin/` only calls them.
 
 pub mod backoff;
 pub mod board;
@@ -62,24 +65,5 @@
 mod peer;
 mod stop;
 
-pub use calls::{
-    connections, dialect, handover, limit, lines, origins, outcome, pace, patience, pick, retry,
-    route,
-};
-pub use configuration::{check, delta, document, exchange, fault, floor, fold, log, origin};
-pub use document::Document;
+pub use configuration::document::Document;
 pub use error::{Error, Result};
-pub use idempotency::{keys, ledger};
-pub use membership::{announce, census, datagram, entries, member, target, timing, view};
-pub use operation::ctl;
-pub use quarantine::{crash, evidence, fingerprint, note, running, shared};
-
-use calls::{
-    answer, attempt, call, callers, choice, dispatch, entry, experience, gate, http_server, line,
-    stream, work,
-};
-use configuration::{config, publish, reader, relay};
-use idempotency::{claim, gates, guard, replay};
-use membership::{contacts, greeters, greeting, join, listing, probe, roster, rounds};
-use operation::{command, operator, state, survey};
-use quarantine::{archive, inspect, keeper};
--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -16,12 +16,12 @@
 use volo_http::server::route::{get, post};
 
 use crate::board::{Board, Target};
+use crate::calls::dispatch::Dispatcher;
 use crate::clock;
-use crate::dispatch::Dispatcher;
-use crate::inspect::lock;
-use crate::member::Stage;
-use crate::probe::Membership;
-use crate::target::{Beat, Life, Lives, Standing};
+use crate::membership::member::Stage;
+use crate::membership::probe::Membership;
+use crate::membership::target::{Beat, Life, Lives, Standing};
+use crate::quarantine::inspect::lock;
 use crate::units::{Birth, Instance, Millis, Revision, Service, Slots, Version};
 
 /// Longest lease, in milliseconds.
--- a/src/membership/census.rs
+++ b/src/membership/census.rs
@@ -2,7 +2,7 @@
 //!
 //! ```
 //! use std::time::{Duration, Instant};
-//! use jackdawpulley::census::Census;
+//! use jackdawpulley::membership::census::Census;
 //!
 //! let now = Instant::now();
 //! let mut census = Census::default();
--- a/src/membership/contacts.rs
+++ b/src/membership/contacts.rs
@@ -9,12 +9,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::board::Board;
-use crate::datagram::{Join, Welcome};
-use crate::log::{Log, Stream};
+use crate::configuration::log::{Log, Stream};
+use crate::configuration::relay::{jitter, order};
+use crate::membership::datagram::{Join, Welcome};
+use crate::membership::probe::Membership;
 use crate::peer::Links;
 use crate::peer::server::JOIN;
-use crate::probe::Membership;
-use crate::relay::{jitter, order};
 use crate::units::{DataCentre, Millis, Offset};
 
 /// Records of the contacts stream that a joiner looks at.
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -6,9 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::crash::Crash;
-use crate::exchange::Digest;
-use crate::member::Member;
+use crate::configuration::exchange::Digest;
+use crate::membership::member::Member;
+use crate::quarantine::crash::Crash;
 use crate::rollout::progress::Progress;
 use crate::rollout::tally::Report;
 use crate::units::{Era, Slots, Version};
--- a/src/membership/entries.rs
+++ b/src/membership/entries.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 
-use crate::member::{Health, Member};
+use crate::membership::member::{Health, Member};
 use crate::units::{Slots, Version};
 
 /// Times that news is passed on, as a multiple of the logarithm of the view's size.
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -9,12 +9,12 @@
 
 use serde::Serialize;
 
-use crate::crash::Crash;
-use crate::datagram::Probe;
-use crate::probe::{Membership, State};
+use crate::membership::datagram::Probe;
+use crate::membership::probe::{Membership, State};
+use crate::membership::view::Send;
+use crate::quarantine::crash::Crash;
 use crate::rollout::progress::Progress;
 use crate::rollout::tally::Report;
-use crate::view::Send;
 use crate::wire;
 
 /// Members that hear of an end from each daemon. By reckoning all but two in a hundred hear of it this way, at
--- a/src/membership/greeting.rs
+++ b/src/membership/greeting.rs
@@ -8,16 +8,16 @@
 use tokio::sync::mpsc;
 
 use crate::board::Board;
-use crate::datagram::{Join, Welcome};
+use crate::configuration::floor::Floor;
+use crate::configuration::relay::Relay;
 use crate::error::Result;
-use crate::floor::Floor;
-use crate::greeters::{GREETERS, Listed, greeters};
-use crate::guard::Keys;
-use crate::member::{Health, Member};
+use crate::idempotency::guard::Keys;
+use crate::membership::datagram::{Join, Welcome};
+use crate::membership::greeters::{GREETERS, Listed, greeters};
+use crate::membership::member::{Health, Member};
+use crate::membership::probe::Membership;
 use crate::peer::Links;
 use crate::peer::server::JOIN;
-use crate::probe::Membership;
-use crate::relay::Relay;
 use crate::units::{DataCentre, Slots};
 
 /// What a starting daemon has heard from its peers.
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -8,23 +8,23 @@
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
-use crate::announce::Desk;
-use crate::archive::Archive;
 use crate::backoff::Backoff;
 use crate::board::Board;
 use crate::clock;
-use crate::config::Store;
-use crate::contacts::{Contacts, RENEWAL};
+use crate::configuration::config::Store;
+use crate::configuration::floor::Floor;
+use crate::configuration::origin::Origin;
+use crate::configuration::reader::Reader;
+use crate::configuration::relay::jitter;
 use crate::error::Result;
-use crate::floor::Floor;
-use crate::greeters::{Listed, greeters};
-use crate::greeting::{Greeting, Heard, Round};
-use crate::listing::Listing;
-use crate::member::Stage;
-use crate::origin::Origin;
-use crate::probe::Membership;
-use crate::reader::Reader;
-use crate::relay::jitter;
+use crate::membership::announce::Desk;
+use crate::membership::contacts::{Contacts, RENEWAL};
+use crate::membership::greeters::{Listed, greeters};
+use crate::membership::greeting::{Greeting, Heard, Round};
+use crate::membership::listing::Listing;
+use crate::membership::member::Stage;
+use crate::membership::probe::Membership;
+use crate::quarantine::archive::Archive;
 use crate::units::{DataCentre, Millis, Offset, Version};
 
 /// Welcomes after which a joiner asks nobody else while a platform lists daemons: in a joint start
--- a/src/membership/listing.rs
+++ b/src/membership/listing.rs
@@ -8,9 +8,9 @@
 
 use crate::board::Board;
 use crate::clock;
+use crate::configuration::origin::{Contact, Directory, Origin};
 use crate::error::Result;
-use crate::greeters::Listed;
-use crate::origin::{Contact, Directory, Origin};
+use crate::membership::greeters::Listed;
 use crate::units::Millis;
 
 /// Listed daemons with which a list is long enough: many more than a newcomer joins through, so that
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -1,6 +1,6 @@
 //! Members: what daemons tell each other about themselves.
 //!
-//! The protocol that spreads these entries is in [`view`](crate::view).
+//! The protocol that spreads these entries is in [`view`](crate::membership::view).
 
 use std::net::SocketAddr;
 
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -10,19 +10,19 @@
 use tokio::net::UdpSocket;
 
 use crate::board::Board;
-use crate::census::Census;
 use crate::clock;
-use crate::datagram::{Datagram, Join, Probe, Welcome};
-use crate::entries::Entry;
+use crate::configuration::reader::duty;
+use crate::configuration::relay::{Relay, jitter};
 use crate::error::{ListenSnafu, Result};
-use crate::member::{Health, Member, Offer, Stage};
-use crate::reader::duty;
-use crate::relay::{Relay, jitter};
-use crate::roster::{Departed, Home, Roster};
+use crate::membership::census::Census;
+use crate::membership::datagram::{Datagram, Join, Probe, Welcome};
+use crate::membership::entries::Entry;
+use crate::membership::member::{Health, Member, Offer, Stage};
+use crate::membership::roster::{Departed, Home, Roster};
+use crate::membership::timing::Timing;
+use crate::membership::view::{Effects, Send, View};
 use crate::settings::{Delivery, Settings};
-use crate::timing::Timing;
 use crate::units::{Incarnation, Millis};
-use crate::view::{Effects, Send, View};
 use crate::wire;
 use snafu::ResultExt;
 
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -9,11 +9,11 @@
 use std::time::{Duration, Instant};
 
 use crate::board::Target;
-use crate::document::{Ejection, Group};
-use crate::member::{Health, Member};
-use crate::pace::{Pace, Typical, Underway};
+use crate::calls::pace::{Pace, Typical, Underway};
+use crate::calls::pick::{self, Candidate, Cost, Evidence};
+use crate::configuration::document::{Ejection, Group};
+use crate::membership::member::{Health, Member};
 use crate::peer::Link;
-use crate::pick::{self, Candidate, Cost, Evidence};
 use crate::units::{Birth, DataCentre, Millis, Revision, Service};
 
 /// Bytes in a kilobyte.
--- a/src/membership/rounds.rs
+++ b/src/membership/rounds.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 
-use crate::entries::Entries;
+use crate::membership::entries::Entries;
 use crate::units::DataCentre;
 
 /// One probe in this many goes to another data centre.
--- a/src/membership/target.rs
+++ b/src/membership/target.rs
@@ -10,7 +10,7 @@
 //! has told one, is not that target's.
 //!
 //! ```
-//! use jackdawpulley::target::{Life, Lives, Standing};
+//! use jackdawpulley::membership::target::{Life, Lives, Standing};
 //! use jackdawpulley::units::Birth;
 //!
 //! let (old, new) = (Life::new("a", Some(Birth(10))), Life::new("a", Some(Birth(20))));
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -15,12 +15,12 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 
-use crate::datagram::{Datagram, Probe};
-use crate::entries::{Entries, Entry};
-use crate::exchange::Digest;
-use crate::member::{Health, Member, Offer, Stage};
-use crate::rounds::Rounds;
-use crate::timing::Timing;
+use crate::configuration::exchange::Digest;
+use crate::membership::datagram::{Datagram, Probe};
+use crate::membership::entries::{Entries, Entry};
+use crate::membership::member::{Health, Member, Offer, Stage};
+use crate::membership::rounds::Rounds;
+use crate::membership::timing::Timing;
 use crate::units::{DataCentre, Era, Incarnation, Slots, Version};
 use crate::wire;
 
--- a/src/operation/command.rs
+++ b/src/operation/command.rs
@@ -9,16 +9,16 @@
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 
-use crate::delta::Delta;
-use crate::document::Document;
+use crate::configuration::delta::Delta;
+use crate::configuration::document::Document;
+use crate::configuration::fold::{Base, Proposal};
 use crate::error::{DocumentSnafu, Error, FileSnafu, Result};
-use crate::fold::{Base, Proposal};
 use crate::http_client::Client;
-use crate::member::Member;
-use crate::operator::{InForce, Published};
+use crate::membership::member::Member;
+use crate::operation::operator::{InForce, Published};
+use crate::operation::state::Brief;
+use crate::operation::survey::{Summary, summarise, table};
 use crate::rollout::progress::Progress;
-use crate::state::Brief;
-use crate::survey::{Summary, summarise, table};
 use crate::units::{EditId, Version};
 
 /// Time for one answer.
--- a/src/operation/ctl.rs
+++ b/src/operation/ctl.rs
@@ -4,8 +4,8 @@
 
 use clap::{Parser, Subcommand};
 
-use crate::command::Command;
 use crate::error::{Error, Result};
+use crate::operation::command::Command;
 use crate::units::{EditId, Millis, Version};
 
 /// Exit status when everything asked for was done.
--- a/src/operation/operator.rs
+++ b/src/operation/operator.rs
@@ -13,16 +13,16 @@
 use volo_http::server::route::{get, post};
 
 use crate::board::Board;
-use crate::document::Document;
+use crate::calls::gate::Gate;
+use crate::configuration::document::Document;
+use crate::configuration::fault::Fault;
+use crate::configuration::fold::Proposal;
+use crate::configuration::publish::Publisher;
 use crate::error::{Error, Result};
-use crate::fault::Fault;
-use crate::fold::Proposal;
-use crate::gate::Gate;
-use crate::guard::Keys;
-use crate::member::Member;
-use crate::publish::Publisher;
+use crate::idempotency::guard::Keys;
+use crate::membership::member::Member;
+use crate::operation::state::{Brief, Dump};
 use crate::rollout::progress::Progress;
-use crate::state::{Brief, Dump};
 use crate::units::{EditId, Version};
 
 /// Longest time that an operator waits for a verdict.
--- a/src/operation/survey.rs
+++ b/src/operation/survey.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::member::Member;
-use crate::state::Brief;
+use crate::membership::member::Member;
+use crate::operation::state::Brief;
 use crate::units::{DataCentre, Version};
 
 /// One data centre, as `status` shows it.
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -1,7 +1,7 @@
 //! One daemon's connection to another: h2 over TCP.
 //!
 //! A [`Link`] is one daemon's connection to another. Control messages are single POSTs with
-//! bincode bodies; calls are ordinary requests with a [`Handover`](crate::handover::Handover) in a
+//! bincode bodies; calls are ordinary requests with a [`Handover`](crate::calls::handover::Handover) in a
 //! header. Links for calls and links for control are separate connections, so that control bytes
 //! can be counted where they are sent.
 
@@ -20,10 +20,10 @@
 use tokio::net::{TcpSocket, TcpStream};
 use volo_http::body::Body;
 
+use crate::calls::stream;
 use crate::clock;
 use crate::error::{Error, Result};
 use crate::peer::counted::Counted;
-use crate::stream;
 use crate::telemetry::Meter;
 use crate::units::Millis;
 use crate::wire;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -14,19 +14,19 @@
 use volo_http::body::Body;
 
 use crate::board::Board;
-use crate::datagram::Join;
+use crate::calls::gate::Gate;
+use crate::calls::handover::{HANDOVER, read_handover};
+use crate::calls::stream::{self, HeldBack, Incoming, REQUEST_WINDOW};
+use crate::configuration::exchange::{Pull, Reply};
+use crate::configuration::reader::{READ, Reader};
+use crate::configuration::relay::{PULL, PUSH, Relay};
 use crate::error::{Error, FrameSnafu, ListenSnafu, Result};
-use crate::exchange::{Pull, Reply};
-use crate::gate::Gate;
-use crate::guard::{Keys, LEGACY, NOTE};
-use crate::handover::{HANDOVER, read_handover};
-use crate::keys::{Legacy, Note};
+use crate::idempotency::guard::{Keys, LEGACY, NOTE};
+use crate::idempotency::keys::{Legacy, Note};
+use crate::membership::datagram::Join;
+use crate::membership::probe::Membership;
 use crate::peer::counted::Counted;
 use crate::peer::link::{CONNECTION_WINDOW, collect};
-use crate::probe::Membership;
-use crate::reader::{READ, Reader};
-use crate::relay::{PULL, PUSH, Relay};
-use crate::stream::{self, HeldBack, Incoming, REQUEST_WINDOW};
 use crate::wire;
 
 /// Path of a [`Join`].
--- a/src/quarantine/archive.rs
+++ b/src/quarantine/archive.rs
@@ -4,11 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::configuration::log::{Log, Stream};
+use crate::configuration::origin::Origin;
 use crate::error::Result;
-use crate::fingerprint::Fingerprint;
-use crate::log::{Log, Stream};
-use crate::note::Note;
-use crate::origin::Origin;
+use crate::quarantine::fingerprint::Fingerprint;
+use crate::quarantine::note::Note;
 use crate::units::{Millis, Offset};
 
 /// Records of the log that a start looks at: each of the requests in quarantine has a few.
--- a/src/quarantine/crash.rs
+++ b/src/quarantine/crash.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::fingerprint::Fingerprint;
+use crate::quarantine::fingerprint::Fingerprint;
 use crate::units::Millis;
 
 /// Requests that one end names at most, so that it fits into a datagram.
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -7,9 +7,9 @@
 //!
 //! ```
 //! use std::time::{Duration, Instant};
-//! use jackdawpulley::crash::{Crash, CrashId};
-//! use jackdawpulley::evidence::Evidence;
-//! use jackdawpulley::fingerprint::Fingerprint;
+//! use jackdawpulley::quarantine::crash::{Crash, CrashId};
+//! use jackdawpulley::quarantine::evidence::Evidence;
+//! use jackdawpulley::quarantine::fingerprint::Fingerprint;
 //!
 //! let (fatal, bystander) = (Fingerprint(1), Fingerprint(2));
 //! let mut evidence = Evidence::new(Duration::from_mins(60));
@@ -28,8 +28,8 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::crash::{Crash, CrashId};
-use crate::fingerprint::Fingerprint;
+use crate::quarantine::crash::{Crash, CrashId};
+use crate::quarantine::fingerprint::Fingerprint;
 use crate::units::Millis;
 
 /// Ends of targets at which a request ran that is taken for their cause. One end has as many bystanders as
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -4,7 +4,7 @@
 //! body are the same. Requests with the same fingerprint are taken for repeats of one another.
 //!
 //! ```
-//! use jackdawpulley::fingerprint::{Content, Fingerprint};
+//! use jackdawpulley::quarantine::fingerprint::{Content, Fingerprint};
 //!
 //! let titles = Fingerprint::of("GET", "shop", "/titles?page=1", Content::Whole(b""));
 //! assert_eq!(titles, Fingerprint::of("GET", "shop", "/titles?page=1", Content::Whole(b"")));
--- a/src/quarantine/inspect.rs
+++ b/src/quarantine/inspect.rs
@@ -9,10 +9,10 @@
 use tokio::net::TcpStream;
 
 use crate::board::{Board, Target};
-use crate::crash::{Crash, CrashId};
-use crate::fingerprint::Fingerprint;
-use crate::outcome::Reason;
-use crate::running::{End, Run, Running, Ticket};
+use crate::calls::outcome::Reason;
+use crate::quarantine::crash::{Crash, CrashId};
+use crate::quarantine::fingerprint::Fingerprint;
+use crate::quarantine::running::{End, Run, Running, Ticket};
 use crate::units::Millis;
 
 /// Time after the first broken connection in which the others that break with it are noticed.
--- a/src/quarantine/keeper.rs
+++ b/src/quarantine/keeper.rs
@@ -5,14 +5,14 @@
 
 use slog::{info, warn};
 
-use crate::archive::Archive;
 use crate::backoff::Backoff;
 use crate::board::Board;
 use crate::clock;
-use crate::evidence::Verdicts;
-use crate::fingerprint::Fingerprint;
-use crate::note::Note;
-use crate::probe::Membership;
+use crate::membership::probe::Membership;
+use crate::quarantine::archive::Archive;
+use crate::quarantine::evidence::Verdicts;
+use crate::quarantine::fingerprint::Fingerprint;
+use crate::quarantine::note::Note;
 
 /// Time between two looks for ends that are too long ago: small beside the quarantine.
 const LOOK: Duration = Duration::from_secs(10);
--- a/src/quarantine/note.rs
+++ b/src/quarantine/note.rs
@@ -4,8 +4,8 @@
 //! request in quarantine; without it, the request would have to end as many targets again.
 //!
 //! ```
-//! use jackdawpulley::crash::CrashId;
-//! use jackdawpulley::note::Note;
+//! use jackdawpulley::quarantine::crash::CrashId;
+//! use jackdawpulley::quarantine::note::Note;
 //! use jackdawpulley::units::Millis;
 //!
 //! let now_ms = 1_700_000_000_000;
@@ -19,8 +19,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::crash::{Crash, CrashId};
-use crate::fingerprint::Fingerprint;
+use crate::quarantine::crash::{Crash, CrashId};
+use crate::quarantine::fingerprint::Fingerprint;
 use crate::units::Millis;
 
 /// Ends that are noted at most: the first and the last ones tell as much as all of them.
--- a/src/quarantine/running.rs
+++ b/src/quarantine/running.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::fingerprint::Fingerprint;
+use crate::quarantine::fingerprint::Fingerprint;
 use crate::units::Service;
 
 /// Time for which a request counts that its entry or caller has given up: not every target stops the work
--- a/src/quarantine/shared.rs
+++ b/src/quarantine/shared.rs
@@ -7,10 +7,10 @@
 use arc_swap::ArcSwap;
 use tokio::sync::watch;
 
-use crate::crash::{Crash, CrashId};
-use crate::evidence::{Evidence, Standing, Verdicts};
-use crate::fingerprint::Fingerprint;
-use crate::note::Note;
+use crate::quarantine::crash::{Crash, CrashId};
+use crate::quarantine::evidence::{Evidence, Standing, Verdicts};
+use crate::quarantine::fingerprint::Fingerprint;
+use crate::quarantine::note::Note;
 use crate::units::Millis;
 
 /// Answered requests of one end each that are remembered: as many as run on fifty targets that are killed at
--- a/src/rollout/controller.rs
+++ b/src/rollout/controller.rs
@@ -21,9 +21,11 @@
 use crate::membership::probe::Membership;
 use crate::rollout::evidence::Evidence;
 use crate::rollout::order::{Order, Status};
-use crate::rollout::plan::{Decision, Limits, Observed, Plan, RENEWAL, Step, decide};
+use crate::rollout::plan::{
+    ALL, Decision, Limits, MOST_CHOSEN, Observed, Plan, RENEWAL, Step, decide,
+};
 use crate::rollout::progress::Known;
-use crate::rollout::tally::Report;
+use crate::rollout::tally::{Report, Tally};
 use crate::rollout::test::Test;
 use crate::units::{CallKey, Era, Revision, Service};
 
@@ -37,8 +39,11 @@
 const TAKE_OVER: Duration = Duration::from_secs(1);
 /// Gates of old targets that report, so that their number does not grow with the fleet.
 const SAMPLED: usize = 16;
-/// Reports a tick that one daemon takes; where more gates report, each does so less often.
-const REPORTS: usize = 32;
+/// Gates of new targets that report: twice as many as a plan names, since some may not be warm.
+const TRIED: usize = 2 * MOST_CHOSEN;
+/// Gates that report in one tick that nothing runs at their old targets; where there are more, each does so
+/// less often.
+const DRAINS: usize = 128;
 /// Weight of the last tick in the rate of a service's requests.
 const LATEST: f64 = 0.3;
 /// Ticks with requests after which that rate is known.
@@ -67,8 +72,8 @@
     evidence: Evidence,
     step: Step,
     since: Instant,
-    /// Requests seen so far, and when.
-    seen: (Instant, f64),
+    /// When requests were counted last: those of new targets and of old ones that had been reported.
+    seen: (Instant, (u64, u64)),
     /// Requests a second, and the ticks that it is made from.
     rate: (f64, u32),
     asked: Arc<Asked>,
@@ -132,7 +137,7 @@
             let open = known.iter().any(|known| known.progress().verdict.is_none());
             next = Instant::now() + if open { TICK } else { REST };
             self.ticks += 1;
-            self.report(&known).await;
+            self.report().await;
             self.take_reports();
             for known in &known {
                 self.attend(known);
@@ -149,7 +154,7 @@
     }
 
     /// Tells those who decide how the co-located target answers.
-    async fn report(&self, known: &[Known]) {
+    async fn report(&self) {
         let board = &self.board;
         let target = board.target();
         let rules = board.rollouts.rules();
@@ -168,17 +173,12 @@
         let step = rule.step(now).unwrap_or_default();
         let gates = self.gates(&target.service, &rule.revision);
         let me = board.settings.identity();
-        let is_new = revision == rule.revision;
-        let sampled = gates.old.iter().take(SAMPLED).any(|peer| *peer == me);
-        if !is_new && !sampled && step != Step::All {
-            return;
-        }
-        let reporting = gates.new.len() + gates.old.len();
-        let every = reporting.div_ceil(REPORTS).max(1) as u64;
-        let own = known
-            .iter()
-            .find(|known| known.progress().order.service == target.service);
-        if own.is_none() || !self.ticks.is_multiple_of(every) {
+        let is_among = |peers: &[SocketAddr], first| peers.iter().take(first).any(|p| *p == me);
+        let counts = is_among(&gates.new, TRIED) || is_among(&gates.old, SAMPLED);
+        let every = gates.old.len().div_ceil(DRAINS).max(1) as u64;
+        let drains = step == Step::All && revision != rule.revision;
+        let drains = drains && self.ticks.is_multiple_of(every);
+        if !counts && !drains {
             return;
         }
         let report = Report {
@@ -187,7 +187,11 @@
             step,
             busy: self.busy(),
             warm: now >= target.cold_until,
-            tally: board.rollouts.counted(),
+            tally: if counts {
+                board.rollouts.counted()
+            } else {
+                Tally::default()
+            },
         };
         for peer in self.deciders(&target.service).into_iter().take(DECIDERS) {
             if peer == me {
@@ -282,24 +286,26 @@
     }
 
     /// Notes how many requests the service gets.
+    ///
+    /// Guards against a rate that seems to fall since reports are lost: what the revision may get beside its
+    /// share would be a large part of it then. The rate stays while most of the gates are not heard.
     fn measure(&mut self, index: usize) {
         let duty = &self.duties[index];
         let gates = self.gates(&duty.order.service, &duty.order.revision);
         let duty = &mut self.duties[index];
         let now = Instant::now();
         let heard = duty.evidence.heard(now);
-        let heard = heard.filter(|(_, report)| report.revision != duty.order.revision);
-        let part = float(gates.old.len()) / float(heard.count().max(1)).max(1.0);
-        let requests =
-            float_of(duty.evidence.others()) * part.max(1.0) + float_of(duty.evidence.exposed());
-        let (before, then) = duty.seen;
-        let seconds = now.saturating_duration_since(before).as_secs_f64();
-        let rate = (requests - then).max(0.0) / seconds.max(TICK.as_secs_f64() / 2.0);
-        duty.seen = (now, requests);
-        let (known, ticks) = duty.rate;
-        if ticks == 0 && requests <= 0.0 {
+        let heard = heard.filter(|(peer, _)| gates.old.contains(peer)).count();
+        let requests = (duty.evidence.exposed(), duty.evidence.others());
+        let (then, (exposed, others)) = std::mem::replace(&mut duty.seen, (now, requests));
+        if heard == 0 || heard * 2 < gates.old.len().min(SAMPLED) {
             return;
         }
+        let part = float(gates.old.len() as u64) / float(heard as u64);
+        let came = float(requests.0 - exposed) + float(requests.1 - others) * part.max(1.0);
+        let seconds = now.saturating_duration_since(then).as_secs_f64();
+        let rate = came / seconds.max(TICK.as_secs_f64() / 2.0);
+        let (known, ticks) = duty.rate;
         let mean = if ticks < MEASURED {
             (known * f64::from(ticks) + rate) / f64::from(ticks + 1)
         } else {
@@ -341,6 +347,9 @@
                 chosen,
             };
             self.board.rollouts.follow(&order, &next);
+            let service = order.service.to_string();
+            metrics::gauge!("jackdaw_rollout_share", "service" => service)
+                .set(f64::from(decision.permille) / f64::from(ALL));
         }
         if plan.step != decision.step || decision.complete {
             info!(self.board.logger, "roll-out decided"; "service" => %order.service,
@@ -461,7 +470,7 @@
             order,
             step: known.progress().plan.step,
             since: now,
-            seen: (now, 0.0),
+            seen: (now, (0, 0)),
             rate: (0.0, 0),
             asked: Arc::default(),
             checked: None,
@@ -516,11 +525,7 @@
     }
 }
 
-fn float(count: usize) -> f64 {
-    float_of(count as u64)
-}
-
 #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
-const fn float_of(count: u64) -> f64 {
+const fn float(count: u64) -> f64 {
     count as f64
 }
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -420,4 +420,4 @@
 /// lost before a plan that holds looks like one that does not.
 pub const LAPSE: Duration = Duration::from_secs(2);
 /// Time between two renewals.
-pub const RENEWAL: Millis = Millis(400);
+pub const RENEWAL: Millis = Millis(600);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,8 +9,8 @@
 use serde::Serialize;
 use strum::{Display, EnumString, VariantNames};
 
+use crate::calls::pick;
 use crate::error::{Error, Result};
-use crate::pick;
 use crate::rollout::plan;
 use crate::units::{DataCentre, Millis, Percent, Service};
 
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -11,14 +11,14 @@
 use tokio::sync::watch;
 
 use crate::board::Board;
+use crate::calls::http_server::Phase;
+use crate::configuration::origin::Origin;
 use crate::error::{Error, Result};
 use crate::extension::Reread;
-use crate::guard::Keys;
-use crate::http_server::Phase;
-use crate::listing::Listing;
-use crate::member::{Health, Stage};
-use crate::origin::Origin;
-use crate::probe::Membership;
+use crate::idempotency::guard::Keys;
+use crate::membership::listing::Listing;
+use crate::membership::member::{Health, Stage};
+use crate::membership::probe::Membership;
 
 /// Exit status after a planned stop.
 pub const EXIT_STOPPED: u8 = 0;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,8 +2,8 @@
 //!
 //! Every message is bincode: probes travel as single UDP datagrams, the rest as bodies of h2
 //! requests. [`decode`] bounds what a hostile length prefix can allocate. The messages themselves
-//! stand with those who send them: [`exchange`](crate::exchange), [`datagram`](crate::datagram) and
-//! [`keys`](crate::keys).
+//! stand with those who send them: [`exchange`](crate::configuration::exchange), [`datagram`](crate::membership::datagram) and
+//! [`keys`](crate::idempotency::keys).
 
 use base64::Engine as _;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,9 @@
 //! What several tests need.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use jackdawpulley::document::{Bounds, Class, Document, Ejection, Group, Guard, Retry, Route};
+use jackdawpulley::configuration::document::{
+    Bounds, Class, Document, Ejection, Group, Guard, Retry, Route,
+};
 use jackdawpulley::units::{Millis, Percent, Service};
 use proptest::test_runner::{Config, RngSeed};
 
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawpulley::connections::{Admission, Connections, Ticket};
+use jackdawpulley::calls::connections::{Admission, Connections, Ticket};
 use proptest::prelude::*;
 
 const MOST: usize = 4;
--- a/tests/delta.rs
+++ b/tests/delta.rs
@@ -4,8 +4,8 @@
 
 use common::{fixed, group, numbered, route};
 use jackdawpulley::Error;
-use jackdawpulley::delta::Delta;
-use jackdawpulley::document::Document;
+use jackdawpulley::configuration::delta::Delta;
+use jackdawpulley::configuration::document::Document;
 use jackdawpulley::units::Millis;
 use proptest::prelude::*;
 
--- a/tests/document.rs
+++ b/tests/document.rs
@@ -4,8 +4,8 @@
 
 use common::{group, numbered, route};
 use jackdawpulley::Error;
-use jackdawpulley::check;
-use jackdawpulley::document::Document;
+use jackdawpulley::configuration::check;
+use jackdawpulley::configuration::document::Document;
 use jackdawpulley::units::{Millis, Percent, Slots};
 
 #[test]
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant};
 
 use common::fixed;
-use jackdawpulley::crash::{Crash, CrashId, MOST_RUNNING};
-use jackdawpulley::evidence::{ENDS, Evidence, MOMENT, MOST_CRASHES};
-use jackdawpulley::fingerprint::Fingerprint;
-use jackdawpulley::note::Note;
+use jackdawpulley::quarantine::crash::{Crash, CrashId, MOST_RUNNING};
+use jackdawpulley::quarantine::evidence::{ENDS, Evidence, MOMENT, MOST_CRASHES};
+use jackdawpulley::quarantine::fingerprint::Fingerprint;
+use jackdawpulley::quarantine::note::Note;
 use jackdawpulley::units::Millis;
 use proptest::prelude::*;
 
--- a/tests/floor.rs
+++ b/tests/floor.rs
@@ -1,6 +1,6 @@
 //! The floor of a daemon that has just started.
 
-use jackdawpulley::floor::Floor;
+use jackdawpulley::configuration::floor::Floor;
 use jackdawpulley::units::{DataCentre, Offset, Version};
 
 fn eros() -> DataCentre {
--- a/tests/fold.rs
+++ b/tests/fold.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 
 use common::{faulty, fixed, numbered};
-use jackdawpulley::delta::Delta;
-use jackdawpulley::document::Document;
-use jackdawpulley::fold::{Base, Checkpoint, Content, Edit, Fold, Record, Verdict};
+use jackdawpulley::configuration::delta::Delta;
+use jackdawpulley::configuration::document::Document;
+use jackdawpulley::configuration::fold::{Base, Checkpoint, Content, Edit, Fold, Record, Verdict};
 use jackdawpulley::units::{EditId, Offset, Version};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use common::fixed;
-use jackdawpulley::keys::Noted;
-use jackdawpulley::keys::{
+use jackdawpulley::idempotency::keys::Noted;
+use jackdawpulley::idempotency::keys::{
     Handed, Holder, Memory, Own, Ownership, Peer, Standing, State, ownership, proven, rank,
 };
 use jackdawpulley::units::{CallKey, Millis};
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::fixed;
-use jackdawpulley::keys::Holder;
-use jackdawpulley::ledger::{Claim, Entry, Ledger};
+use jackdawpulley::idempotency::keys::Holder;
+use jackdawpulley::idempotency::ledger::{Claim, Entry, Ledger};
 use jackdawpulley::units::{CallKey, Offset};
 use proptest::prelude::*;
 
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::fixed;
-use jackdawpulley::document::Class;
-use jackdawpulley::limit::{Admission, Limit, Ticket};
+use jackdawpulley::calls::limit::{Admission, Limit, Ticket};
+use jackdawpulley::configuration::document::Class;
 use proptest::prelude::*;
 
 const SLOTS: u32 = 3;
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -1,6 +1,6 @@
 //! Which announcements of a target's lives are believed.
 
-use jackdawpulley::target::{Life, Lives, Standing};
+use jackdawpulley::membership::target::{Life, Lives, Standing};
 use jackdawpulley::units::Birth;
 use proptest::prelude::*;
 
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -6,11 +6,11 @@
 use std::time::{Duration, Instant};
 
 use common::fixed;
-use jackdawpulley::exchange::Digest;
-use jackdawpulley::member::{Health, Member, Stage};
-use jackdawpulley::timing::Timing;
+use jackdawpulley::configuration::exchange::Digest;
+use jackdawpulley::membership::member::{Health, Member, Stage};
+use jackdawpulley::membership::timing::Timing;
+use jackdawpulley::membership::view::{Effects, Send, View};
 use jackdawpulley::units::{DataCentre, Incarnation, Version};
-use jackdawpulley::view::{Effects, Send, View};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
--- a/tests/origins.rs
+++ b/tests/origins.rs
@@ -1,6 +1,6 @@
 //! Telling routes that only targets call from those of callers.
 
-use jackdawpulley::origins::Origins;
+use jackdawpulley::calls::origins::Origins;
 use jackdawpulley::units::Service;
 use proptest::prelude::*;
 
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawpulley::pace::{Pace, Typical, Underway};
-use jackdawpulley::pick::{Cost, cheapest};
+use jackdawpulley::calls::pace::{Pace, Typical, Underway};
+use jackdawpulley::calls::pick::{Cost, cheapest};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
--- a/tests/patience.rs
+++ b/tests/patience.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::fixed;
-use jackdawpulley::patience::{Patience, tolerance};
+use jackdawpulley::calls::patience::{Patience, tolerance};
 use jackdawpulley::units::Millis;
 use proptest::prelude::*;
 
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use common::fixed;
-use jackdawpulley::document::Ejection;
-use jackdawpulley::pick::{Candidate, Evidence, Policy, choose, share};
+use jackdawpulley::calls::pick::{Candidate, Evidence, Policy, choose, share};
+use jackdawpulley::configuration::document::Ejection;
 use jackdawpulley::units::{Millis, Percent};
 use proptest::prelude::*;
 use rand::SeedableRng;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawpulley::crash::{Crash, CrashId};
-use jackdawpulley::evidence::MOMENT;
-use jackdawpulley::fingerprint::Fingerprint;
-use jackdawpulley::shared::Quarantine;
+use jackdawpulley::quarantine::crash::{Crash, CrashId};
+use jackdawpulley::quarantine::evidence::MOMENT;
+use jackdawpulley::quarantine::fingerprint::Fingerprint;
+use jackdawpulley::quarantine::shared::Quarantine;
 use jackdawpulley::units::Millis;
 
 const BYSTANDER: Fingerprint = Fingerprint(7);
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use common::fixed;
-use jackdawpulley::document::Retry;
-use jackdawpulley::outcome::{Fate, Reason};
-use jackdawpulley::retry::{Budget, again, backoff};
+use jackdawpulley::calls::outcome::{Fate, Reason};
+use jackdawpulley::calls::retry::{Budget, again, backoff};
+use jackdawpulley::configuration::document::Retry;
 use jackdawpulley::units::{Millis, Percent, Priority};
 use proptest::prelude::*;
 
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use common::fixed;
-use jackdawpulley::origin::Position;
+use jackdawpulley::configuration::origin::Position;
 use jackdawpulley::rollout::evidence::Evidence;
 use jackdawpulley::rollout::order::{Fault, Notice, Order, Verdict};
 use jackdawpulley::rollout::plan::{Cause, LAPSE, Limits, Observed, Plan, Step, decide};
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{group, numbered, route};
-use jackdawpulley::document::Document;
-use jackdawpulley::route::Table;
+use jackdawpulley::calls::route::Table;
+use jackdawpulley::configuration::document::Document;
 
 fn document() -> Document {
     let mut document = numbered(1);
--- a/tests/running.rs
+++ b/tests/running.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawpulley::fingerprint::{Content, Fingerprint};
-use jackdawpulley::running::{End, Run, Running};
+use jackdawpulley::quarantine::fingerprint::{Content, Fingerprint};
+use jackdawpulley::quarantine::running::{End, Run, Running};
 use jackdawpulley::units::Service;
 
 fn run(path: &str, began: Instant) -> Run {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -3,11 +3,11 @@
 mod common;
 
 use common::{fixed, numbered, route};
-use jackdawpulley::datagram::{Datagram, Join};
-use jackdawpulley::delta::Delta;
-use jackdawpulley::exchange::{Body, Packed, Pull, Reply, Update};
-use jackdawpulley::handover::Handover;
-use jackdawpulley::keys::Note;
+use jackdawpulley::calls::handover::Handover;
+use jackdawpulley::configuration::delta::Delta;
+use jackdawpulley::configuration::exchange::{Body, Packed, Pull, Reply, Update};
+use jackdawpulley::idempotency::keys::Note;
+use jackdawpulley::membership::datagram::{Datagram, Join};
 use jackdawpulley::units::Version;
 use jackdawpulley::wire;
 use proptest::prelude::*;
--- a/trial/src/caller.rs
+++ b/trial/src/caller.rs
@@ -7,7 +7,7 @@
 
 use hdrhistogram::Histogram;
 use http::Method;
-use jackdawpulley::outcome::{OUTCOME, REASON};
+use jackdawpulley::calls::outcome::{OUTCOME, REASON};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
--- a/trial/src/converge.rs
+++ b/trial/src/converge.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use clap::Parser;
-use jackdawpulley::document::Document;
+use jackdawpulley::configuration::document::Document;
 use jackdawpulley::settings::Delivery;
 use jackdawpulley::telemetry;
 use jackdawpulley::units::{DataCentre, Millis, Version};
--- a/trial/src/deployment.rs
+++ b/trial/src/deployment.rs
@@ -1,6 +1,8 @@
 //! The deployments that trials are modelled on, and documents for them.
 
-use jackdawpulley::document::{Bounds, Class, Document, Ejection, Group, Guard, Retry, Route};
+use jackdawpulley::configuration::document::{
+    Bounds, Class, Document, Ejection, Group, Guard, Retry, Route,
+};
 use jackdawpulley::units::{DataCentre, Millis, Percent, Service};
 use serde::Serialize;
 use strum::{Display, EnumString};
--- a/trial/src/load/world.rs
+++ b/trial/src/load/world.rs
@@ -4,10 +4,10 @@
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
-use jackdawpulley::limit::{Admission, Limit};
-use jackdawpulley::pace::{Pace, Typical, Underway};
-use jackdawpulley::patience::{self, Patience};
-use jackdawpulley::pick::{self, Candidate, Cost};
+use jackdawpulley::calls::limit::{Admission, Limit};
+use jackdawpulley::calls::pace::{Pace, Typical, Underway};
+use jackdawpulley::calls::patience::{self, Patience};
+use jackdawpulley::calls::pick::{self, Candidate, Cost};
 use jackdawpulley::units::Millis;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
--- a/trial/src/main.rs
+++ b/trial/src/main.rs
@@ -58,7 +58,7 @@
         }
         Verb::Ctl { args } => {
             let args = std::iter::once(OsString::from("jackdawctl")).chain(args);
-            ExitCode::from(jackdawpulley::ctl::main_from(args))
+            ExitCode::from(jackdawpulley::operation::ctl::main_from(args))
         }
         verb => {
             let runtime = tokio::runtime::Runtime::new().expect("threads can be started");
--- a/trial/src/path.rs
+++ b/trial/src/path.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
-use jackdawpulley::outcome::OUTCOME;
+use jackdawpulley::calls::outcome::OUTCOME;
 use jackdawpulley::units::Version;
 use rustix::process::Signal;
 use serde::Serialize;
--- a/trial/src/platform.rs
+++ b/trial/src/platform.rs
@@ -10,7 +10,7 @@
 use futures_util::stream;
 use http::{Response, StatusCode};
 use jackdawpulley::clock;
-use jackdawpulley::log::{Appended, Page, Stored};
+use jackdawpulley::configuration::log::{Appended, Page, Stored};
 use jackdawpulley::units::Offset;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
--- a/trial/src/publish.rs
+++ b/trial/src/publish.rs
@@ -3,8 +3,8 @@
 use std::process::Stdio;
 
 use http::Method;
-use jackdawpulley::document::Document;
-use jackdawpulley::fold::{Base, Proposal};
+use jackdawpulley::configuration::document::Document;
+use jackdawpulley::configuration::fold::{Base, Proposal};
 use jackdawpulley::units::{EditId, Version};
 use serde_json::Value;
 
--- a/trial/src/scale.rs
+++ b/trial/src/scale.rs
@@ -5,11 +5,11 @@
 use std::time::{Duration, Instant};
 
 use clap::Parser;
-use jackdawpulley::member::{Health, Member, Offer, Stage};
-use jackdawpulley::route::Table;
-use jackdawpulley::timing::Timing;
+use jackdawpulley::calls::route::Table;
+use jackdawpulley::membership::member::{Health, Member, Offer, Stage};
+use jackdawpulley::membership::timing::Timing;
+use jackdawpulley::membership::view::View;
 use jackdawpulley::units::{DataCentre, Incarnation, Service, Slots};
-use jackdawpulley::view::View;
 use jackdawpulley::wire;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
--- a/trial/src/watch.rs
+++ b/trial/src/watch.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use jackdawpulley::check;
-use jackdawpulley::document::Document;
+use jackdawpulley::configuration::check;
+use jackdawpulley::configuration::document::Document;
 use jackdawpulley::units::Version;
 use serde::Deserialize;
 use tokio::task::JoinHandle;
--- a/trial/tests/calls.rs
+++ b/trial/tests/calls.rs
@@ -12,8 +12,8 @@
 use jackdaw_trial::fleet::{Fleet, until};
 use jackdaw_trial::session::{Answer, Failure, Session};
 use jackdaw_trial::target::Echo;
-use jackdawpulley::document::Document;
-use jackdawpulley::outcome::{OUTCOME, REASON};
+use jackdawpulley::calls::outcome::{OUTCOME, REASON};
+use jackdawpulley::configuration::document::Document;
 use jackdawpulley::units::{DataCentre, Millis};
 use rustix::process::Signal;
 
--- a/trial/tests/common/fake.rs
+++ b/trial/tests/common/fake.rs
@@ -8,7 +8,7 @@
 use http::Method;
 use jackdaw_trial::host::Host;
 use jackdaw_trial::session;
-use jackdawpulley::announce::Announcement;
+use jackdawpulley::membership::announce::Announcement;
 use jackdawpulley::units::{Millis, Slots};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
--- a/trial/tests/common/mod.rs
+++ b/trial/tests/common/mod.rs
@@ -7,7 +7,7 @@
 
 use jackdaw_trial::deployment::{Deployment, Place};
 use jackdaw_trial::fleet::Fleet;
-use jackdawpulley::document::Document;
+use jackdawpulley::configuration::document::Document;
 use jackdawpulley::units::{DataCentre, Millis, Service};
 
 /// A fleet of this build, without hosts yet.
--- a/trial/tests/config_faults.rs
+++ b/trial/tests/config_faults.rs
@@ -8,7 +8,7 @@
 use jackdaw_trial::fleet::{get, until};
 use jackdaw_trial::platform::{Faults, Mode};
 use jackdaw_trial::watch::Watch;
-use jackdawpulley::fold::{Base, Proposal};
+use jackdawpulley::configuration::fold::{Base, Proposal};
 use jackdawpulley::units::{EditId, Version};
 use rustix::process::Signal;
 use serde_json::Value;
--- a/trial/tests/hostile.rs
+++ b/trial/tests/hostile.rs
@@ -9,7 +9,7 @@
 use http::{Method, StatusCode};
 use jackdaw_trial::fleet::Fleet;
 use jackdaw_trial::session::{Session, once};
-use jackdawpulley::outcome::OUTCOME;
+use jackdawpulley::calls::outcome::OUTCOME;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
 
--- a/trial/tests/idempotency.rs
+++ b/trial/tests/idempotency.rs
@@ -10,8 +10,8 @@
 use jackdaw_trial::fleet::{Fleet, until};
 use jackdaw_trial::platform::{Faults, Mode};
 use jackdaw_trial::session::{Answer, Session};
-use jackdawpulley::document::{Document, Guard};
-use jackdawpulley::outcome::{OUTCOME, REASON};
+use jackdawpulley::calls::outcome::{OUTCOME, REASON};
+use jackdawpulley::configuration::document::{Document, Guard};
 
 const PATIENCE: Duration = Duration::from_secs(8);
 
--- a/trial/tests/quarantine.rs
+++ b/trial/tests/quarantine.rs
@@ -11,7 +11,7 @@
 use jackdaw_trial::deployment::Place;
 use jackdaw_trial::fleet::{Fleet, get, until};
 use jackdaw_trial::session::{Answer, Session};
-use jackdawpulley::outcome::REASON;
+use jackdawpulley::calls::outcome::REASON;
 use rustix::process::Signal;
 
 const PATIENCE: Duration = Duration::from_secs(8);
--- a/trial/tests/races.rs
+++ b/trial/tests/races.rs
@@ -8,7 +8,7 @@
 use common::{document, fleet, places};
 use jackdaw_trial::fleet::{Fleet, get};
 use jackdaw_trial::platform::{Faults, Mode};
-use jackdawpulley::fold::{Base, Proposal};
+use jackdawpulley::configuration::fold::{Base, Proposal};
 use jackdawpulley::units::{EditId, Version};
 use serde_json::Value;
 use todc_utils::linearizability::WGLChecker;
