--- a/trial/src/loopback.rs
+++ b/trial/src/loopback.rs
@@ -5,6 +5,9 @@
 
 use crate::host::{LOG, PEER, TARGET, WORK};
 
+/// Ports of a small platform's machines, where another test run may play one at the same time.
+const PLATFORM: [u16; 3] = [7_660, 8_140, 8_147];
+
 static NETWORKS: AtomicU32 = AtomicU32::new(0);
 
 /// A part of the loopback network that no other trial uses.
@@ -20,11 +23,12 @@
         let network = u8::try_from(candidate).expect("below 220");
         // Guards against daemons that a killed run has left behind: they would answer in the place
         // of this run's own, which could not listen.
-        let ports = [(0, LOG), (1, PEER), (1, TARGET), (1, WORK), (9, LOG)];
-        let free = ports.iter().all(|(rack, port)| {
+        let own = [(0, LOG), (1, PEER), (1, TARGET), (1, WORK), (9, LOG)];
+        let mut ports = own.into_iter().chain(PLATFORM.map(|port| (9, port)));
+        let free = ports.all(|(rack, port)| {
             (1..=3).all(|host| {
-                let ip = IpAddr::V4(Ipv4Addr::new(127, network, *rack, host));
-                TcpListener::bind(SocketAddr::new(ip, *port)).is_ok()
+                let ip = IpAddr::V4(Ipv4Addr::new(127, network, rack, host));
+                TcpListener::bind(SocketAddr::new(ip, port)).is_ok()
             })
         });
         if free {
