Take the time on its way off what a call has left

What callers saw: nothing; a rule of the users' was broken. The one that the report shows: sent at 27.931 s, at its first target at 28.459, its client left at 28.463, at its second target at 29.194 and cut there within the millisecond. Cause: a full link. Change: a call tells when it was sent, by a clock that counts suspended time; the quickest call of a connection gives the difference of the two clocks, and what another one took longer is taken off its time left and its tolerance. Why it holds: neither a clock that is set nor a frozen host changes the difference; a connection that begins on a full link underestimates the time, which leaves things as they were. The example of rollout::plan said no word of a confirmed order and failed.

--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -16,6 +16,7 @@
 use crate::calls::patience;
 use crate::calls::route::Plan;
 use crate::calls::stream::{self, Incoming};
+use crate::clock;
 use crate::configuration::document::Group;
 use crate::membership::roster::Upstream;
 use crate::peer::Failure;
@@ -114,6 +115,7 @@
             from: Service::default(),
             fingerprint: Fingerprint(0),
             priority: plan.route.rank(),
+            sent_ms: 0,
             remaining: timeout,
             tolerance: timeout,
             repeatable: plan.route.repeatable,
@@ -213,6 +215,7 @@
         *request.headers_mut() = self.head.headers.clone();
         let remaining = Millis::from(self.left());
         let handover = Handover {
+            sent_ms: clock::boot_ms(),
             remaining,
             tolerance,
             ..self.handover.clone()
--- a/src/calls/handover.rs
+++ b/src/calls/handover.rs
@@ -44,7 +44,9 @@
     pub fingerprint: Fingerprint,
     /// Its rank.
     pub priority: Priority,
-    /// Time left until the answer's head is due.
+    /// When it was sent, by the clock of its sender's host since that started.
+    pub sent_ms: u64,
+    /// Time left then until the answer's head is due.
     pub remaining: Millis,
     /// Longest wait for a slot with which it is still of use.
     pub tolerance: Millis,
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -18,6 +18,7 @@
 pub mod pick;
 pub mod retry;
 pub mod route;
+pub mod transit;
 
 pub(crate) mod answer;
 pub(crate) mod attempt;
--- /dev/null
+++ b/src/calls/transit.rs
@@ -0,0 +1,44 @@
+//! How long calls are on their way over one connection.
+//!
+//! The clocks of two hosts differ by a constant that nobody knows. The call that came quickest tells it, for all
+//! that matters; what another one took longer is the time that it waited at a host or on a link.
+//!
+//! ```
+//! use std::time::Duration;
+//! use jackdawpulley::calls::transit::Transit;
+//!
+//! let transit = Transit::default();
+//! assert_eq!(transit.late(1_000, 5_000), Duration::ZERO);
+//! assert_eq!(transit.late(2_000, 6_730), Duration::from_millis(730));
+//! assert_eq!(transit.late(3_000, 7_000), Duration::ZERO);
+//! ```
+
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::time::Duration;
+
+/// The calls of one connection.
+#[derive(Debug)]
+pub struct Transit {
+    /// Least difference between the two hosts' clocks that a call showed, in milliseconds.
+    least_ms: AtomicI64,
+}
+
+impl Default for Transit {
+    fn default() -> Self {
+        Self {
+            least_ms: AtomicI64::new(i64::MAX),
+        }
+    }
+}
+
+impl Transit {
+    /// Time for which a call was on its way beyond the quickest one: sent at `sent_ms` by the clock of its
+    /// sender, and come at `now_ms` by the clock here.
+    #[must_use]
+    pub fn late(&self, sent_ms: u64, now_ms: u64) -> Duration {
+        let difference = now_ms.cast_signed().saturating_sub(sent_ms.cast_signed());
+        let least = self.least_ms.fetch_min(difference, Ordering::Relaxed);
+        let late = difference.saturating_sub(least.min(difference));
+        Duration::from_millis(late.unsigned_abs())
+    }
+}
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -17,6 +17,8 @@
 use crate::calls::gate::Gate;
 use crate::calls::handover::{HANDOVER, read_handover};
 use crate::calls::stream::{self, HeldBack, Incoming, REQUEST_WINDOW};
+use crate::calls::transit::Transit;
+use crate::clock;
 use crate::configuration::exchange::{Pull, Reply};
 use crate::configuration::reader::{READ, Reader};
 use crate::configuration::relay::{PULL, PUSH, Relay};
@@ -27,6 +29,7 @@
 use crate::membership::probe::Membership;
 use crate::peer::counted::Counted;
 use crate::peer::link::{CONNECTION_WINDOW, collect};
+use crate::units::Millis;
 use crate::wire;
 
 /// Path of a [`Join`].
@@ -87,6 +90,7 @@
         let _ = stream.set_nodelay(true);
         let counted = Counted::new(stream, Some(Arc::clone(&self.board.meter)));
         let calls = counted.calls();
+        let transit = Arc::new(Transit::default());
         let mut connection = h2::server::Builder::new()
             .initial_window_size(REQUEST_WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW)
@@ -99,7 +103,8 @@
             let server = Arc::clone(self);
             if request.headers().contains_key(HANDOVER) {
                 calls.store(true, Ordering::Relaxed);
-                tokio::spawn(async move { server.call(request, respond).await });
+                let transit = Arc::clone(&transit);
+                tokio::spawn(async move { server.call(request, respond, &transit).await });
             } else {
                 tokio::spawn(async move { server.control(request, respond).await });
             }
@@ -159,13 +164,24 @@
     }
 
     /// Runs one call that an entry handed over.
-    async fn call(&self, request: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
+    async fn call(
+        &self,
+        request: Request<RecvStream>,
+        mut respond: SendResponse<Bytes>,
+        transit: &Transit,
+    ) {
         let (mut parts, stream) = request.into_parts();
-        let Ok(handover) = read_handover(&mut parts.headers) else {
+        let Ok(mut handover) = read_handover(&mut parts.headers) else {
             metrics::counter!("jackdaw_bad_frames_total").increment(1);
             respond.send_reset(H2Reason::REFUSED_STREAM);
             return;
         };
+        // Guards against work for callers that have left: on a full link a call is on its way for most of a
+        // second, and its caller's time runs out meanwhile. By what its entry wrote it would run all the
+        // same, and the target would get more time than there is. The gate refuses what came too late.
+        let late = Millis::from(transit.late(handover.sent_ms, clock::boot_ms()));
+        handover.remaining.0 = handover.remaining.0.saturating_sub(late.0);
+        handover.tolerance.0 = handover.tolerance.0.saturating_sub(late.0);
         let held_back = HeldBack::default();
         if parts.headers.contains_key(header::EXPECT) {
             parts.extensions.insert(held_back.clone());
@@ -174,9 +190,11 @@
         let mut run = pin!(self.gate.run(handover, request));
         let response = loop {
             tokio::select! {
-                response = &mut run => break response,
+                // What nobody waits for is not begun where its end has come with it.
+                biased;
                 // The entry has given up: dropping the run closes its connection to the target.
                 _ = std::future::poll_fn(|cx| respond.poll_reset(cx)) => return,
+                response = &mut run => break response,
                 () = held_back.asked() => {
                     let mut go_on = Response::new(());
                     *go_on.status_mut() = StatusCode::CONTINUE;
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -13,6 +13,7 @@
 //! let seen = Observed {
 //!     duration: Duration::from_secs(12),
 //!     age: Duration::from_secs(2),
+//!     confirmed: true,
 //!     warm: 4,
 //!     targets: 4,
 //!     per_second: Some(100.0),
