--- a/trial/src/caller.rs
+++ b/trial/src/calls/caller.rs
@@ -11,10 +11,10 @@
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
-use crate::converge::as_f64;
-use crate::history::{Told, Try};
-use crate::session::{Answer, Failure, Session};
-use crate::target::Echo;
+use crate::calls::history::{Told, Try};
+use crate::measure::converge::as_f64;
+use crate::rig::session::{Answer, Failure, Session};
+use crate::stand_in::target::Echo;
 
 /// Mean time that a target works on a call, in milliseconds.
 pub const WORK_MS: f64 = 200.0;
--- a/trial/src/history.rs
+++ b/trial/src/calls/history.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::target::Run;
+use crate::stand_in::target::Run;
 
 /// What a caller was told about one try.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/trial/src/inject.rs
+++ b/trial/src/calls/inject.rs
@@ -8,10 +8,10 @@
 use jackdawpulley::units::Millis;
 use rustix::process::Signal;
 
-use crate::calls::{Args, Fault};
-use crate::fleet::{Fleet, until};
-use crate::history::Leaving;
-use crate::platform::{Faults, Mode};
+use crate::calls::history::Leaving;
+use crate::calls::options::{Args, Fault};
+use crate::rig::fleet::{Fleet, until};
+use crate::stand_in::log::{Faults, Mode};
 
 /// Time for a process to stop, or to come back.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -125,7 +125,7 @@
     leavings
 }
 
-async fn stop(process: Option<crate::host::Process>) {
+async fn stop(process: Option<crate::rig::host::Process>) {
     let Some(mut process) = process else {
         return;
     };
--- a/trial/src/calls.rs
+++ b/trial/src/calls/mod.rs
@@ -1,22 +1,26 @@
 //! Calls under faults, checked on one history of callers and targets.
 
+pub mod caller;
+pub mod history;
+pub mod inject;
+pub mod options;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use clap::Parser;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde::Serialize;
 use strum::{Display, EnumString};
 
-use crate::caller::{Caller, Kind, Record, WORK_MS};
-use crate::deployment::Deployment;
-use crate::fleet::Fleet;
-use crate::history::{Counts, Told, Try};
-use crate::host::Host;
-use crate::inject;
+use crate::calls::caller::{Caller, Kind, Record, WORK_MS};
+use crate::calls::history::{Counts, Told, Try};
+use crate::calls::options::{Args, Fault};
+use crate::rig::deployment::Deployment;
+use crate::rig::fleet::Fleet;
+use crate::rig::host::Host;
 
 /// Slots of each target.
 const SLOTS: u32 = 20;
@@ -27,25 +31,6 @@
 /// Time after which the gates' memories are whole.
 const SETTLE: Duration = Duration::from_millis(12_500);
 
-/// What is done to the fleet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString, Serialize)]
-#[strum(serialize_all = "kebab-case")]
-#[serde(rename_all = "kebab-case")]
-pub enum Fault {
-    /// Nothing, but for a change of configuration.
-    None,
-    /// One whole host and one target are killed, and come back.
-    Kill,
-    /// One target and one daemon are stopped for a while.
-    Freeze,
-    /// The platform log is away for a third of the time.
-    LogOutage,
-    /// Every target and daemon is stopped as planned and started again, one after another.
-    Leave,
-    /// Callers send twice what the slots can take.
-    Surge,
-}
-
 /// Which policies the daemons follow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString, Serialize)]
 #[strum(serialize_all = "kebab-case")]
@@ -57,23 +42,6 @@
     Default,
 }
 
-/// Arguments of the trial.
-#[derive(Debug, Clone, Parser)]
-pub struct Args {
-    /// Deployment to model: kalahari or hooghly
-    #[arg(long, default_value_t = Deployment::Kalahari)]
-    pub deployment: Deployment,
-    /// What is done to it: none, kill, freeze, log-outage, leave or surge
-    #[arg(long, default_value_t = Fault::None)]
-    pub fault: Fault,
-    /// Length of each run
-    #[arg(long, default_value_t = 20)]
-    pub seconds: u64,
-    /// Only the daemon's default policies, without the baseline beside them
-    #[arg(long)]
-    pub no_baseline: bool,
-}
-
 /// What a run showed.
 #[derive(Debug, Clone, Serialize)]
 pub struct Report {
@@ -255,5 +223,5 @@
 }
 
 fn number(count: u64) -> f64 {
-    crate::converge::as_f64(count)
+    crate::measure::converge::as_f64(count)
 }
--- a/trial/src/load/kind.rs
+++ b/trial/src/load/kind.rs
@@ -2,7 +2,7 @@
 
 use jackdawpulley::units::{Millis, Priority};
 
-use crate::deployment::Deployment;
+use crate::rig::deployment::Deployment;
 
 /// One kind of call.
 #[derive(Debug, Clone)]
--- a/trial/src/load/mod.rs
+++ b/trial/src/load/mod.rs
@@ -16,7 +16,7 @@
 use serde::Serialize;
 use strum::{Display, EnumString, VariantArray};
 
-use crate::deployment::Deployment;
+use crate::rig::deployment::Deployment;
 use tally::Row;
 use world::World;
 
--- a/trial/src/load/tally.rs
+++ b/trial/src/load/tally.rs
@@ -5,7 +5,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use crate::converge::as_f64;
+use crate::measure::converge::as_f64;
 
 use super::kind::{Kind, LATE_WORTH};
 
--- a/trial/src/load/world.rs
+++ b/trial/src/load/world.rs
@@ -213,7 +213,7 @@
         let answered = self.tallies.iter().map(Tally::answered);
         let (served, late) = answered.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let share = |part, whole: u64| {
-            crate::converge::as_f64(part) / crate::converge::as_f64(whole.max(1))
+            crate::measure::converge::as_f64(part) / crate::measure::converge::as_f64(whole.max(1))
         };
         let rows = self.tallies.iter().zip(&self.kinds);
         Report {
--- a/trial/src/main.rs
+++ b/trial/src/main.rs
@@ -4,7 +4,10 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use jackdaw_trial::{calls, converge, load, overhead, path, platform, scale, target};
+use jackdaw_trial::calls::{self, options};
+use jackdaw_trial::measure::{converge, overhead, scale};
+use jackdaw_trial::stand_in::{log, target};
+use jackdaw_trial::{load, path};
 use strum::VariantArray;
 
 #[derive(Debug, Parser)]
@@ -25,7 +28,7 @@
     /// Convergence time and control bytes of each way of delivery
     Converge(converge::Args),
     /// Calls under a fault, the simple policies beside the default ones
-    Calls(calls::Args),
+    Calls(options::Args),
     /// Latency that daemons add, and calls a second for each core
     Overhead(overhead::Args),
     /// What callers get under load from each policy, in virtual time
@@ -33,7 +36,7 @@
     /// Time and memory of a large view and document
     Scale(scale::Args),
     /// Be the stand-in for the platform's log
-    Log(platform::Args),
+    Log(log::Args),
     /// Be a stand-in target
     Target(target::Args),
     /// Be a daemon; takes its flags
@@ -114,7 +117,7 @@
             ExitCode::SUCCESS
         }
         Verb::Log(args) => {
-            platform::run(args).await;
+            log::run(args).await;
             ExitCode::SUCCESS
         }
         Verb::Target(args) => {
--- a/trial/src/converge.rs
+++ b/trial/src/measure/converge.rs
@@ -10,9 +10,9 @@
 use jackdawpulley::units::{DataCentre, Millis, Version};
 use serde::{Deserialize, Serialize};
 
-use crate::deployment::{Place, sized};
-use crate::fleet::{Fleet, get};
-use crate::process::Usage;
+use crate::rig::deployment::{Place, sized};
+use crate::rig::fleet::{Fleet, get};
+use crate::rig::process::Usage;
 
 /// Ways of delivery that are compared, the baseline first.
 pub const DELIVERIES: [Delivery; 3] = [Delivery::Poll, Delivery::Whole, Delivery::Delta];
--- /dev/null
+++ b/trial/src/measure/mod.rs
@@ -0,0 +1,5 @@
+//! Measurements for the capacity page.
+
+pub mod converge;
+pub mod overhead;
+pub mod scale;
--- a/trial/src/overhead.rs
+++ b/trial/src/measure/overhead.rs
@@ -12,11 +12,11 @@
 use jackdawpulley::units::{DataCentre, Service};
 use serde::Serialize;
 
-use crate::converge::as_f64;
-use crate::deployment::{Deployment, Place};
-use crate::fleet::{Fleet, until};
-use crate::process::Usage;
-use crate::session::{self, Session};
+use crate::measure::converge::as_f64;
+use crate::rig::deployment::{Deployment, Place};
+use crate::rig::fleet::{Fleet, until};
+use crate::rig::process::Usage;
+use crate::rig::session::{self, Session};
 
 /// Time for one answer.
 const PATIENCE: Duration = Duration::from_secs(5);
--- a/trial/src/scale.rs
+++ b/trial/src/measure/scale.rs
@@ -15,9 +15,9 @@
 use rand::rngs::SmallRng;
 use serde::Serialize;
 
-use crate::converge::as_f64;
-use crate::deployment::sized;
-use crate::process::Usage;
+use crate::measure::converge::as_f64;
+use crate::rig::deployment::sized;
+use crate::rig::process::Usage;
 
 /// Periods that are timed.
 const ROUNDS: u32 = 200;
--- a/trial/src/path.rs
+++ b/trial/src/path.rs
@@ -12,10 +12,10 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::deployment::Deployment;
-use crate::fleet::{Fleet, until};
-use crate::session::{Failure, Session};
-use crate::target::Echo;
+use crate::rig::deployment::Deployment;
+use crate::rig::fleet::{Fleet, until};
+use crate::rig::session::{Failure, Session};
+use crate::stand_in::target::Echo;
 
 /// What the thin path showed.
 #[derive(Debug, Clone, Serialize)]
--- a/trial/src/fleet.rs
+++ b/trial/src/rig/fleet.rs
@@ -13,13 +13,13 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use crate::deployment::Place;
-use crate::host::{CALL, Host, LOG, OPERATOR, PEER, Process, TARGET, WORK};
-use crate::loopback::free_network;
-use crate::net::Net;
-use crate::platform::{Faults, Stats};
-use crate::session::{self, Answer};
-use crate::target::Run;
+use crate::rig::deployment::Place;
+use crate::rig::host::{CALL, Host, LOG, OPERATOR, PEER, Process, TARGET, WORK};
+use crate::rig::loopback::free_network;
+use crate::rig::net::Net;
+use crate::rig::session::{self, Answer};
+use crate::stand_in::log::{Faults, Stats};
+use crate::stand_in::target::Run;
 
 /// Pause between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(20);
--- a/trial/src/host.rs
+++ b/trial/src/rig/host.rs
@@ -5,7 +5,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::deployment::Place;
+use crate::rig::deployment::Place;
 
 pub(crate) const PEER: u16 = 7001;
 pub(crate) const CALL: u16 = 7002;
--- a/trial/src/loopback.rs
+++ b/trial/src/rig/loopback.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use crate::host::{LOG, PEER, TARGET, WORK};
+use crate::rig::host::{LOG, PEER, TARGET, WORK};
 
 /// Ports of a small platform's machines, where another test run may play one at the same time.
 const PLATFORM: [u16; 3] = [7_660, 8_140, 8_147];
--- a/trial/src/publish.rs
+++ b/trial/src/rig/publish.rs
@@ -8,8 +8,8 @@
 use jackdawpulley::units::{EditId, Version};
 use serde_json::Value;
 
-use crate::fleet::Fleet;
-use crate::session::{self, Failure};
+use crate::rig::fleet::Fleet;
+use crate::rig::session::{self, Failure};
 
 /// Tries to publish on what a daemon says is in force.
 const PUT_TRIES: usize = 5;
--- a/trial/src/watch.rs
+++ b/trial/src/rig/watch.rs
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 use tokio::task::JoinHandle;
 
-use crate::fleet::{Fleet, get};
+use crate::rig::fleet::{Fleet, get};
 
 /// Pause between two looks at a daemon.
 const LOOK: Duration = Duration::from_millis(15);
--- a/trial/src/target.rs
+++ b/trial/src/stand_in/target.rs
@@ -25,7 +25,7 @@
 use volo_http::body::{Body, BodyConversion};
 use volo_http::server::{Router, Server};
 
-use crate::session;
+use crate::rig::session;
 
 /// Arguments of the stand-in.
 #[derive(Debug, Clone, Parser)]
--- a/trial/tests/calls.rs
+++ b/trial/tests/calls.rs
@@ -8,10 +8,10 @@
 use common::fake::{Fake, Manner, announce};
 use common::{document, fleet, places};
 use http::{Method, StatusCode};
-use jackdaw_trial::deployment::Place;
-use jackdaw_trial::fleet::{Fleet, until};
-use jackdaw_trial::session::{Answer, Failure, Session};
-use jackdaw_trial::target::Echo;
+use jackdaw_trial::rig::deployment::Place;
+use jackdaw_trial::rig::fleet::{Fleet, until};
+use jackdaw_trial::rig::session::{Answer, Failure, Session};
+use jackdaw_trial::stand_in::target::Echo;
 use jackdawpulley::calls::outcome::{OUTCOME, REASON};
 use jackdawpulley::configuration::document::Document;
 use jackdawpulley::units::{DataCentre, Millis};
@@ -43,7 +43,8 @@
 async fn sees(fleet: &Fleet, index: usize, count: usize) {
     let operator = fleet.hosts[index].operator();
     let seen = until(PATIENCE, || async move {
-        let state: Option<serde_json::Value> = jackdaw_trial::fleet::get(operator, "/state").await;
+        let state: Option<serde_json::Value> =
+            jackdaw_trial::rig::fleet::get(operator, "/state").await;
         state.is_some_and(|s| {
             s["upstreams"]
                 .as_array()
@@ -294,7 +295,7 @@
         .as_ref()
         .expect("it runs")
         .signal(Signal::STOP);
-    let left = jackdaw_trial::session::once(leaving, Method::POST, "/leave", "").await;
+    let left = jackdaw_trial::rig::session::once(leaving, Method::POST, "/leave", "").await;
     assert!(left.is_ok_and(|answer| answer.status.is_success()));
     let before = fleet
         .runs()
--- a/trial/tests/common/fake.rs
+++ b/trial/tests/common/fake.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use http::Method;
-use jackdaw_trial::host::Host;
-use jackdaw_trial::session;
+use jackdaw_trial::rig::host::Host;
+use jackdaw_trial::rig::session;
 use jackdawpulley::membership::announce::Announcement;
 use jackdawpulley::units::{Millis, Slots};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/trial/tests/common/mod.rs
+++ b/trial/tests/common/mod.rs
@@ -5,8 +5,8 @@
 
 use std::path::PathBuf;
 
-use jackdaw_trial::deployment::{Deployment, Place};
-use jackdaw_trial::fleet::Fleet;
+use jackdaw_trial::rig::deployment::{Deployment, Place};
+use jackdaw_trial::rig::fleet::Fleet;
 use jackdawpulley::configuration::document::Document;
 use jackdawpulley::units::{DataCentre, Millis, Service};
 
--- a/trial/tests/config_faults.rs
+++ b/trial/tests/config_faults.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use common::{document, fleet, places};
-use jackdaw_trial::fleet::{get, until};
-use jackdaw_trial::platform::{Faults, Mode};
-use jackdaw_trial::watch::Watch;
+use jackdaw_trial::rig::fleet::{get, until};
+use jackdaw_trial::rig::watch::Watch;
+use jackdaw_trial::stand_in::log::{Faults, Mode};
 use jackdawpulley::configuration::fold::{Base, Proposal};
 use jackdawpulley::units::{EditId, Version};
 use rustix::process::Signal;
--- a/trial/tests/faults.rs
+++ b/trial/tests/faults.rs
@@ -4,8 +4,9 @@
 
 use std::path::PathBuf;
 
-use jackdaw_trial::calls::{Args, Fault, Policy, run};
-use jackdaw_trial::deployment::Deployment;
+use jackdaw_trial::calls::options::{Args, Fault};
+use jackdaw_trial::calls::{Policy, run};
+use jackdaw_trial::rig::deployment::Deployment;
 
 /// Runs one fault; whatever callers were told has to fit what targets ran.
 async fn stays_clean(deployment: Deployment, fault: Fault) {
--- a/trial/tests/hostile.rs
+++ b/trial/tests/hostile.rs
@@ -7,8 +7,8 @@
 
 use common::{document, fleet, places};
 use http::{Method, StatusCode};
-use jackdaw_trial::fleet::Fleet;
-use jackdaw_trial::session::{Session, once};
+use jackdaw_trial::rig::fleet::Fleet;
+use jackdaw_trial::rig::session::{Session, once};
 use jackdawpulley::calls::outcome::OUTCOME;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
--- a/trial/tests/idempotency.rs
+++ b/trial/tests/idempotency.rs
@@ -7,9 +7,9 @@
 
 use common::{document, fleet, places};
 use http::Method;
-use jackdaw_trial::fleet::{Fleet, until};
-use jackdaw_trial::platform::{Faults, Mode};
-use jackdaw_trial::session::{Answer, Session};
+use jackdaw_trial::rig::fleet::{Fleet, until};
+use jackdaw_trial::rig::session::{Answer, Session};
+use jackdaw_trial::stand_in::log::{Faults, Mode};
 use jackdawpulley::calls::outcome::{OUTCOME, REASON};
 use jackdawpulley::configuration::document::{Document, Guard};
 
@@ -33,7 +33,7 @@
         let operator = fleet.hosts[index].operator();
         let all = until(PATIENCE, || async move {
             let state: Option<serde_json::Value> =
-                jackdaw_trial::fleet::get(operator, "/state").await;
+                jackdaw_trial::rig::fleet::get(operator, "/state").await;
             state.is_some_and(|s| s["upstreams"].as_array().is_some_and(|u| u.len() == count))
         });
         assert!(all.await, "host {index} sees all upstreams");
@@ -68,7 +68,7 @@
             let doors: Vec<SocketAddr> = fleet
                 .hosts
                 .iter()
-                .map(jackdaw_trial::host::Host::calls)
+                .map(jackdaw_trial::rig::host::Host::calls)
                 .collect();
             let early: Vec<_> = doors
                 .iter()
--- a/trial/tests/load.rs
+++ b/trial/tests/load.rs
@@ -1,7 +1,7 @@
 //! What callers get under load, in virtual time.
 
-use jackdaw_trial::deployment::Deployment;
 use jackdaw_trial::load::{Args, Policy, Report, run};
+use jackdaw_trial::rig::deployment::Deployment;
 
 const SEEDS: u64 = 5;
 
--- a/trial/tests/operators.rs
+++ b/trial/tests/operators.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use common::{document, fleet, places};
-use jackdaw_trial::fleet::{Fleet, until};
-use jackdaw_trial::platform::{Faults, Mode};
+use jackdaw_trial::rig::fleet::{Fleet, until};
+use jackdaw_trial::stand_in::log::{Faults, Mode};
 use serde_json::Value;
 
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -158,10 +158,14 @@
     let version = fleet.put(0, document(1)).await;
     assert!(fleet.converges(version, PATIENCE).await);
     let call =
-        jackdaw_trial::session::once(fleet.hosts[0].calls(), http::Method::GET, "/titles", "");
+        jackdaw_trial::rig::session::once(fleet.hosts[0].calls(), http::Method::GET, "/titles", "");
     assert!(call.await.is_ok());
-    let metrics =
-        jackdaw_trial::session::once(fleet.hosts[0].operator(), http::Method::GET, "/metrics", "");
+    let metrics = jackdaw_trial::rig::session::once(
+        fleet.hosts[0].operator(),
+        http::Method::GET,
+        "/metrics",
+        "",
+    );
     let text = String::from_utf8_lossy(&metrics.await.expect("whole").body).into_owned();
     let page = include_str!("../../docs/OPERATORS.md");
     let names: Vec<&str> = text
--- a/trial/tests/quarantine.rs
+++ b/trial/tests/quarantine.rs
@@ -8,9 +8,9 @@
 use common::{document, fleet, places};
 use futures_util::future::join_all;
 use http::Method;
-use jackdaw_trial::deployment::Place;
-use jackdaw_trial::fleet::{Fleet, get, until};
-use jackdaw_trial::session::{Answer, Session};
+use jackdaw_trial::rig::deployment::Place;
+use jackdaw_trial::rig::fleet::{Fleet, get, until};
+use jackdaw_trial::rig::session::{Answer, Session};
 use jackdawpulley::calls::outcome::REASON;
 use rustix::process::Signal;
 
--- a/trial/tests/races.rs
+++ b/trial/tests/races.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use common::{document, fleet, places};
-use jackdaw_trial::fleet::{Fleet, get};
-use jackdaw_trial::platform::{Faults, Mode};
+use jackdaw_trial::rig::fleet::{Fleet, get};
+use jackdaw_trial::stand_in::log::{Faults, Mode};
 use jackdawpulley::configuration::fold::{Base, Proposal};
 use jackdawpulley::units::{EditId, Version};
 use serde_json::Value;
