Send a request that two old gates refused to a new target

While all requests move, old gates close by a plan that some entries have not heard of: their requests would go from one closed gate to the next. third_try_is_a_new_one did not compile before (the draw took no count).

--- a/src/rollout/rules.rs
+++ b/src/rollout/rules.rs
@@ -11,6 +11,9 @@
 use crate::rollout::progress::Known;
 use crate::units::{Revision, Service};
 
+/// Upstreams that a request tries before it goes to a new target without being drawn for it.
+const TRIED: usize = 1;
+
 /// Part that a target has in a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Side {
@@ -92,10 +95,13 @@
         (takes && chosen).then_some(Side::New)
     }
 
-    /// The side that a request goes to, by a number drawn from 0 to 1. One that is sent once more goes to
-    /// the old side for as long as there is one.
+    /// The side that a request goes to, by a number drawn from 0 to 1, after so many upstreams were `tried`.
+    /// One that is sent once more goes to the old side.
+    ///
+    /// Guards against a request that is refused by one old gate after the other: all of them may have closed
+    /// by a plan that has not come here yet. After two it goes to a new one.
     #[must_use]
-    pub fn draw(&self, draw: f64, again: bool, now: Instant) -> Side {
+    pub fn draw(&self, draw: f64, tried: usize, now: Instant) -> Side {
         match self.step(now) {
             None => match self.verdict {
                 Some(Verdict::Completed) => Side::New,
@@ -103,8 +109,12 @@
             },
             Some(Step::All) => Side::New,
             Some(Step::Canary | Step::Quarter) => {
-                let new = !again && draw * f64::from(ALL) < f64::from(self.permille);
-                if new { Side::New } else { Side::Old }
+                let drawn = draw * f64::from(ALL) < f64::from(self.permille);
+                if tried > TRIED || tried == 0 && drawn {
+                    Side::New
+                } else {
+                    Side::Old
+                }
             }
             Some(Step::Waiting | Step::Back) => Side::Old,
         }
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -209,10 +209,10 @@
     let new = Revision::from("v2");
     assert_eq!(rule.side(Some(&new), peer(1), now), Some(Side::New));
     assert_eq!(rule.side(Some(&new), peer(2), now), None, "not chosen");
-    assert_eq!(rule.draw(0.05, false, now), Side::New);
-    assert_eq!(rule.draw(0.05, true, now), Side::Old, "once more");
+    assert_eq!(rule.draw(0.05, 0, now), Side::New);
+    assert_eq!(rule.draw(0.05, 1, now), Side::Old, "once more");
     assert_eq!(rule.side(Some(&new), peer(1), now + LAPSE), None);
-    assert_eq!(rule.draw(0.05, false, now + LAPSE), Side::Old);
+    assert_eq!(rule.draw(0.05, 0, now + LAPSE), Side::Old);
     assert_eq!(
         rule.side(None, peer(3), now),
         None,
@@ -220,6 +220,26 @@
     );
 }
 
+/// All old gates have closed by a plan that an entry has not heard of yet. Its requests went to one of them
+/// after the other and were refused by each.
+#[test]
+fn third_try_is_a_new_one() {
+    let mut known = known("v2");
+    let plan = Plan {
+        number: 1,
+        step: Step::Quarter,
+        permille: 250,
+        chosen: Vec::new(),
+    };
+    let now = Instant::now();
+    known.follow(now, &plan);
+    let rule = Rule::of(&known);
+    assert_eq!(rule.draw(0.9, 0, now), Side::Old);
+    assert_eq!(rule.draw(0.9, 1, now), Side::Old);
+    assert_eq!(rule.draw(0.9, 2, now), Side::New);
+    assert_eq!(rule.draw(0.9, 2, now + LAPSE), Side::Old);
+}
+
 /// With all requests at the new revision the old targets end what they have. A gate that hears nobody any more
 /// takes requests again: the others may have gone back.
 #[test]
