--- a/src/rollout/controller.rs
+++ b/src/rollout/controller.rs
@@ -4,10 +4,9 @@
 //! takes one verdict. The one that comes first in rendezvous order for the service decides, the next one steps
 //! in when no plan comes from it.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use slog::{info, warn};
@@ -16,38 +15,27 @@
 use crate::board::Board;
 use crate::clock;
 use crate::configuration::origin::Origin;
-use crate::idempotency::keys;
-use crate::membership::member::{Health, Member, Stage};
+use crate::membership::member::{Health, Stage};
 use crate::membership::probe::Membership;
-use crate::rollout::evidence::Evidence;
+use crate::rollout::duty::{Duty, Gates, SAMPLED, TICK, ranked};
 use crate::rollout::order::{Order, Status};
-use crate::rollout::plan::{
-    ALL, Decision, Limits, MOST_CHOSEN, Observed, Plan, RENEWAL, Step, decide,
-};
+use crate::rollout::plan::{ALL, Decision, Limits, MOST_CHOSEN, Plan, RENEWAL, Step, decide};
 use crate::rollout::progress::Known;
 use crate::rollout::tally::{Report, Tally};
 use crate::rollout::test::Test;
-use crate::units::{CallKey, Era, Revision, Service};
+use crate::units::Service;
 
-/// Time between two looks at a roll-out that is under way.
-const TICK: Duration = Duration::from_millis(250);
 /// Time between two looks where all have a verdict.
 const REST: Duration = Duration::from_secs(2);
 /// Daemons that get the counts of a service: the one that decides, and the next one.
 const DECIDERS: usize = 2;
 /// Time without a plan after which the next one decides: before plans lapse.
 const TAKE_OVER: Duration = Duration::from_secs(1);
-/// Gates of old targets that report, so that their number does not grow with the fleet.
-const SAMPLED: usize = 16;
 /// Gates of new targets that report: twice as many as a plan names, since some may not be warm.
 const TRIED: usize = 2 * MOST_CHOSEN;
 /// Gates that report in one tick that nothing runs at their old targets; where there are more, each does so
 /// less often.
 const DRAINS: usize = 128;
-/// Weight of the last tick in the rate of a service's requests.
-const LATEST: f64 = 0.3;
-/// Ticks with requests after which that rate is known.
-const MEASURED: u32 = 4;
 /// Time between two looks at what the platform says of a roll-out: it may have forgotten.
 const RECHECK: Duration = Duration::from_secs(10);
 /// Time for which it is looked at after the end of an order.
@@ -66,37 +54,6 @@
     ticks: u64,
 }
 
-/// What this daemon knows of a roll-out on which it decides, or may have to.
-struct Duty {
-    order: Order,
-    evidence: Evidence,
-    step: Step,
-    since: Instant,
-    /// When requests were counted last: those of new targets and of old ones that had been reported.
-    seen: (Instant, (u64, u64)),
-    /// Requests a second, and the ticks that it is made from.
-    rate: (f64, u32),
-    asked: Arc<Asked>,
-    /// When the platform was asked last, and in which era.
-    checked: Option<(Instant, Era)>,
-}
-
-/// What is going on with the platform about one order.
-#[derive(Debug, Default)]
-struct Asked {
-    under_way: AtomicBool,
-    /// Whether the platform has said that there is no verdict.
-    confirmed: AtomicBool,
-}
-
-/// Gates of one service, as the view has them.
-struct Gates {
-    /// Of the revision that is rolled out, by rank.
-    new: Vec<SocketAddr>,
-    /// Of others, by rank.
-    old: Vec<SocketAddr>,
-}
-
 impl Controller {
     /// A controller of what `board` knows.
     #[must_use]
@@ -171,7 +128,7 @@
         };
         let now = Instant::now();
         let step = rule.step(now).unwrap_or_default();
-        let gates = self.gates(&target.service, &rule.revision);
+        let gates = Gates::of(&board.roster(), &target.service, &rule.revision);
         let me = board.settings.identity();
         let is_among = |peers: &[SocketAddr], first| peers.iter().take(first).any(|p| *p == me);
         let counts = is_among(&gates.new, TRIED) || is_among(&gates.old, SAMPLED);
@@ -217,21 +174,8 @@
         ranked(service, serving)
     }
 
-    fn gates(&self, service: &Service, revision: &Revision) -> Gates {
-        let roster = self.board.roster();
-        let of = |new: bool| {
-            let members = roster.members.iter().filter(|member| {
-                let offer = member.offer.as_ref().filter(|offer| offer.open);
-                let offer = offer.filter(|offer| offer.service == *service);
-                let told = offer.and_then(|offer| offer.revision.as_ref());
-                told.is_some_and(|told| (told == revision) == new)
-            });
-            ranked(service, members)
-        };
-        Gates {
-            new: of(true),
-            old: of(false),
-        }
+    fn gates(&self, order: &Order) -> Gates {
+        Gates::of(&self.board.roster(), &order.service, &order.revision)
     }
 
     fn take_reports(&mut self) {
@@ -277,45 +221,18 @@
         };
         let now = Instant::now();
         let quiet = now.saturating_duration_since(known.renewed());
-        let number = u32::try_from(rank).unwrap_or(u32::MAX);
-        let is_turn = quiet >= TAKE_OVER.saturating_mul(number);
-        self.measure(index);
+        // Plans are renewed until there is a verdict; then one daemon looks after it.
+        let is_open = known.progress().verdict.is_none();
+        let is_turn = rank == 0 || is_open && quiet >= TAKE_OVER;
+        let gates = self.gates(&self.duties[index].order);
+        self.duties[index].measure(&gates);
         if is_turn {
-            self.steer(index, known);
+            self.steer(index, known, &gates);
         }
     }
 
-    /// Notes how many requests the service gets.
-    ///
-    /// Guards against a rate that seems to fall since reports are lost: what the revision may get beside its
-    /// share would be a large part of it then. The rate stays while most of the gates are not heard.
-    fn measure(&mut self, index: usize) {
-        let duty = &self.duties[index];
-        let gates = self.gates(&duty.order.service, &duty.order.revision);
-        let duty = &mut self.duties[index];
-        let now = Instant::now();
-        let heard = duty.evidence.heard(now);
-        let heard = heard.filter(|(peer, _)| gates.old.contains(peer)).count();
-        let requests = (duty.evidence.exposed(), duty.evidence.others());
-        let (then, (exposed, others)) = std::mem::replace(&mut duty.seen, (now, requests));
-        if heard == 0 || heard * 2 < gates.old.len().min(SAMPLED) {
-            return;
-        }
-        let part = float(gates.old.len() as u64) / float(heard as u64);
-        let came = float(requests.0 - exposed) + float(requests.1 - others) * part.max(1.0);
-        let seconds = now.saturating_duration_since(then).as_secs_f64();
-        let rate = came / seconds.max(TICK.as_secs_f64() / 2.0);
-        let (known, ticks) = duty.rate;
-        let mean = if ticks < MEASURED {
-            (known * f64::from(ticks) + rate) / f64::from(ticks + 1)
-        } else {
-            known + LATEST * (rate - known)
-        };
-        duty.rate = (mean, ticks.saturating_add(1));
-    }
-
     /// Decides what comes next.
-    fn steer(&mut self, index: usize, known: &Known) {
+    fn steer(&mut self, index: usize, known: &Known, gates: &Gates) {
         let now = Instant::now();
         let era = self.board.era();
         let progress = known.progress();
@@ -323,16 +240,12 @@
             self.check(index, known, Status::from(progress.verdict));
             return;
         }
-        let gates = self.gates(&progress.order.service, &progress.order.revision);
         let duty = &mut self.duties[index];
-        if duty.step != progress.plan.step {
-            duty.step = progress.plan.step;
-            duty.since = now;
-        }
+        duty.follow(now, progress.plan.step);
         let finding = duty.evidence.judge(Test::default(), gates.new.len());
-        let observed = duty.observe(now, known, &gates, finding.is_some());
+        let observed = duty.observe(now, known, gates, finding.is_some());
         let decision = decide(&self.limits, &observed);
-        let warm = duty.warm(now, &gates);
+        let warm = duty.warm(now, gates);
         let chosen = chosen(&warm, decision.targets);
         let plan = &progress.plan;
         let same =
@@ -454,68 +367,6 @@
     chosen
 }
 
-/// Daemons in rendezvous order for a service.
-fn ranked<'a>(service: &Service, members: impl Iterator<Item = &'a Member>) -> Vec<SocketAddr> {
-    let key = CallKey(service.to_string());
-    let mut peers: Vec<SocketAddr> = members.map(|member| member.peer).collect();
-    peers.sort_by_cached_key(|peer| Reverse(keys::rank(&key, *peer)));
-    peers
-}
-
-impl Duty {
-    fn new(order: Order, known: &Known) -> Self {
-        let now = Instant::now();
-        Self {
-            evidence: Evidence::new(order.revision.clone()),
-            order,
-            step: known.progress().plan.step,
-            since: now,
-            seen: (now, (0, 0)),
-            rate: (0.0, 0),
-            asked: Arc::default(),
-            checked: None,
-        }
-    }
-
-    /// New targets that are past the slow time after their start, by rank.
-    fn warm(&self, now: Instant, gates: &Gates) -> Vec<SocketAddr> {
-        let warm = |peer: &&SocketAddr| {
-            let mut heard = self.evidence.heard(now);
-            heard.any(|(known, report)| known == **peer && report.warm)
-        };
-        gates.new.iter().filter(warm).copied().collect()
-    }
-
-    fn observe(&self, now: Instant, known: &Known, gates: &Gates, bad: bool) -> Observed {
-        let heard: Vec<(SocketAddr, &Report)> = self.evidence.heard(now).collect();
-        let old_heard = heard
-            .iter()
-            .filter(|(peer, _)| gates.old.contains(peer))
-            .count();
-        let expected = gates.old.len().min(SAMPLED);
-        let is_drained = |peer: &SocketAddr| {
-            let report = heard.iter().find(|(known, _)| known == peer);
-            report.is_some_and(|(_, report)| report.step == Step::All && report.busy == 0)
-        };
-        let (rate, ticks) = self.rate;
-        Observed {
-            duration: self.order.duration.duration(),
-            age: known.age(now),
-            step: self.step,
-            in_step: now.saturating_duration_since(self.since),
-            confirmed: self.asked.confirmed.load(Ordering::Acquire),
-            warm: self.warm(now, gates).len(),
-            targets: gates.new.len(),
-            in_touch: old_heard * 2 >= expected,
-            per_second: (ticks >= MEASURED).then_some(rate),
-            exposed: self.evidence.exposed(),
-            answers: self.evidence.answers(),
-            bad,
-            drained: gates.old.iter().all(is_drained),
-        }
-    }
-}
-
 impl std::fmt::Debug for Controller {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Controller")
@@ -524,8 +375,3 @@
             .finish_non_exhaustive()
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
-const fn float(count: u64) -> f64 {
-    count as f64
-}
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -13,6 +13,7 @@
 //! [`rules`](rules::Rules) made from it.
 
 pub mod controller;
+pub mod duty;
 pub mod evidence;
 pub mod order;
 pub mod plan;
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -375,7 +375,7 @@
 fn canary(limits: &Limits, seen: &Observed) -> (u16, usize) {
     // A share of an unknown number may be any number.
     let Some(per_second) = seen.per_second else {
-        return (0, few(0, seen));
+        return (0, targets(0, seen));
     };
     let requests = per_second * seen.duration.as_secs_f64();
     let allowed = limits.share * requests + count(limits.slack);
@@ -390,17 +390,17 @@
         (part / through * f64::from(ALL)).min(MOST_CANARY)
     };
     let permille = permille as u16;
-    (permille, few(permille, seen))
+    (permille, targets(permille, seen))
 }
 
 /// Share in permille and targets of the second step.
 fn quarter(seen: &Observed) -> (u16, usize) {
-    (QUARTER, few(QUARTER, seen))
+    (QUARTER, targets(QUARTER, seen))
 }
 
 /// Targets that carry as much each, with this share, as they will with all requests; 0 when those are too
 /// many to be named.
-fn few(permille: u16, seen: &Observed) -> usize {
+fn targets(permille: u16, seen: &Observed) -> usize {
     let all = seen.targets.max(seen.warm);
     let share = (all * usize::from(permille)).div_ceil(usize::from(ALL));
     let few = share.max(FEWEST_TARGETS).min(seen.warm);
--- a/src/rollout/progress.rs
+++ b/src/rollout/progress.rs
@@ -187,7 +187,6 @@
     pub fn follow(&mut self, renewed: Instant, plan: &Plan) -> bool {
         let later = plan.supersedes(&self.progress.plan);
         if later {
-            // Where both go back, the one that was known stays, with the later number.
             self.progress.plan = plan.clone();
             self.renewed = renewed;
         }
--- a/src/rollout/rules.rs
+++ b/src/rollout/rules.rs
@@ -101,7 +101,7 @@
     /// Guards against a request that is refused by one old gate after the other: all of them may have closed
     /// by a plan that has not come here yet. After two it goes to a new one.
     #[must_use]
-    pub fn draw(&self, draw: f64, tried: usize, now: Instant) -> Side {
+    pub fn draw(&self, number: f64, tried: usize, now: Instant) -> Side {
         match self.step(now) {
             None => match self.verdict {
                 Some(Verdict::Completed) => Side::New,
@@ -109,7 +109,7 @@
             },
             Some(Step::All) => Side::New,
             Some(Step::Canary | Step::Quarter) => {
-                let drawn = draw * f64::from(ALL) < f64::from(self.permille);
+                let drawn = number * f64::from(ALL) < f64::from(self.permille);
                 if tried > TRIED || tried == 0 && drawn {
                     Side::New
                 } else {
