Set aside what the move of a roll-out takes; count requests that are overdue

And the slow answers that show it come when requests have moved. Change: the first step gets what the move leaves; the move looks ten times a second and its steps last half a second; its first step is wide enough that two targets carry what they will with all requests; requests at a new target for longer than a slow answer takes count as slow ones.

--- a/src/rollout/controller.rs
+++ b/src/rollout/controller.rs
@@ -17,11 +17,12 @@
 use crate::configuration::origin::Origin;
 use crate::membership::member::{Health, Stage};
 use crate::membership::probe::Membership;
-use crate::rollout::duty::{Duty, Gates, SAMPLED, TICK, ranked};
+use crate::quarantine::inspect;
+use crate::rollout::duty::{Duty, Gates, MOVE_TICK, SAMPLED, TICK, ranked};
 use crate::rollout::order::{Order, Status};
 use crate::rollout::plan::{ALL, Decision, Limits, MOST_CHOSEN, Plan, RENEWAL, Step, decide};
 use crate::rollout::progress::Known;
-use crate::rollout::tally::{Report, Tally};
+use crate::rollout::tally::{Counts, Outcome, Report, RouteId, Tally};
 use crate::rollout::test::Test;
 use crate::units::Service;
 
@@ -35,7 +36,7 @@
 const TRIED: usize = 2 * MOST_CHOSEN;
 /// Gates that report in one tick that nothing runs at their old targets; where there are more, each does so
 /// less often.
-const DRAINS: usize = 128;
+const DRAINS: usize = 48;
 /// Time between two looks at what the platform says of a roll-out: it may have forgotten.
 const RECHECK: Duration = Duration::from_secs(10);
 /// Time for which it is looked at after the end of an order.
@@ -91,8 +92,7 @@
                 continue;
             }
             let known = self.board.rollouts.known();
-            let open = known.iter().any(|known| known.progress().verdict.is_none());
-            next = Instant::now() + if open { TICK } else { REST };
+            next = Instant::now() + pause(&known);
             self.ticks += 1;
             self.report().await;
             self.take_reports();
@@ -144,6 +144,11 @@
             step,
             busy: self.busy(),
             warm: now >= target.cold_until,
+            under_way: if counts {
+                self.under_way(now)
+            } else {
+                Vec::new()
+            },
             tally: if counts {
                 board.rollouts.counted()
             } else {
@@ -159,8 +164,19 @@
         }
     }
 
+    /// Requests that the target works on, by route and the time since it got them.
+    fn under_way(&self, now: Instant) -> Vec<(RouteId, Counts)> {
+        let mut ages = Tally::default();
+        let running = inspect::lock(&self.board.running);
+        for run in running.under_way() {
+            let age = now.saturating_duration_since(run.began);
+            ages.add(RouteId::of(&run.route), Outcome::Answered(age));
+        }
+        ages.routes
+    }
+
     fn busy(&self) -> u32 {
-        let running = crate::quarantine::inspect::lock(&self.board.running);
+        let running = inspect::lock(&self.board.running);
         u32::try_from(running.under_way().count()).unwrap_or(u32::MAX)
     }
 
@@ -317,6 +333,16 @@
     }
 }
 
+/// Time until the next look at what is known.
+fn pause(known: &[Known]) -> Duration {
+    let open = known
+        .iter()
+        .filter(|known| known.progress().verdict.is_none());
+    let moves = |known: &Known| matches!(known.progress().plan.step, Step::Ramp | Step::All);
+    let each = open.map(|known| if moves(known) { MOVE_TICK } else { TICK });
+    each.min().unwrap_or(REST)
+}
+
 /// Tells the platform how a roll-out stands, and takes what stands there.
 async fn tell(
     board: &Board,
--- a/src/rollout/duty.rs
+++ b/src/rollout/duty.rs
@@ -18,6 +18,8 @@
 
 /// Time between two looks at a roll-out that is under way.
 pub const TICK: Duration = Duration::from_millis(250);
+/// Time between two of them while requests move: each look less is requests that a bad revision gets.
+pub const MOVE_TICK: Duration = Duration::from_millis(100);
 /// Gates of old targets that report, so that their number does not grow with the fleet.
 pub const SAMPLED: usize = 16;
 /// Weight of the last tick in the rate of a service's requests.
--- a/src/rollout/evidence.rs
+++ b/src/rollout/evidence.rs
@@ -16,8 +16,10 @@
 const MOST_TICKS: usize = 240;
 /// Buckets above the old revision's median from which an answer counts as slow: about three times its time.
 const SLOWER: usize = 3;
-/// Answers of the old revision that a comparison asks for where it has them.
+/// Answers of the old revision that a comparison asks for at least, where it has them.
 const BASE: u32 = 300;
+/// Answers of it that are looked at as well, so that luck with the last ones does not count.
+const LONG_BASE: u32 = 2_000;
 /// Time after which a gate that has not reported counts as not heard.
 const SILENT: Duration = Duration::from_millis(1_500);
 
@@ -188,12 +190,17 @@
         let mut spans: Vec<usize> = spans.take_while(|span| *span < self.ticks.len()).collect();
         spans.push(self.ticks.len());
         spans.into_iter().find_map(|span| {
-            let base = self.base(route, span);
-            let slow = base.median().map_or(usize::MAX, |median| median + SLOWER);
-            let old = Sample {
-                bad: base.bad(slow),
-                total: base.total(),
+            let asked = self.answered(route, span).max(BASE);
+            let lately = self.base(route, span, asked);
+            let slow = lately.median().map_or(usize::MAX, |median| median + SLOWER);
+            let sample = |counts: &Counts| Sample {
+                bad: counts.bad(slow),
+                total: counts.total(),
             };
+            // Guards against luck on either side: a service beneath that has just begun to fail shows in
+            // the last answers, a few that happened to be good ones don't show in many.
+            let for_long = self.base(route, span, LONG_BASE);
+            let old = sample(&lately).worse(sample(&for_long));
             let samples = self.samples(route, span, slow);
             let new = samples
                 .iter()
@@ -209,12 +216,23 @@
         })
     }
 
-    /// Counts of the old revision over the last ticks, and over earlier ones as far as it takes to have
-    /// something to compare with.
-    fn base(&self, route: RouteId, span: usize) -> Counts {
+    /// Answers of the new revision over the last ticks.
+    fn answered(&self, route: RouteId, span: usize) -> u32 {
+        let ticks = self.ticks.iter().rev().take(span);
+        let new = ticks.flat_map(|tick| &tick.new);
+        let here = new.filter(|(_, known, _)| *known == route);
+        here.map(|(_, _, counts)| counts.total()).sum()
+    }
+
+    /// Counts of the old revision over the last ticks, and over earlier ones as far as it takes to have as
+    /// many answers as are `asked` for.
+    ///
+    /// Guards against many answers that are held against few: while the new revision gets all requests, the
+    /// last ones of the old stand for all that follow, and some good ones would be taken back for their luck.
+    fn base(&self, route: RouteId, span: usize, asked: u32) -> Counts {
         let mut base = Counts::default();
         for (age, tick) in self.ticks.iter().rev().enumerate() {
-            if age >= span && base.total() >= BASE {
+            if age >= span && base.total() >= asked {
                 break;
             }
             let found = tick.old.binary_search_by_key(&route, |(known, _)| *known);
@@ -225,6 +243,10 @@
         base
     }
 
+    fn is_new(&self, gate: &Gate) -> bool {
+        gate.report.revision == self.revision
+    }
+
     /// Answers of each target of the new revision over the last ticks.
     fn samples(&self, route: RouteId, span: usize, slow: usize) -> Vec<Sample> {
         let mut samples: Vec<(SocketAddr, Sample)> = Vec::new();
@@ -235,16 +257,33 @@
                     bad: counts.bad(slow),
                     total: counts.total(),
                 };
-                match samples.binary_search_by_key(peer, |(known, _)| *known) {
-                    Ok(index) => samples[index].1 = samples[index].1.plus(counted),
-                    Err(index) => samples.insert(index, (*peer, counted)),
-                }
+                add_sample(&mut samples, *peer, counted);
             }
         }
+        // Guards against a slow revision whose answers come when it has got all requests: what it works on
+        // for longer than an answer may take is as bad as one that took so long.
+        for gate in self.gates.iter().filter(|gate| self.is_new(gate)) {
+            let here = gate.report.under_way.iter();
+            let here = here.filter(|(known, _)| *known == route);
+            let overdue: u32 = here.map(|(_, ages)| ages.bad(slow)).sum();
+            let late = Sample {
+                bad: overdue,
+                total: overdue,
+            };
+            add_sample(&mut samples, gate.peer, late);
+        }
         samples.into_iter().map(|(_, sample)| sample).collect()
     }
 }
 
+fn add_sample(all: &mut Vec<(SocketAddr, Sample)>, peer: SocketAddr, sample: Sample) {
+    match all.binary_search_by_key(&peer, |(known, _)| *known) {
+        Ok(index) => all[index].1 = all[index].1.plus(sample),
+        Err(index) if sample.total > 0 => all.insert(index, (peer, sample)),
+        Err(_) => {}
+    }
+}
+
 fn add(all: &mut Vec<(RouteId, Counts)>, route: RouteId, counts: &Counts) {
     match all.binary_search_by_key(&route, |(known, _)| *known) {
         Ok(index) => all[index].1.merge(counts),
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -3,7 +3,8 @@
 //! [`decide`] is pure: it gets what was [`Observed`] of the roll-out and says what comes next. Most of the time is spent
 //! at a small share, on a few targets that then carry as much each as an old one does, so that a fault that
 //! shows under load or late is found while few requests meet it. The rest of the time is for the move itself:
-//! a quarter, then all, until nothing runs at the old targets.
+//! a part of the requests, then all, until nothing runs at the old targets. What the move takes of what a bad
+//! revision may get is set aside for it, so that one whose fault shows only then stays within the bound.
 //!
 //! ```
 //! use std::time::Duration;
@@ -32,8 +33,7 @@
 
 use crate::units::Millis;
 
-/// Part of the requests that a bad revision may get which is spent on finding out at a small share. The move
-/// of all requests needs the rest, for a fault that shows only then.
+/// Largest part of the requests that a bad revision may get which is spent on finding out at a small share.
 const CANARY_PART: f64 = 0.3;
 /// Largest share of the first step, in permille, however few the requests are: most callers stay with what
 /// is known to be good.
@@ -42,24 +42,31 @@
 const FEWEST_TARGETS: usize = 2;
 /// Targets that a plan names at most, so that it fits into a datagram.
 pub const MOST_CHOSEN: usize = 16;
-/// Share of the second step, in permille.
-const QUARTER: u16 = 250;
+/// Share of the second step, in permille: the least one with which a few targets carry as much each as with all
+/// requests.
+const LEAST_RAMP: usize = 250;
+/// Largest share of it, where a service has few targets.
+const MOST_RAMP: usize = 500;
 /// All requests, in permille.
 pub const ALL: u16 = 1_000;
 /// Part of an order's time that is kept for the move.
 const MOVE_PART: f64 = 0.35;
-/// Time that is kept for the move at least: the quarter, requests under way at the old targets, the verdict.
+/// Time that is kept for the move at least: the ramp, requests under way at the old targets, the verdict.
 const SHORTEST_MOVE: Duration = Duration::from_millis(3_500);
 /// Time that it takes at most.
 const LONGEST_MOVE: Duration = Duration::from_secs(10);
 /// Largest part of an order's time that is kept for the move, where that is short.
 const MOST_MOVE: f64 = 0.6;
-/// Time at a quarter: three reports of each gate.
-const QUARTER_TIME: Duration = Duration::from_millis(800);
+/// Time of the ramp: several reports of each gate.
+const RAMP_TIME: Duration = Duration::from_millis(500);
 /// Time at all requests before the verdict, for the same reason.
-const ALL_TIME: Duration = Duration::from_millis(800);
+const ALL_TIME: Duration = Duration::from_millis(500);
+/// Time that a step lasts beyond that: a report, a decision, and the news of it.
+const LAG: Duration = Duration::from_millis(250);
+/// Requests that the first step may take at least, so that something is known of each revision.
+const FIRST_REQUESTS: f64 = 8.0;
 /// Time in which gates have reported what they saw of a step.
-const REPORTED: Duration = Duration::from_millis(400);
+const REPORTED: Duration = Duration::from_millis(300);
 /// Time before the end of an order at which it completes although requests still run at old targets.
 const LAST_CALL: Duration = Duration::from_millis(400);
 /// Answers of the new revision that the move asks for, where the requests are frequent enough.
@@ -91,8 +98,8 @@
     Waiting,
     /// A few targets get a small share.
     Canary,
-    /// A quarter.
-    Quarter,
+    /// A few targets get as much each as they will with all requests.
+    Ramp,
     /// Everything; the old targets end what they have.
     All,
     /// Nothing any more, for good.
@@ -230,7 +237,7 @@
     }
     let next = match seen.step {
         Step::Waiting | Step::Canary => first(limits, seen, left),
-        Step::Quarter => after_quarter(seen),
+        Step::Ramp => after_ramp(seen),
         Step::All => after_all(seen, left),
         Step::Back => back(Cause::WentBack),
     };
@@ -257,7 +264,7 @@
     let (permille, targets) = match seen.step {
         Step::Waiting | Step::Back => (0, 0),
         Step::Canary => canary(limits, seen),
-        Step::Quarter => quarter(seen),
+        Step::Ramp => ramp(seen),
         Step::All => (ALL, 0),
     };
     Decision {
@@ -296,9 +303,9 @@
     let enough = ENOUGH_ANSWERS.min(expected / 2.0);
     let known = seen.answers >= FEWEST_ANSWERS && count(seen.answers) >= enough;
     if known {
-        let (permille, targets) = quarter(seen);
+        let (permille, targets) = ramp(seen);
         return Decision {
-            step: Step::Quarter,
+            step: Step::Ramp,
             permille,
             targets,
             cause: Cause::TimeToMove,
@@ -325,16 +332,16 @@
     per_second * time.as_secs_f64() * f64::from(permille) / f64::from(ALL)
 }
 
-fn after_quarter(seen: &Observed) -> Decision {
-    let (permille, targets) = quarter(seen);
+fn after_ramp(seen: &Observed) -> Decision {
+    let (permille, targets) = ramp(seen);
     let trying = Decision {
-        step: Step::Quarter,
+        step: Step::Ramp,
         permille,
         targets,
         complete: false,
         cause: Cause::Trying,
     };
-    if seen.in_step < QUARTER_TIME {
+    if seen.in_step < RAMP_TIME {
         return trying;
     }
     Decision {
@@ -385,7 +392,8 @@
     };
     let requests = per_second * seen.duration.as_secs_f64();
     let allowed = limits.share * requests + count(limits.slack);
-    let part = allowed * CANARY_PART;
+    let left = allowed - move_requests(per_second, seen);
+    let part = left.min(allowed * CANARY_PART).max(FIRST_REQUESTS);
     let time = seen.duration.saturating_sub(move_time(seen.duration));
     let through = (per_second * time.as_secs_f64()).max(1.0);
     // What has been spent already is not spent twice, whoever decided then.
@@ -400,8 +408,21 @@
 }
 
 /// Share in permille and targets of the second step.
-fn quarter(seen: &Observed) -> (u16, usize) {
-    (QUARTER, targets(QUARTER, seen))
+fn ramp(seen: &Observed) -> (u16, usize) {
+    let all = seen.targets.max(seen.warm).max(1);
+    let two = (FEWEST_TARGETS * usize::from(ALL)).div_ceil(all);
+    let permille = two.clamp(LEAST_RAMP, MOST_RAMP);
+    let permille = u16::try_from(permille).unwrap_or(ALL);
+    (permille, targets(permille, seen))
+}
+
+/// Requests that the move takes until its verdict.
+fn move_requests(per_second: f64, seen: &Observed) -> f64 {
+    let (permille, _) = ramp(seen);
+    let part = f64::from(permille) / f64::from(ALL);
+    let ramp = (RAMP_TIME + LAG).as_secs_f64() * part;
+    let all = (ALL_TIME + LAG).as_secs_f64();
+    per_second * (ramp + all)
 }
 
 /// Targets that carry as much each, with this share, as they will with all requests; 0 when those are too
@@ -410,7 +431,7 @@
     let all = seen.targets.max(seen.warm);
     let share = (all * usize::from(permille)).div_ceil(usize::from(ALL));
     let few = share.max(FEWEST_TARGETS).min(seen.warm);
-    if few > MOST_CHOSEN && seen.step != Step::Waiting && permille >= QUARTER {
+    if few > MOST_CHOSEN && seen.step != Step::Waiting && usize::from(permille) >= LEAST_RAMP {
         return 0;
     }
     few.min(MOST_CHOSEN)
--- a/src/rollout/rules.rs
+++ b/src/rollout/rules.rs
@@ -90,7 +90,7 @@
             let barred = self.barred.binary_search(revision).is_ok();
             return (!barred && step != Step::All).then_some(Side::Old);
         }
-        let takes = matches!(step, Step::Canary | Step::Quarter | Step::All);
+        let takes = matches!(step, Step::Canary | Step::Ramp | Step::All);
         let chosen = self.chosen.is_empty() || self.chosen.binary_search(&peer).is_ok();
         (takes && chosen).then_some(Side::New)
     }
@@ -108,7 +108,7 @@
                 _ => Side::Old,
             },
             Some(Step::All) => Side::New,
-            Some(Step::Canary | Step::Quarter) => {
+            Some(Step::Canary | Step::Ramp) => {
                 let drawn = number * f64::from(ALL) < f64::from(self.permille);
                 if tried > TRIED || tried == 0 && drawn {
                     Side::New
--- a/src/rollout/tally.rs
+++ b/src/rollout/tally.rs
@@ -199,6 +199,8 @@
     pub busy: u32,
     /// Whether the target is past the slow time after its start.
     pub warm: bool,
+    /// Requests that the target works on, by the time since it got them.
+    pub under_way: Vec<(RouteId, Counts)>,
     /// What it has counted.
     pub tally: Tally,
 }
--- a/src/rollout/test.rs
+++ b/src/rollout/test.rs
@@ -51,6 +51,22 @@
 }
 
 impl Sample {
+    /// The one with the larger share of bad answers.
+    #[must_use]
+    pub fn worse(self, other: Self) -> Self {
+        if other.usual() > self.usual() {
+            other
+        } else {
+            self
+        }
+    }
+
+    /// Share of bad answers to expect, credited with a few for what luck has in it.
+    fn usual(self) -> f64 {
+        let share = (f64::from(self.bad) + PRIOR_BAD) / (f64::from(self.total) + PRIOR);
+        share.min(MOST)
+    }
+
     /// Both together.
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
@@ -93,8 +109,7 @@
 /// Logarithm of the odds that the new revision has bad answers more often by a rise, rather than as often
 /// as the old one.
 fn weight(old: Sample, new: Sample, rise: f64) -> f64 {
-    let usual = (f64::from(old.bad) + PRIOR_BAD) / (f64::from(old.total) + PRIOR);
-    let usual = usual.min(MOST);
+    let usual = old.usual();
     let risen = (usual + rise).min(f64::midpoint(1.0, MOST));
     let good = f64::from(new.total.saturating_sub(new.bad));
     f64::from(new.bad) * (risen / usual).ln() + good * ((1.0 - risen) / (1.0 - usual)).ln()
--- a/tests/canary.rs
+++ b/tests/canary.rs
@@ -20,7 +20,8 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-const TICK: Duration = Duration::from_millis(250);
+/// Time between two looks, and between two of them while requests move.
+const TICKS: [Duration; 2] = [Duration::from_millis(250), Duration::from_millis(100)];
 const LIMITS: Limits = Limits {
     share: 0.1,
     slack: 50,
@@ -121,7 +122,7 @@
     }
 
     /// Plays a tick at a gate that gets so many requests; how many of them were bad.
-    fn play(&mut self, gate: usize, mean: f64, age: Duration) -> (usize, usize) {
+    fn play(&mut self, gate: usize, mean: f64, age: Duration, tick: Duration) -> (usize, usize) {
         let count = self.count(mean);
         let new = self.tallies[gate].1;
         let mut bad_ones = 0;
@@ -133,7 +134,7 @@
                     Onset::Never => false,
                     Onset::AtOnce => true,
                     Onset::Late(after) => age >= after,
-                    Onset::Loaded => mean >= RATE * TICK.as_secs_f64() * 0.8,
+                    Onset::Loaded => mean >= RATE * tick.as_secs_f64() * 0.8,
                     Onset::OneRoute => !first,
                 };
             let bad = on && self.rng.random_bool(case.share);
@@ -154,6 +155,7 @@
             step,
             busy: 0,
             warm: age >= WARM,
+            under_way: Vec::new(),
             tally: tally.clone(),
         }
     }
@@ -178,7 +180,9 @@
         // What is played in this tick goes by the plan of the one before: news take a moment.
         let share = f64::from(permille) / 1_000.0;
         let takers = if chosen == 0 { case.targets } else { chosen };
-        let per_tick = rate * TICK.as_secs_f64();
+        let moves = matches!(step, Step::Ramp | Step::All);
+        let tick = TICKS[usize::from(moves)];
+        let per_tick = rate * tick.as_secs_f64();
         for gate in 0..olds + case.targets {
             let new = gate >= olds;
             let mean = match (new, gate < olds + takers) {
@@ -186,7 +190,7 @@
                 (true, true) => per_tick * share / takers as f64,
                 (true, false) => 0.0,
             };
-            let (count, bad) = fleet.play(gate, mean, age);
+            let (count, bad) = fleet.play(gate, mean, age, tick);
             if new && count > 0 {
                 result.exposed += count as f64;
                 bad_answers += bad;
@@ -201,7 +205,7 @@
         if bad_answers >= BAD_ANSWERS && fiftieth.is_none() {
             fiftieth = Some(age);
         }
-        age += TICK;
+        age += tick;
         let observed = Observed {
             duration: case.duration,
             age,
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -84,10 +84,10 @@
     );
     assert_eq!(
         decide(&LIMITS, &observed(Step::Canary, 9_000)).step,
-        Step::Quarter
+        Step::Ramp
     );
     assert_eq!(
-        decide(&LIMITS, &observed(Step::Quarter, 9_500)).step,
+        decide(&LIMITS, &observed(Step::Ramp, 9_500)).step,
         Step::All
     );
     let all = observed(Step::All, 10_500);
@@ -109,7 +109,7 @@
 #[test]
 fn end_of_the_order_completes() {
     let late = Observed {
-        in_step: Duration::from_millis(758),
+        in_step: Duration::from_millis(450),
         drained: true,
         ..observed(Step::All, 11_770)
     };
@@ -117,6 +117,7 @@
     assert!(decision.complete, "{decision:?}");
     let early = Observed {
         age: Duration::from_millis(11_200),
+        in_step: Duration::from_millis(450),
         ..late
     };
     assert!(!decide(&LIMITS, &early).complete, "there is time to look");
@@ -134,7 +135,7 @@
 /// revision more: it would do so on its side of a cut, whatever the others have found.
 #[test]
 fn nobody_goes_on_alone() {
-    for step in [Step::Waiting, Step::Canary, Step::Quarter, Step::All] {
+    for step in [Step::Waiting, Step::Canary, Step::Ramp, Step::All] {
         for age_ms in (0..12_000).step_by(250) {
             let unconfirmed = Observed {
                 confirmed: false,
@@ -200,7 +201,7 @@
         step in 0..5_usize, age_ms in 0..15_000_u64, rate in 0.0..5_000.0_f64, exposed in 0..3_000_u64,
         answers in 0..3_000_u64, bad: bool, drained: bool, confirmed: bool, in_touch: bool, warm in 0..300_usize,
     ) {
-        let step = [Step::Waiting, Step::Canary, Step::Quarter, Step::All, Step::Back][step];
+        let step = [Step::Waiting, Step::Canary, Step::Ramp, Step::All, Step::Back][step];
         let observed = Observed {
             per_second: Some(rate), exposed, answers, bad, drained, confirmed, in_touch, warm,
             targets: warm, ..observed(step, age_ms)
@@ -255,7 +256,7 @@
     let mut known = known("v2");
     let plan = Plan {
         number: 1,
-        step: Step::Quarter,
+        step: Step::Ramp,
         permille: 250,
         chosen: Vec::new(),
     };
@@ -400,7 +401,7 @@
         step: [
             Step::Waiting,
             Step::Canary,
-            Step::Quarter,
+            Step::Ramp,
             Step::All,
             Step::Back,
         ][step],
@@ -480,6 +481,7 @@
                 step: Step::Canary,
                 busy: 0,
                 warm: true,
+                under_way: Vec::new(),
                 tally: tally.clone(),
             };
             self.evidence.hear(self.now, peer(*host), report);
@@ -587,6 +589,7 @@
         step: Step::Canary,
         busy: 0,
         warm: true,
+        under_way: Vec::new(),
         tally: rounds.tallies[0].1.clone(),
     };
     let now = rounds.now;
@@ -652,3 +655,32 @@
     assert_eq!(usual.get(&service, now), Some(&old), "the first one counts");
     assert_eq!(usual.told(), [(service, old)]);
 }
+
+/// A revision takes six times as long for some requests, and is given all of them: its slow answers come when it is
+/// too late, but the requests that wait for them show it earlier.
+#[test]
+fn overdue_requests_tell() {
+    let mut rounds = Rounds::new();
+    for _ in 0..8 {
+        rounds.play("a", &[(1, 60, FINE), (100, 4, FINE), (101, 4, FINE)]);
+    }
+    assert!(!rounds.is_bad());
+    let mut ages = Tally::default();
+    for _ in 0..3 {
+        ages.add(RouteId::of("a"), Outcome::Answered(USUAL * 4));
+    }
+    for host in [100, 101] {
+        let tally = rounds.tallies.iter().find(|(known, _)| *known == host);
+        let report = Report {
+            service: Service::from("shelf"),
+            revision: Revision::from("v2"),
+            step: Step::All,
+            busy: 3,
+            warm: true,
+            under_way: ages.routes.clone(),
+            tally: tally.map(|(_, tally)| tally.clone()).unwrap_or_default(),
+        };
+        rounds.evidence.hear(rounds.now, peer(host), report);
+    }
+    assert!(rounds.is_bad());
+}
