Known red: the end of a target that a busy host restarts at once

The lines kept of four failures show the cause that is left: a killed target's connection is closed before its listener, the look connects to what is about to close, and takes the end for a cut connection; with one request under way nobody looks again. Told apart it could be by a reset of the look's own connection, but a full target of the platform resets those as well, and an innocent request would be accused; or by the next life's announcement, where targets tell their lives.

--- a/src/quarantine/inspect.rs
+++ b/src/quarantine/inspect.rs
@@ -5,7 +5,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use futures_util::future::FutureExt;
 use slog::warn;
 use tokio::net::TcpStream;
 
@@ -85,16 +84,9 @@
             return;
         }
         let (inspector, target) = (self.clone(), Arc::clone(target));
-        // Guards against a supervisor that has the next life listen within a few milliseconds, and a host so
-        // busy that a task begins later than that: the connection is asked for before anybody is told that
-        // the first one broke, and the host decides on it there and then.
-        let mut look = Box::pin(is_refused(target.address));
-        let first = look.as_mut().now_or_never();
         tokio::spawn(async move {
-            let mut gone = match first {
-                Some(gone) => gone,
-                None => look.await,
-            };
+            // At once: a supervisor may have the next life listen within a few milliseconds.
+            let mut gone = is_refused(target.address).await;
             tokio::time::sleep(SETTLE).await;
             let together = inspector.running().ended_within(Instant::now(), 2 * SETTLE) > 1;
             if !gone && together {
