Tell by which way a version came, and who reads since when

An operator's report of a version in force too late could not be explained by the lines: they did not say how a version reached a daemon, which daemon had the duty to read at that moment, and how long a read or a fetch that failed had taken. No logic changes; one line more for each change of duty and each failed fetch.

--- a/src/configuration/config.rs
+++ b/src/configuration/config.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use slog::{info, warn};
+use strum::Display;
 
 use crate::board::{Board, Snapshot};
 use crate::configuration::check;
@@ -29,6 +30,20 @@
 /// daemons on a calm day took 82.5 GB x s of memory, with four 58.5 (one run each).
 const HISTORY: usize = 4;
 
+/// How a version reaches a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Way {
+    /// Read from the log or the platform.
+    Read,
+    /// Read by another daemon on this one's behalf.
+    Delegated,
+    /// Sent by a peer.
+    Push,
+    /// Fetched from a peer.
+    Pull,
+}
+
 /// Holds the configuration and its history.
 #[derive(Debug)]
 pub struct Store {
@@ -161,16 +176,16 @@
                 _ => {}
             }
         }
-        self.publish(&mut state);
+        self.publish(&mut state, Way::Read);
     }
 
-    /// Takes an update from a peer.
+    /// Takes an update that came by a way.
     ///
     /// # Errors
     ///
     /// [`Error::Delta`] when it starts from a version that is not in force here, or does not lead
     /// to what it promises; [`Error::Faults`] when its document contradicts itself.
-    pub fn accept(&self, update: Update) -> Result<Digest> {
+    pub fn accept(&self, update: Update, way: Way) -> Result<Digest> {
         let mut state = self.state();
         let Update {
             version,
@@ -197,7 +212,7 @@
             return Err(Error::Faults { faults });
         }
         state.fold.adopt(version, Arc::new(document), accepted);
-        self.publish(&mut state);
+        self.publish(&mut state, way);
         Ok(self.board.digest())
     }
 
@@ -230,7 +245,7 @@
         index.map_or(Version(0), |index| state.history[index].version)
     }
 
-    fn publish(&self, state: &mut State) {
+    fn publish(&self, state: &mut State, way: Way) {
         let version = state.fold.version();
         if version <= self.board.digest().version {
             return;
@@ -245,7 +260,8 @@
             state.history.remove(0);
         }
         if self.board.install(Snapshot::compile(version, document)) {
-            info!(self.board.logger, "configuration in force"; "version" => version.0);
+            info!(self.board.logger, "configuration in force"; "version" => version.0,
+                "way" => %way);
         }
     }
 
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use rand::seq::IndexedRandom;
@@ -13,7 +13,7 @@
 
 use crate::backoff::Backoff;
 use crate::board::Board;
-use crate::configuration::config::Store;
+use crate::configuration::config::{Store, Way};
 use crate::configuration::exchange::{Body, Pull, Reply, Update};
 use crate::configuration::fold::Record;
 use crate::configuration::log::{Log, Stream};
@@ -114,6 +114,7 @@
     pub async fn run(self: Arc<Self>) {
         let mut rosters = self.board.rosters();
         let mut lost = false;
+        let mut on_duty = false;
         let mut backoff = PAUSES;
         if matches!(self.source, Source::Origin(_)) {
             // Until then the joiner reads, for itself.
@@ -121,7 +122,16 @@
             let _ = stages.wait_for(|stage| *stage != Stage::Starting).await;
         }
         loop {
-            if duty(&self.board).is_none() {
+            let duty = duty(&self.board);
+            if std::mem::replace(&mut on_duty, duty.is_some()) != duty.is_some() {
+                let line = if on_duty {
+                    "reading begins"
+                } else {
+                    "reading ends"
+                };
+                info!(self.board.logger, "{}", line; "version" => self.board.digest().version.0);
+            }
+            if duty.is_none() {
                 let _ = tokio::time::timeout(LOOK, rosters.changed()).await;
                 continue;
             }
@@ -130,10 +140,11 @@
                 Source::Log(_) => WAIT.min(self.board.settings.checkpoint_ms),
                 Source::Origin(_) => FOLLOW_WAIT,
             };
+            let began = Instant::now();
             if let Err(error) = self.turn(wait).await {
                 if !std::mem::replace(&mut lost, true) {
                     warn!(self.board.logger, "source lost"; "error" => %error,
-                        "version" => self.board.digest().version.0);
+                        "took_ms" => Millis::from(began.elapsed()).0, "version" => self.board.digest().version.0);
                 }
                 let read = matches!(self.source, Source::Origin(_)) && self.delegate().await;
                 if read {
@@ -169,7 +180,9 @@
         let asked = self.links.send(*peer, READ, &Pull { have }).await;
         match asked {
             Ok(Reply::Update(packed)) => {
-                let accepted = packed.unpack().and_then(|update| self.store.accept(update));
+                let accepted = packed
+                    .unpack()
+                    .and_then(|update| self.store.accept(update, Way::Delegated));
                 if let Err(error) = accepted {
                     debug!(self.board.logger, "delegated read is faulty"; "error" => %error);
                 }
@@ -253,7 +266,7 @@
                 body: Body::Whole(document.sorted()),
                 accepted: Vec::new(),
             };
-            self.store.accept(update)
+            self.store.accept(update, Way::Read)
         });
         // A version that can't be accepted holds up no order.
         for notice in &found.orders {
--- a/src/configuration/relay.rs
+++ b/src/configuration/relay.rs
@@ -7,16 +7,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use rand::RngExt;
-use slog::debug;
+use slog::{debug, info};
 use tokio::sync::Semaphore;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::board::Board;
-use crate::configuration::config::Store;
+use crate::configuration::config::{Store, Way};
 use crate::configuration::exchange::{Digest, Packed, Pull, Reply};
 use crate::error::Result;
 use crate::membership::member::{Health, Member};
@@ -102,14 +102,14 @@
         let Reply::Update(packed) = reply else {
             return Reply::Have(self.board.digest());
         };
-        match self.accept(&packed) {
+        match self.accept(&packed, Way::Push) {
             Ok(digest) => Reply::Have(digest),
             Err(_) => Reply::Need(self.board.digest()),
         }
     }
 
-    fn accept(&self, packed: &Packed) -> Result<Digest> {
-        self.store.accept(packed.unpack()?)
+    fn accept(&self, packed: &Packed, way: Way) -> Result<Digest> {
+        self.store.accept(packed.unpack()?, way)
     }
 
     /// Answers a request for content; whole documents only a few at a time.
@@ -141,7 +141,12 @@
         if self.pulling.swap(true, Ordering::AcqRel) {
             return Ok(self.board.digest());
         }
+        let began = Instant::now();
         let result = self.fetch(peer).await;
+        if let Err(error) = &result {
+            info!(self.board.logger, "fetch failed"; "peer" => %peer,
+                "took_ms" => Millis::from(began.elapsed()).0, "error" => %error);
+        }
         self.pulling.store(false, Ordering::Release);
         result
     }
@@ -150,7 +155,7 @@
         let mut have = self.board.digest().version;
         for _ in 0..PULL_TRIES {
             match self.links.send(peer, PULL, &Pull { have }).await? {
-                Reply::Update(packed) => match self.accept(&packed) {
+                Reply::Update(packed) => match self.accept(&packed, Way::Pull) {
                     Ok(digest) => {
                         self.pulled.store(true, Ordering::Release);
                         return Ok(digest);
