Ask another peer for a version when the first one is silent

Callers of one host were handled by replaced routes for up to three seconds after its neighbours had the new version. Cause: a daemon that hears of a newer version fetches it from whoever told it, with one fetch at a time; a peer that is frozen or loses power just then holds that fetch for 3 s, and all others who tell of the version meanwhile are not asked. Ruled out: a shorter time-out alone, which would cut a large version on a slow link.

It holds since a fetch that comes late changes nothing: only a newer version is accepted.

--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -9,6 +9,7 @@
 pub mod document;
 pub mod exchange;
 pub mod fault;
+pub mod fetches;
 pub mod floor;
 pub mod fold;
 pub mod log;
--- a/src/configuration/relay.rs
+++ b/src/configuration/relay.rs
@@ -18,6 +18,7 @@
 use crate::board::Board;
 use crate::configuration::config::{Store, Way};
 use crate::configuration::exchange::{Digest, Packed, Pull, Reply};
+use crate::configuration::fetches::Fetches;
 use crate::error::Result;
 use crate::membership::member::{Health, Member};
 use crate::peer::Links;
@@ -65,7 +66,7 @@
     store: Arc<Store>,
     links: Arc<Links>,
     transfers: Semaphore,
-    pulling: AtomicBool,
+    fetches: Fetches,
     /// Whether the version in force came by a pull, outside the tree.
     pulled: AtomicBool,
 }
@@ -80,7 +81,7 @@
             store,
             links,
             transfers,
-            pulling: AtomicBool::new(false),
+            fetches: Fetches::default(),
             pulled: AtomicBool::new(false),
         }
     }
@@ -132,22 +133,21 @@
         parcel.reply
     }
 
-    /// Fetches what `peer` has in force, unless a fetch is under way.
+    /// Fetches what `peer` has in force, unless enough fetches are under way.
     ///
     /// # Errors
     ///
     /// As [`Links::send`], or what is wrong with the content.
     pub async fn pull(&self, peer: SocketAddr) -> Result<Digest> {
-        if self.pulling.swap(true, Ordering::AcqRel) {
-            return Ok(self.board.digest());
-        }
         let began = Instant::now();
+        let Some(_ticket) = self.fetches.begin(peer, began) else {
+            return Ok(self.board.digest());
+        };
         let result = self.fetch(peer).await;
         if let Err(error) = &result {
             info!(self.board.logger, "fetch failed"; "peer" => %peer,
                 "took_ms" => Millis::from(began.elapsed()).0, "error" => %error);
         }
-        self.pulling.store(false, Ordering::Release);
         result
     }
 
