Read the platform where nobody has told that a version is the newest

Callers were handled by an older version although the newer one had been acknowledged for over 2 s, by daemons that were well. Cause: a daemon had no way of its own to a new version. One reader a data centre reads; a daemon beside it waits for that reader, for the next one after the view has dropped the first (1.3 to 2.7 s), for a reader elsewhere, or for a daemon above it in the tree. With several of those frozen, silent or turned away at once, nothing bounds the wait. The class: freshness that hangs on the health of others, and a failure that shows only by silence longer than the bound.

Each daemon now has a watermark: as of when the platform is known to have held nothing newer. Readers tell theirs to their data centre after each read, every datagram carries one. That holds whatever became of the readers, with the path of a daemon to the platform, or to any daemon that has one, as the only condition. Delegated reads, which covered one impaired reader and not two, are gone with it (READ, Reply::Away).

Ruled out: more readers or another delegation, each of which covers one more impaired daemon. A watermark tells where to read on only where both know the same orders, since an order that only its reader knew would be read past.

--- a/src/board.rs
+++ b/src/board.rs
@@ -20,6 +20,7 @@
 use crate::clock;
 use crate::configuration::document::Document;
 use crate::configuration::exchange::Digest;
+use crate::configuration::freshness::Freshness;
 use crate::membership::member::{Offer, Stage};
 use crate::membership::roster::Roster;
 use crate::quarantine::running::Running;
@@ -114,6 +115,8 @@
     pub dialect: Dialect,
     /// Control bytes.
     pub meter: Arc<Meter>,
+    /// How recently this daemon knew the newest version of the platform.
+    pub freshness: Freshness,
     config: ArcSwap<Snapshot>,
     roster: ArcSwap<Roster>,
     target: ArcSwapOption<Target>,
@@ -150,6 +153,7 @@
             lines: Throttle::new(LINES),
             dialect,
             meter: Meter::shared(),
+            freshness: Freshness::default(),
             config: ArcSwap::from_pointee(Snapshot::compile(Version(0), Arc::default())),
             roster: ArcSwap::default(),
             target: ArcSwapOption::empty(),
--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -144,6 +144,7 @@
         if self.board.lines.admit(Instant::now()) {
             info!(self.board.logger, "call refused"; "call" => id, "reason" => reason,
                 "version" => config.digest.version.0,
+                "watermark_ms" => self.board.freshness.age(Instant::now()).map(|age| age.0),
                 "after_ms" => Millis::from(began.elapsed()).0);
         }
     }
--- a/src/configuration/config.rs
+++ b/src/configuration/config.rs
@@ -36,8 +36,6 @@
 pub enum Way {
     /// Read from the log or the platform.
     Read,
-    /// Read by another daemon on this one's behalf.
-    Delegated,
     /// Sent by a peer.
     Push,
     /// Fetched from a peer.
--- a/src/configuration/exchange.rs
+++ b/src/configuration/exchange.rs
@@ -72,8 +72,6 @@
     Update(Packed),
     /// Too many transfers at once; ask again after the given time.
     Busy(Millis),
-    /// The daemon that was asked to read was turned away as well.
-    Away,
 }
 
 /// An [`Update`], compressed.
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -12,6 +12,7 @@
 pub mod fetches;
 pub mod floor;
 pub mod fold;
+pub mod freshness;
 pub mod log;
 pub mod origin;
 
--- a/src/configuration/origin.rs
+++ b/src/configuration/origin.rs
@@ -45,6 +45,8 @@
     pub orders: Vec<Notice>,
     /// Where to read on.
     pub next: Position,
+    /// Whether nothing followed that when it was read.
+    pub at_end: bool,
     /// What was wrong with records that could not be read; the others hold all the same.
     pub faults: Vec<String>,
 }
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -4,47 +4,30 @@
 //! The duty is advisory: two readers too many cost bytes, never safety, since everyone folds alike.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use rand::seq::IndexedRandom;
 use slog::{debug, info, warn};
 
 use crate::backoff::Backoff;
 use crate::board::Board;
 use crate::configuration::config::{Store, Way};
-use crate::configuration::exchange::{Body, Pull, Reply, Update};
+use crate::configuration::exchange::{Body, Update};
 use crate::configuration::fold::Record;
+use crate::configuration::freshness::Limits;
 use crate::configuration::log::{Log, Stream};
-use crate::configuration::origin::{Origin, Position, Release};
+use crate::configuration::origin::{Origin, Release};
 use crate::configuration::relay::{jitter, order};
 use crate::error::{Error, Result};
 use crate::membership::member::Stage;
-use crate::peer::Links;
 use crate::rollout::order::Notice;
 use crate::settings::Delivery;
 use crate::units::{Millis, Offset};
-use crate::wire;
 
 /// Time that a read waits at the log for the first record.
 const WAIT: Millis = Millis(5_000);
-/// Time that a read waits at an origin.
-///
-/// Short against the time in which a change has to be in force, since a connection that has gone
-/// silent shows only by the lack of an answer.
-const FOLLOW_WAIT: Millis = Millis(1_500);
-/// Path of a read for another daemon.
-pub const READ: &str = "/control/read";
-/// Time that such a read waits at the origin.
-const DELEGATED_WAIT: Millis = Millis(500);
-/// Longest pause before another daemon is asked to read.
-const DELEGATION: Duration = Duration::from_millis(200);
-/// Pauses after reads that failed, here and at the daemon that was asked in its place: with the
-/// longest one a change waits a second at most once the source is back.
-///
-/// Guards against a platform that refuses everybody at once: without pauses that grow, three daemons
-/// asked it 48 times in four seconds, and 24 times at most with them (process test with a stand-in).
+/// Pauses after reads that failed: with the longest one a change waits a second at most once the source is
+/// back.
 const PAUSES: Backoff = Backoff::new(Duration::from_millis(200), Duration::from_secs(1));
 /// Time between two looks at the duty.
 const LOOK: Duration = Duration::from_secs(1);
@@ -75,9 +58,6 @@
     board: Arc<Board>,
     store: Arc<Store>,
     source: Source,
-    links: Arc<Links>,
-    /// Where to read on in an origin; none before its newest version was read.
-    next: Mutex<Option<Position>>,
     /// The last fault of a record that was written to the log.
     fault: Mutex<Option<String>>,
 }
@@ -94,18 +74,11 @@
 impl Reader {
     /// A reader of `source` into `store`.
     #[must_use]
-    pub const fn new(
-        board: Arc<Board>,
-        store: Arc<Store>,
-        source: Source,
-        links: Arc<Links>,
-    ) -> Self {
+    pub const fn new(board: Arc<Board>, store: Arc<Store>, source: Source) -> Self {
         Self {
             board,
             store,
             source,
-            links,
-            next: Mutex::new(None),
             fault: Mutex::new(None),
         }
     }
@@ -138,7 +111,9 @@
             let wait = match self.source {
                 // A longer wait would hold back the checkpoint that is due meanwhile.
                 Source::Log(_) => WAIT.min(self.board.settings.checkpoint_ms),
-                Source::Origin(_) => FOLLOW_WAIT,
+                // Short against the time in which a version has to be in force, since a connection that
+                // has gone silent shows only by the lack of an answer.
+                Source::Origin(_) => Limits::within(self.board.settings.apply_ms).wait,
             };
             let began = Instant::now();
             if let Err(error) = self.turn(wait).await {
@@ -146,12 +121,7 @@
                     warn!(self.board.logger, "source lost"; "error" => %error,
                         "took_ms" => Millis::from(began.elapsed()).0, "version" => self.board.digest().version.0);
                 }
-                let read = matches!(self.source, Source::Origin(_)) && self.delegate().await;
-                if read {
-                    backoff.succeeded();
-                } else {
-                    tokio::time::sleep(backoff.random_pause()).await;
-                }
+                tokio::time::sleep(backoff.random_pause()).await;
                 continue;
             }
             backoff.succeeded();
@@ -163,63 +133,6 @@
         }
     }
 
-    /// Has another daemon read in this one's place, once; whether it could.
-    ///
-    /// Guards against a platform that turns away some hosts and serves the others: a reader among
-    /// them stays a member and keeps the duty, and its data centre would learn of no change.
-    async fn delegate(&self) -> bool {
-        tokio::time::sleep(jitter(DELEGATION)).await;
-        let roster = self.board.roster();
-        let me = self.board.settings.identity();
-        let others = roster.members.iter().map(|member| member.peer);
-        let others: Vec<SocketAddr> = others.filter(|peer| *peer != me).collect();
-        let Some(peer) = others.choose(&mut rand::rng()) else {
-            return false;
-        };
-        let have = self.board.digest().version;
-        let asked = self.links.send(*peer, READ, &Pull { have }).await;
-        match asked {
-            Ok(Reply::Update(packed)) => {
-                let accepted = packed
-                    .unpack()
-                    .and_then(|update| self.store.accept(update, Way::Delegated));
-                if let Err(error) = accepted {
-                    debug!(self.board.logger, "delegated read is faulty"; "error" => %error);
-                }
-            }
-            Ok(Reply::Away) => return false,
-            Ok(_) => {}
-            Err(error) => {
-                debug!(self.board.logger, "delegated read failed"; "error" => %error);
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Reads once for a daemon that the platform turns away, and answers with what is in force.
-    pub async fn read_for(&self, pull: &Pull) -> Bytes {
-        // What is in force here may be news to the asker already, and the platform may turn this
-        // daemon away as well, which shows only by its silence.
-        let mut away = false;
-        if self.board.digest().version <= pull.have
-            && let Err(error) = self.turn(DELEGATED_WAIT).await
-        {
-            debug!(self.board.logger, "read for another failed"; "error" => %error);
-            away = true;
-        }
-        let digest = self.board.digest();
-        if digest.version <= pull.have {
-            let reply = if away {
-                Reply::Away
-            } else {
-                Reply::Have(digest)
-            };
-            return wire::encode(&reply);
-        }
-        self.store.parcel(pull.have).reply
-    }
-
     /// Reads and folds one page; waits up to `wait` for its first record. Returns the log's head.
     ///
     /// # Errors
@@ -245,9 +158,10 @@
         }
     }
 
-    /// Takes the newest version of an origin, or what follows the last one taken.
+    /// Takes the newest version of an origin, or what follows the latest watermark.
     async fn follow(&self, origin: &dyn Origin, wait: Millis) -> Result<Offset> {
-        let from = *self.next();
+        let from = self.board.freshness.latest().next;
+        let mut began = Instant::now();
         let found = match from {
             Some(from) => origin.follow(from, wait).await,
             None => origin.newest().await,
@@ -256,7 +170,10 @@
             // The newest version is kept whatever else was dropped. After a platform came back from
             // an older copy, offsets are given out again: what is read on from the old one leaves out
             // the records that were written again before it.
-            Err(Error::Expired { .. } | Error::Rewound) => origin.newest().await?,
+            Err(Error::Expired { .. } | Error::Rewound) => {
+                began = Instant::now();
+                origin.newest().await?
+            }
             found => found?,
         };
         self.note_faults(&found.faults);
@@ -273,7 +190,15 @@
             self.note_order(notice);
         }
         accepted.transpose()?;
-        *self.next() = Some(found.next);
+        let has_waited = from == Some(found.next) && began.elapsed() >= wait.duration();
+        // After a wait that brought nothing, nothing had come until its end.
+        let as_of = if has_waited {
+            began + wait.duration()
+        } else {
+            began
+        };
+        let as_of = Some(as_of).filter(|_| found.at_end);
+        self.board.freshness.note_read(found.next, as_of);
         Ok(found.next.offset)
     }
 
@@ -307,10 +232,6 @@
         }
     }
 
-    fn next(&self) -> MutexGuard<'_, Option<Position>> {
-        self.next.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Keeps the accepted state inside the retention of the log.
     async fn write_checkpoint(&self) {
         let Source::Log(log) = &self.source else {
--- a/src/configuration/relay.rs
+++ b/src/configuration/relay.rs
@@ -164,7 +164,7 @@
                     Err(_) => have = Version(0),
                 },
                 Reply::Busy(wait) => tokio::time::sleep(wait.duration()).await,
-                Reply::Have(_) | Reply::Need(_) | Reply::Away => break,
+                Reply::Have(_) | Reply::Need(_) => break,
             }
         }
         Ok(self.board.digest())
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -32,6 +32,7 @@
 use crate::membership::join::Joiner;
 use crate::membership::member::Stage;
 use crate::membership::probe::Membership;
+use crate::membership::refresh::Refresher;
 use crate::operation::operator::Operator;
 use crate::peer::Links;
 use crate::peer::server::Server;
@@ -150,12 +151,7 @@
     ));
     let membership = Membership::open(Arc::clone(&board), Arc::clone(&relay)).await?;
     let membership = Arc::new(membership);
-    let reader = Arc::new(Reader::new(
-        Arc::clone(&board),
-        Arc::clone(&store),
-        source,
-        Arc::clone(&links),
-    ));
+    let reader = Arc::new(Reader::new(Arc::clone(&board), Arc::clone(&store), source));
     let keys = Arc::new(Keys::new(
         Arc::clone(&board),
         Arc::clone(&links),
@@ -167,7 +163,6 @@
         gate: Arc::clone(&gate),
         keys: Arc::clone(&keys),
         relay: Arc::clone(&relay),
-        reader: Arc::clone(&reader),
         membership: Arc::clone(&membership),
     });
     let publisher = Publisher::new(
@@ -203,6 +198,7 @@
         desk: Arc::clone(&desk),
     };
     let entry = Arc::new(Entry::new(Arc::clone(&board), gate));
+    let refresher = Refresher::new(&board, &membership, &reader);
 
     let listener = server.listen().await?;
     let phases = watch::Sender::new(Phase::Open);
@@ -213,6 +209,9 @@
     tokio::spawn(relay.run());
     tokio::spawn(reader.run());
     tokio::spawn(Arc::new(joiner).run());
+    if origin.is_some() {
+        tokio::spawn(refresher.run());
+    }
     spawn_keepers(&board, &membership, origin.clone(), archive);
     let stopping = Stopping {
         board,
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::exchange::Digest;
+use crate::configuration::freshness;
 use crate::membership::member::Member;
 use crate::quarantine::crash::Crash;
 use crate::rollout::progress::Progress;
@@ -22,6 +23,8 @@
     pub from: Member,
     /// What the sender has in force.
     pub digest: Digest,
+    /// Up to where the platform was read, with nothing newer than that; none before the first read.
+    pub watermark: Option<freshness::Report>,
     /// Highest era of the platform that the sender knows.
     pub era: Era,
     /// Hash of what the sender knows of requests that end targets and of roll-outs; 0 for nothing.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -19,5 +19,6 @@
 pub(crate) mod join;
 pub(crate) mod listing;
 pub(crate) mod probe;
+pub(crate) mod refresh;
 pub(crate) mod roster;
 pub(crate) mod rounds;
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -23,14 +23,14 @@
 use crate::membership::view::{Effects, Send, View};
 use crate::rollout::usual::Usual;
 use crate::settings::{Delivery, Settings};
-use crate::units::{Incarnation, Millis, Revision, Service};
+use crate::units::{Incarnation, Millis, Revision, Service, Version};
 use crate::wire;
 use snafu::ResultExt;
 
 /// Ticks of the view in one probe period.
 const TICKS: u64 = 5;
-/// Longest time that readers of other data centres get to read a version themselves, before they are
-/// told of it: many times what a read takes.
+/// Time in which a version reaches daemons by itself before a reader tells them of it: many times what a
+/// read takes, or the way through the tree.
 const HEAD_START: Duration = Duration::from_millis(200);
 
 /// Keeps the membership view.
@@ -92,6 +92,8 @@
         tokio::spawn(async move { receiver.receive().await });
         let announcer = Arc::clone(&self);
         tokio::spawn(async move { announcer.announce().await });
+        let voucher = Arc::clone(&self);
+        tokio::spawn(async move { voucher.vouch().await });
         let period = self.board.settings.probe_period_ms;
         let mut census = Census::default();
         let mut ticks = tokio::time::interval(Millis((period.0 / TICKS).max(1)).duration());
@@ -135,6 +137,40 @@
         }
     }
 
+    /// Tells the own data centre how recent the version in force is, after each read of this daemon.
+    async fn vouch(&self) {
+        let mut watermarks = self.board.freshness.subscribe();
+        let mut told = Version(0);
+        while watermarks.changed().await.is_ok() {
+            let own = watermarks.borrow_and_update().own;
+            if !own || self.board.stage() == Stage::Starting {
+                continue;
+            }
+            let version = self.board.digest().version;
+            if std::mem::replace(&mut told, version) != version {
+                // It travels by the tree meanwhile; whom it does not reach hears of it here.
+                tokio::time::sleep(HEAD_START).await;
+            }
+            let sends = {
+                let mut guard = self.state();
+                self.refresh(&mut guard);
+                guard.view.vouch()
+            };
+            self.send(sends).await;
+        }
+    }
+
+    /// Asks a few members what they have in force and how recent that is.
+    pub async fn ask_around(&self) {
+        let sends = {
+            let mut guard = self.state();
+            self.refresh(&mut guard);
+            let State { view, rng, .. } = &mut *guard;
+            view.ask(Instant::now(), rng)
+        };
+        self.send(sends).await;
+    }
+
     fn close_idle_links(&self) {
         for (_, upstream) in self.board.roster().all() {
             upstream.link.close_idle();
@@ -256,6 +292,7 @@
 
     async fn take(&self, datagram: &Datagram) {
         self.board.note_era(datagram.era);
+        self.note_watermark(datagram);
         match &datagram.probe {
             Probe::Crashes(crashes) => self.board.quarantine.merge(crashes),
             Probe::Rollouts(told) => self.board.rollouts.merge(told),
@@ -274,6 +311,23 @@
         self.carry_out(effects).await;
     }
 
+    /// Takes over a watermark, unless its sender has something newer in force, which has to be fetched first.
+    fn note_watermark(&self, datagram: &Datagram) {
+        if datagram.digest.version > self.board.digest().version {
+            return;
+        }
+        if let Some(report) = &datagram.watermark {
+            let complete = datagram.evidence == self.evidence();
+            let now = Instant::now();
+            self.board.freshness.note_report(report, complete, now);
+        }
+    }
+
+    /// Hash of what this daemon knows of requests that end targets and of roll-outs.
+    fn evidence(&self) -> u64 {
+        self.board.quarantine.hash() ^ self.board.rollouts.hash()
+    }
+
     fn settle(&self, state: &mut State, effects: &Effects) {
         if effects.changed {
             self.rebuild(state);
@@ -351,10 +405,12 @@
 
     /// Has the view tell what this daemon has and knows now.
     pub(super) fn refresh(&self, state: &mut State) {
+        // Before the version, which may rise meanwhile: the watermark holds for a newer one as well.
+        let latest = self.board.freshness.latest();
+        state.view.set_watermark(latest.report(Instant::now()));
         state.view.set_digest(self.board.digest());
         state.view.set_era(self.board.era());
-        let known = self.board.quarantine.hash() ^ self.board.rollouts.hash();
-        state.view.set_evidence(known);
+        state.view.set_evidence(self.evidence());
     }
 
     pub(super) fn state(&self) -> MutexGuard<'_, State> {
--- /dev/null
+++ b/src/membership/refresh.rs
@@ -0,0 +1,136 @@
+//! Renewing a watermark that has grown old.
+//!
+//! Readers renew those of their data centre. Where they don't, each daemon does so by itself, at a random
+//! moment, and tells the others: mostly one read serves a data centre. It also asks a few members, since the
+//! platform may turn this daemon away.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use slog::{info, warn};
+use tokio::sync::watch;
+
+use crate::backoff::Backoff;
+use crate::board::Board;
+use crate::configuration::freshness::{Limits, Watermark};
+use crate::configuration::reader::Reader;
+use crate::configuration::relay::jitter;
+use crate::error::Result;
+use crate::membership::member::Stage;
+use crate::membership::probe::Membership;
+use crate::units::{Millis, Offset};
+
+/// Longest pause between two times that members are asked.
+const LONGEST_RETRY: Duration = Duration::from_secs(1);
+/// Pauses after reads that failed. The readers notice sooner when the platform is back, and the members that
+/// are asked tell it.
+const READ_PAUSES: Backoff = Backoff::new(Duration::from_secs(1), Duration::from_secs(4));
+
+/// Keeps the watermark of one daemon from growing old.
+#[derive(Debug)]
+pub struct Refresher {
+    board: Arc<Board>,
+    membership: Arc<Membership>,
+    reader: Arc<Reader>,
+    limits: Limits,
+    /// When this daemon began to serve.
+    began: Instant,
+}
+
+impl Refresher {
+    /// A refresher that reads by `reader` and asks the members of `membership`.
+    #[must_use]
+    pub fn new(board: &Arc<Board>, membership: &Arc<Membership>, reader: &Arc<Reader>) -> Self {
+        Self {
+            limits: Limits::within(board.settings.apply_ms),
+            board: Arc::clone(board),
+            membership: Arc::clone(membership),
+            reader: Arc::clone(reader),
+            began: Instant::now(),
+        }
+    }
+
+    /// Renews the watermark for as long as the daemon serves.
+    pub async fn run(mut self) {
+        let mut stages = self.board.stages();
+        // Until then the joiner reads.
+        let _ = stages.wait_for(|stage| *stage != Stage::Starting).await;
+        self.began = Instant::now();
+        while !self.board.stage().is_stopping() {
+            let left = self.limits.stale.saturating_sub(self.age());
+            if left > Duration::ZERO {
+                tokio::time::sleep(left).await;
+                continue;
+            }
+            tokio::time::sleep(jitter(self.limits.spread)).await;
+            if self.is_stale() {
+                self.renew().await;
+            }
+        }
+    }
+
+    /// Reads and asks until the watermark is young again.
+    async fn renew(&self) {
+        let mut watermarks = self.board.freshness.subscribe();
+        let mut pauses = Backoff::new(self.limits.retry, LONGEST_RETRY);
+        let mut read_pauses = READ_PAUSES;
+        let mut reading = tokio::spawn(read(Arc::clone(&self.reader), Duration::ZERO));
+        let mut warned = false;
+        while self.is_stale() && !self.board.stage().is_stopping() {
+            self.membership.ask_around().await;
+            let pause = tokio::time::sleep(pauses.random_pause());
+            tokio::select! {
+                result = &mut reading => {
+                    if matches!(result, Ok(Ok(_))) {
+                        info!(self.board.logger, "read in place of a reader";
+                            "version" => self.board.digest().version.0);
+                    } else if !std::mem::replace(&mut warned, true) {
+                        self.warn();
+                    }
+                    let pause = read_pauses.random_pause();
+                    reading = tokio::spawn(read(Arc::clone(&self.reader), pause));
+                }
+                () = renewed(&mut watermarks, self.limits.stale) => {}
+                () = pause => {}
+            }
+        }
+        reading.abort();
+        if warned {
+            info!(self.board.logger, "newest version known again";
+                "version" => self.board.digest().version.0);
+        }
+    }
+
+    fn warn(&self) {
+        warn!(self.board.logger, "newest version not known";
+            "version" => self.board.digest().version.0,
+            "age_ms" => Millis::from(self.age()).0);
+    }
+
+    fn is_stale(&self) -> bool {
+        self.age() >= self.limits.stale
+    }
+
+    /// Age of the watermark, or the time of service where there is none.
+    fn age(&self) -> Duration {
+        let now = Instant::now();
+        let age = self.board.freshness.latest().age(now);
+        age.unwrap_or_else(|| now.saturating_duration_since(self.began))
+    }
+}
+
+/// Reads the platform once, after a pause.
+async fn read(reader: Arc<Reader>, pause: Duration) -> Result<Offset> {
+    tokio::time::sleep(pause).await;
+    reader.turn(Millis(0)).await
+}
+
+/// Waits for a watermark that is not stale.
+async fn renewed(watermarks: &mut watch::Receiver<Watermark>, stale: Duration) {
+    let is_young = |latest: &Watermark| {
+        let age = latest.age(Instant::now());
+        age.is_some_and(|age| age < stale)
+    };
+    // The board, which holds the sender, outlives every controller.
+    let _ = watermarks.wait_for(is_young).await;
+}
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -16,6 +16,7 @@
 use rand::seq::SliceRandom;
 
 use crate::configuration::exchange::Digest;
+use crate::configuration::freshness::Report;
 use crate::membership::datagram::{Datagram, Probe};
 use crate::membership::entries::{Entries, Entry};
 use crate::membership::member::{Health, Member, Offer, Stage};
@@ -33,6 +34,8 @@
 /// Members of each other data centre that hear of a version from a reader: one may be gone without
 /// anybody knowing it yet.
 const HEARERS: usize = 2;
+/// Members that a daemon asks at a time when it does not know the newest version.
+const ASKED: usize = 3;
 /// Periods between two probes of a member that is thought to be gone.
 const REVISIT: u64 = 5;
 
@@ -74,6 +77,7 @@
 pub struct View {
     me: Member,
     digest: Digest,
+    watermark: Option<Report>,
     era: Era,
     evidence: u64,
     entries: Entries,
@@ -92,6 +96,7 @@
         Self {
             me,
             digest: Digest::default(),
+            watermark: None,
             era: Era(0),
             evidence: 0,
             entries: Entries::default(),
@@ -133,6 +138,11 @@
         self.digest = digest;
     }
 
+    /// Sets up to where its own daemon knows the platform.
+    pub const fn set_watermark(&mut self, watermark: Option<Report>) {
+        self.watermark = watermark;
+    }
+
     /// Sets the highest era of the platform that its own daemon knows.
     pub const fn set_era(&mut self, era: Era) {
         self.era = era;
@@ -203,6 +213,24 @@
         receivers.into_iter().map(send).collect()
     }
 
+    /// Tells all other members of its data centre what its own daemon has in force and how recent that is.
+    #[must_use]
+    pub fn vouch(&self) -> Vec<Send> {
+        let home = &self.me.data_centre;
+        let near = self.live().filter(|member| member.data_centre == *home);
+        near.map(|member| self.bare(member.peer, Probe::News))
+            .collect()
+    }
+
+    /// Asks a few members what they have in force and how recent that is.
+    pub fn ask(&mut self, now: Instant, rng: &mut SmallRng) -> Vec<Send> {
+        let asked = self.entries.draw_live(ASKED, None, rng);
+        asked
+            .into_iter()
+            .map(|peer| self.ping(now, peer, None))
+            .collect()
+    }
+
     /// Highest version that `peer` is known to have run.
     #[must_use]
     pub fn ran(&self, peer: SocketAddr) -> Version {
@@ -370,6 +398,7 @@
             release: wire::RELEASE,
             from: self.me.clone(),
             digest: self.digest,
+            watermark: self.watermark,
             era: self.era,
             evidence: self.evidence,
             probe,
@@ -384,6 +413,7 @@
             release: wire::RELEASE,
             from: self.me.clone(),
             digest: self.digest,
+            watermark: self.watermark,
             era: self.era,
             evidence: self.evidence,
             probe,
--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -31,6 +31,8 @@
     pub version: Version,
     /// Hash of the document, in hexadecimal.
     pub hash: String,
+    /// Age of the watermark: since then the platform may hold a newer version.
+    pub watermark_ms: Option<Millis>,
     /// Routes in force.
     pub routes: usize,
     /// Whether it reads the log for its data centre.
@@ -151,6 +153,7 @@
             stage: board.stage(),
             version: config.digest.version,
             hash: format!("{:016x}", config.digest.hash),
+            watermark_ms: board.freshness.age(now),
             routes: config.table.len(),
             reads_log: reader::duty(board).is_some(),
             lease_left_ms: target
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -20,7 +20,6 @@
 use crate::calls::transit::Transit;
 use crate::clock;
 use crate::configuration::exchange::{Pull, Reply};
-use crate::configuration::reader::{READ, Reader};
 use crate::configuration::relay::{PULL, PUSH, Relay};
 use crate::error::{Error, FrameSnafu, ListenSnafu, Result};
 use crate::idempotency::guard::{Keys, LEGACY, NOTE};
@@ -50,8 +49,6 @@
     pub keys: Arc<Keys>,
     /// Takes and serves content.
     pub relay: Arc<Relay>,
-    /// Reads for those whom the platform turns away.
-    pub reader: Arc<Reader>,
     /// Lets joiners in.
     pub membership: Arc<Membership>,
 }
@@ -140,7 +137,6 @@
         match path {
             PUSH => Ok(wire::encode(&self.relay.take(wire::decode::<Reply>(body)?))),
             PULL => Ok(self.relay.serve(&wire::decode::<Pull>(body)?).await),
-            READ => Ok(self.reader.read_for(&wire::decode::<Pull>(body)?).await),
             JOIN => Ok(wire::encode(
                 &self.membership.welcome(&wire::decode::<Join>(body)?),
             )),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -115,6 +115,9 @@
     /// Daemons of each data centre that read the log
     #[arg(long, env = "JACKDAW_READERS", default_value_t = 2)]
     pub readers: usize,
+    /// Time within which a version of the platform has to be in force everywhere, in milliseconds
+    #[arg(long, env = "JACKDAW_APPLY_MS", default_value_t = Millis(2_000))]
+    pub apply_ms: Millis,
     /// Daemons that each daemon relays a version to
     #[arg(long, env = "JACKDAW_FANOUT", default_value_t = 4)]
     pub fanout: usize,
@@ -355,6 +358,7 @@
             share > 0.0 && share <= 1.0,
             "--exposure-share is not above 0 and up to 1; use 0.1",
         );
+        require(self.apply_ms.0 >= 100, "--apply-ms is under 100; use 2000");
         require(self.checkpoint_ms.0 > 0, "--checkpoint-ms is 0; use 600000");
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -15,7 +15,7 @@
 use crate::error::{FrameSnafu, Result};
 
 /// Release of the protocol; a frame of another release is refused.
-pub const RELEASE: u8 = 4;
+pub const RELEASE: u8 = 5;
 /// Largest frame, in bytes.
 pub const MAX_FRAME: usize = 8 << 20;
 /// Largest datagram, in bytes.
--- /dev/null
+++ b/tests/freshness.rs
@@ -0,0 +1,123 @@
+//! Watermarks: which one counts, how they travel, and the times that keep a version within its bound.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::fixed;
+use jackdawpulley::configuration::freshness::{Freshness, Limits, Report};
+use jackdawpulley::configuration::origin::Position;
+use jackdawpulley::units::{Era, Millis, Offset};
+use proptest::prelude::*;
+
+fn position(era: u64, offset: u64) -> Position {
+    Position {
+        era: Era(era),
+        offset: Offset(offset),
+    }
+}
+
+fn report(age: u64, offset: u64) -> Report {
+    Report {
+        age: Millis(age),
+        next: position(0, offset),
+    }
+}
+
+#[test]
+fn younger_one_counts() {
+    let freshness = Freshness::default();
+    let now = Instant::now();
+    assert_eq!(freshness.age(now), None);
+    freshness.note_report(&report(70, 4), true, now);
+    freshness.note_report(&report(90, 4), true, now);
+    assert_eq!(freshness.age(now), Some(Millis(70)));
+    freshness.note_read(position(0, 5), Some(now));
+    assert_eq!(freshness.age(now), Some(Millis(0)));
+    assert!(freshness.latest().own);
+}
+
+/// Guards against a page that ends before the newest record and passes for the end.
+#[test]
+fn part_of_the_records() {
+    let freshness = Freshness::default();
+    let now = Instant::now();
+    freshness.note_read(position(0, 5), Some(now));
+    freshness.note_read(position(0, 9), None);
+    let latest = freshness.latest();
+    assert_eq!(latest.as_of, Some(now));
+    assert_eq!(latest.next, Some(position(0, 9)));
+}
+
+/// Guards against an order that only its reader knows, and that everybody else reads on after.
+#[test]
+fn unknown_order() {
+    let freshness = Freshness::default();
+    let now = Instant::now();
+    freshness.note_report(&report(50, 4), true, now);
+    freshness.note_report(&report(20, 5), false, now);
+    assert_eq!(freshness.age(now), Some(Millis(20)));
+    assert_eq!(freshness.latest().next, Some(position(0, 4)));
+}
+
+/// Guards against an offset of an earlier era that is read on from in a later one.
+#[test]
+fn earlier_era() {
+    let freshness = Freshness::default();
+    let now = Instant::now();
+    freshness.note_read(position(1, 3), Some(now));
+    freshness.note_report(&report(0, 9), true, now + Duration::from_secs(1));
+    assert_eq!(freshness.latest().next, Some(position(1, 3)));
+}
+
+#[test]
+fn age_travels() {
+    let freshness = Freshness::default();
+    let now = Instant::now();
+    freshness.note_read(position(0, 4), Some(now));
+    let sent = freshness
+        .latest()
+        .report(now + Duration::from_millis(70))
+        .expect("it was read");
+    let (receiver, later) = (Freshness::default(), now + Duration::from_secs(5));
+    receiver.note_report(&sent, true, later);
+    assert_eq!(receiver.age(later), Some(Millis(70)));
+    assert!(!receiver.latest().own);
+}
+
+/// Guards against a peer whose report would end a daemon.
+#[test]
+fn hostile_age() {
+    let freshness = Freshness::default();
+    let now = Instant::now();
+    freshness.note_report(&report(u64::MAX, u64::MAX), false, now);
+    freshness.note_report(&report(10, 4), true, now);
+    assert_eq!(freshness.age(now), Some(Millis(10)));
+}
+
+proptest! {
+    #![proptest_config(fixed(256))]
+
+    /// A reader renews a watermark before it is stale, and two tries after that fit into the bound.
+    #[test]
+    fn tries_fit(bound in 100_u64..60_000) {
+        let limits = Limits::within(Millis(bound));
+        let bound = Duration::from_millis(bound);
+        prop_assert!(limits.wait.duration() < limits.stale);
+        prop_assert!(limits.stale + limits.spread + 2 * limits.retry < bound);
+    }
+
+    /// Whatever the order in which reports come, the youngest counts and no position is taken back.
+    #[test]
+    fn any_order(ages in proptest::collection::vec((0_u64..50, 0_u64..9), 1..20)) {
+        let now = Instant::now();
+        let freshness = Freshness::default();
+        for (age, offset) in &ages {
+            freshness.note_report(&report(*age, *offset), true, now);
+        }
+        let youngest = ages.iter().map(|(age, _)| *age).min().map(Millis);
+        let furthest = ages.iter().map(|(_, offset)| position(0, *offset)).max();
+        prop_assert_eq!(freshness.age(now), youngest);
+        prop_assert_eq!(freshness.latest().next, furthest);
+    }
+}
