Read on at once where more versions follow

A daemon that stood in for its reader had an old version for a second longer for each full answer of the store: after a read that did not reach the end its watermark is old still, and the next read came after the pause that is meant for failures. Pauses follow failed reads only; each read that did not reach the end has brought records, so it can't go on for ever. The stand-in's answers hold 16 records at most, as the platform's hold a megabyte.

--- a/src/membership/refresh.rs
+++ b/src/membership/refresh.rs
@@ -81,13 +81,17 @@
             let pause = tokio::time::sleep(pauses.random_pause());
             tokio::select! {
                 result = &mut reading => {
-                    if matches!(result, Ok(Ok(_))) {
+                    let pause = if matches!(result, Ok(Ok(_))) {
                         info!(self.board.logger, "read in place of a reader";
                             "version" => self.board.digest().version.0);
-                    } else if !std::mem::replace(&mut warned, true) {
-                        self.warn();
-                    }
-                    let pause = read_pauses.random_pause();
+                        // Where it is stale still, more follows what was read.
+                        Duration::ZERO
+                    } else {
+                        if !std::mem::replace(&mut warned, true) {
+                            self.warn();
+                        }
+                        read_pauses.random_pause()
+                    };
                     reading = tokio::spawn(read(Arc::clone(&self.reader), pause));
                 }
                 () = renewed(&mut watermarks, self.limits.stale) => {}
