Know a target's end by its next life

What callers saw: a request that ends its targets went on ending them where a supervisor starts them again within milliseconds on a busy host. Cause: the end is looked for by a connection, and the next life listens already by the time of the look.

An announcement of another life within 5 s of a broken connection proves the end as well: its runs are accused unless the end was seen, the target had said that it leaves, or this life had answered them. The product's own announcement may tell when its target began (born), so that a restart is told apart from a renewal; the platform's targets have names for their lives. It holds since it needs no look at the right moment.

--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -5,6 +5,7 @@
 //! is left alone.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -21,7 +22,7 @@
 use crate::membership::member::Stage;
 use crate::membership::probe::Membership;
 use crate::membership::target::{Beat, Life, Lives, Standing};
-use crate::quarantine::inspect::lock;
+use crate::quarantine::inspect::{Inspector, lock};
 use crate::units::{Birth, Instance, Millis, Revision, Service, Slots, Version};
 
 /// Longest lease, in milliseconds.
@@ -60,6 +61,9 @@
     /// Time for which it is slow yet after its start.
     #[serde(default)]
     pub cold_ms: Millis,
+    /// When it began, in milliseconds since 1970; with it, a restart is told apart from a renewal.
+    #[serde(default)]
+    pub born: Option<Birth>,
 }
 
 impl Announcement {
@@ -82,6 +86,10 @@
         if self.cold_ms.0 > MAX_LEASE_MS {
             return Some("cold_ms must be at most 60000; tell what is left of it");
         }
+        let latest = Birth(clock::unix_ms() + MAX_AHEAD_MS);
+        if self.born.is_some_and(|born| born > latest) {
+            return Some("born lies in the future; tell the time of the start");
+        }
         None
     }
 }
@@ -92,7 +100,10 @@
     board: Arc<Board>,
     membership: Arc<Membership>,
     dispatcher: Dispatcher,
+    inspector: Inspector,
     lives: Mutex<Lives>,
+    /// When the last target began that has no names for its lives, in milliseconds since 1970; 0 for not told.
+    born_ms: AtomicU64,
 }
 
 /// Why an announcement was not taken: it contradicts itself, and the text names the remedy.
@@ -104,10 +115,12 @@
     #[must_use]
     pub fn new(board: Arc<Board>, membership: Arc<Membership>) -> Self {
         Self {
+            inspector: Inspector::new(Arc::clone(&board)),
             board,
             membership,
             dispatcher: Dispatcher::new(Duration::ZERO),
             lives: Mutex::default(),
+            born_ms: AtomicU64::new(0),
         }
     }
 
@@ -146,6 +159,7 @@
             lease_ms: beat.lease,
             revision: beat.revision.clone(),
             cold_ms: beat.cold,
+            born: beat.life.born,
         };
         let fault = announcement.fault().or_else(|| self.fault(&beat));
         if let Some(fault) = fault {
@@ -187,7 +201,7 @@
                 return Ok(());
             }
         }
-        self.open(Target {
+        let target = Target {
             instance: Some(beat.life.instance),
             born: beat.life.born,
             address: beat.address,
@@ -196,8 +210,11 @@
             revision: beat.revision,
             cold_until: Instant::now() + beat.cold.duration(),
             lease_until: Instant::now() + beat.lease.duration(),
-        })
-        .await;
+        };
+        if standing == Standing::New && contested {
+            self.inspector.succeed(&target);
+        }
+        self.open(target).await;
         Ok(())
     }
 
@@ -212,10 +229,6 @@
         if config.digest.version != Version(0) && !named {
             return Some("no group names the service; publish one or correct the announcement");
         }
-        let latest = Birth(clock::unix_ms() + MAX_AHEAD_MS);
-        if beat.life.born.is_some_and(|born| born > latest) {
-            return Some("born lies in the future; tell the time of the start");
-        }
         None
     }
 
@@ -335,7 +348,7 @@
         let known = self.board.target().is_some();
         let target = Target {
             instance: None,
-            born: None,
+            born: announcement.born,
             address: announcement.address,
             service: announcement.service,
             slots: announcement.slots,
@@ -346,10 +359,22 @@
         if !known {
             info!(self.board.logger, "target announced"; "service" => %target.service);
         }
+        if self.follows_another(target.born) {
+            self.inspector.succeed(&target);
+        }
         self.open(target).await;
         (StatusCode::OK, "announced".to_owned())
     }
 
+    /// Whether a target that began then follows one that began earlier; notes when it began.
+    fn follows_another(&self, born: Option<Birth>) -> bool {
+        let Some(Birth(born_ms)) = born else {
+            return false;
+        };
+        let before_ms = self.born_ms.fetch_max(born_ms, Ordering::AcqRel);
+        before_ms != 0 && before_ms < born_ms
+    }
+
     async fn leave(&self) -> (StatusCode, String) {
         info!(self.board.logger, "target left");
         lock(&self.board.running).leave();
--- a/src/quarantine/inspect.rs
+++ b/src/quarantine/inspect.rs
@@ -10,6 +10,7 @@
 
 use crate::board::{Board, Target};
 use crate::calls::outcome::Reason;
+use crate::clock;
 use crate::quarantine::crash::{Crash, CrashId};
 use crate::quarantine::fingerprint::Fingerprint;
 use crate::quarantine::running::{End, Run, Running, Ticket};
@@ -104,6 +105,17 @@
         });
     }
 
+    /// Notes that `target` is another life than the one before it.
+    pub fn succeed(&self, target: &Target) {
+        let began = target.born.map(|born| born.0);
+        let age = began.map(|began| Duration::from_millis(clock::unix_ms().saturating_sub(began)));
+        let runs = self.running().succeed(Instant::now(), age);
+        if !runs.is_empty() {
+            self.report(target, &runs);
+            self.accuse(runs);
+        }
+    }
+
     /// Tells that the target ended under these runs. Where they are too many, those that are suspected
     /// already and those that began last are told.
     fn accuse(&self, mut runs: Vec<Run>) {
--- a/src/quarantine/running.rs
+++ b/src/quarantine/running.rs
@@ -11,6 +11,9 @@
 /// Time for which a request counts that its entry or caller has given up: not every target stops the work
 /// when its connection closes, and what takes longer to end a target than this is told by later ends.
 const LINGER: Duration = Duration::from_secs(1);
+/// Time after a broken connection in which another life of the target proves that it had ended: a supervisor
+/// starts it again, and it announces itself.
+const SUCCESSION: Duration = Duration::from_secs(5);
 /// Requests of unknown fate that are kept: as many as a target of many slots may have under way.
 const MOST_ENDED: usize = 256;
 /// Answered requests that are remembered of one life of the target, in 8 KB. At a hundred answers a second
@@ -58,6 +61,8 @@
     oldest_answered: usize,
     /// Whether the target has said that it ends.
     leaving: bool,
+    /// Whether it was seen that this life has ended.
+    seen_gone: bool,
     /// Whether it is being found out if the target is still there.
     inspected: bool,
 }
@@ -90,9 +95,10 @@
             End::Over => {}
             End::Open => {
                 self.forget_old(now);
-                if self.ended.len() < MOST_ENDED {
-                    self.ended.push((now, run));
+                if self.ended.len() == MOST_ENDED {
+                    self.ended.remove(0);
                 }
+                self.ended.push((now, run));
             }
         }
     }
@@ -115,11 +121,31 @@
     pub fn open(&mut self, another: bool) {
         self.leaving = false;
         if another {
+            self.seen_gone = false;
+            self.ended.clear();
             self.answered.clear();
             self.oldest_answered = 0;
         }
     }
 
+    /// Notes that another life of the target has announced itself, `age` after it began where it tells that;
+    /// returns what may have ended the former one, unless its end was seen.
+    ///
+    /// Guards against a supervisor that starts a target again before its gate has looked: the end would pass for
+    /// a connection that was cut.
+    pub fn succeed(&mut self, now: Instant, age: Option<Duration>) -> Vec<Run> {
+        self.forget_old(now);
+        if self.seen_gone || self.leaving {
+            return Vec::new();
+        }
+        let ended = std::mem::take(&mut self.ended);
+        let ended = ended.into_iter().map(|(_, run)| run);
+        let before =
+            |run: &&Run| age.is_some_and(|age| now.saturating_duration_since(run.began) > age);
+        let under_way = self.under_way().filter(before).cloned();
+        self.unanswered(ended.chain(under_way))
+    }
+
     /// Whether to find out if the target is still there; no second time until [`Running::inspected`].
     pub const fn inspect(&mut self) -> bool {
         let begins = !self.inspected;
@@ -134,12 +160,18 @@
     pub fn inspected(&mut self, now: Instant, gone: bool) -> Vec<Run> {
         self.inspected = false;
         self.forget_old(now);
+        self.seen_gone |= gone;
         if !gone || self.leaving {
             return Vec::new();
         }
         let ended = std::mem::take(&mut self.ended);
-        let under_way = self.under_way.iter().map(|(_, run)| run.clone());
-        let runs = ended.into_iter().map(|(_, run)| run).chain(under_way);
+        let lingers = |over: Instant| now.saturating_duration_since(over) < LINGER;
+        let ended = ended.into_iter().filter(|(over, _)| lingers(*over));
+        let under_way = self.under_way().cloned();
+        self.unanswered(ended.map(|(_, run)| run).chain(under_way))
+    }
+
+    fn unanswered(&self, runs: impl Iterator<Item = Run>) -> Vec<Run> {
         runs.filter(|run| !self.answered.contains(&run.fingerprint))
             .collect()
     }
@@ -155,6 +187,6 @@
 
     fn forget_old(&mut self, now: Instant) {
         self.ended
-            .retain(|(over, _)| now.saturating_duration_since(*over) < LINGER);
+            .retain(|(over, _)| now.saturating_duration_since(*over) < SUCCESSION);
     }
 }
--- a/tests/running.rs
+++ b/tests/running.rs
@@ -88,3 +88,54 @@
     running.finish(now, given_up, End::Open);
     assert!(end(&mut running, now + Duration::from_secs(2)).is_empty());
 }
+
+/// Guards against a target that is started again before its gate has looked whether it is there.
+#[test]
+fn quick_restart() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let broken = running.begin(run("/broken", now));
+    running.finish(now, broken, End::Open);
+    assert!(running.inspect());
+    assert!(
+        running.inspected(now, false).is_empty(),
+        "the next life listens"
+    );
+    running.begin(run("/under-way", now));
+    let later = now + Duration::from_secs(2);
+    running.begin(run("/new", later));
+    let age = Some(Duration::from_secs(1));
+    assert_eq!(
+        running.succeed(later, age),
+        [run("/broken", now), run("/under-way", now)]
+    );
+}
+
+/// Guards against one end that is told twice, when it is seen and when the next life announces itself.
+#[test]
+fn seen_end() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let late = running.begin(run("/late", now));
+    assert_eq!(end(&mut running, now), [run("/late", now)]);
+    running.finish(now, late, End::Open);
+    assert!(running.succeed(now, None).is_empty());
+}
+
+/// Guards against requests that are accused since their target was stopped and started as planned.
+#[test]
+fn planned_restart() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let cut = running.begin(run("/cut", now));
+    running.leave();
+    running.finish(now, cut, End::Open);
+    assert!(running.succeed(now, None).is_empty());
+}
+
+/// Guards against a connection that was cut long before its target ended.
+#[test]
+fn old_break() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let cut = running.begin(run("/cut", now));
+    running.finish(now, cut, End::Open);
+    let later = now + Duration::from_secs(6);
+    assert!(running.succeed(later, None).is_empty());
+}
