--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -139,6 +139,10 @@
 
     /// Tells the own data centre how recent the version in force is, after each read of this daemon.
     async fn vouch(&self) {
+        if self.board.settings.delivery == Delivery::Poll {
+            // Each daemon reads for itself.
+            return;
+        }
         let mut watermarks = self.board.freshness.subscribe();
         let mut told = Version(0);
         while watermarks.changed().await.is_ok() {
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -7,10 +7,12 @@
 
 use common::fixed;
 use jackdawpulley::configuration::exchange::Digest;
+use jackdawpulley::configuration::freshness::Report;
+use jackdawpulley::configuration::origin::Position;
 use jackdawpulley::membership::member::{Health, Member, Stage};
 use jackdawpulley::membership::timing::Timing;
 use jackdawpulley::membership::view::{Effects, Send, View};
-use jackdawpulley::units::{DataCentre, Incarnation, Version};
+use jackdawpulley::units::{DataCentre, Era, Incarnation, Millis, Offset, Version};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -356,3 +358,28 @@
     let effects = view.tick(now, &mut rng);
     assert!(effects.sends.iter().any(|send| send.to == far.peer));
 }
+
+/// Guards against watermarks that cross to other data centres after each read.
+#[test]
+fn vouch_stays_near() {
+    let now = Instant::now();
+    let mut view = View::new(member(0, 1), Timing::default());
+    let far = Member {
+        data_centre: DataCentre::from("olympia"),
+        ..member(2, 1)
+    };
+    view.merge(now, &member(1, 1));
+    view.merge(now, &far);
+    let watermark = Report {
+        age: Millis(5),
+        next: Position {
+            era: Era(0),
+            offset: Offset(9),
+        },
+    };
+    view.set_watermark(Some(watermark));
+    let sends = view.vouch();
+    let told: Vec<SocketAddr> = sends.iter().map(|send| send.to).collect();
+    assert_eq!(told, [address(1)]);
+    assert_eq!(sends[0].datagram.watermark, Some(watermark));
+}
