--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -95,16 +95,11 @@
             let _ = stages.wait_for(|stage| *stage != Stage::Starting).await;
         }
         loop {
-            let duty = duty(&self.board);
-            if std::mem::replace(&mut on_duty, duty.is_some()) != duty.is_some() {
-                let line = if on_duty {
-                    "reading begins"
-                } else {
-                    "reading ends"
-                };
-                info!(self.board.logger, "{}", line; "version" => self.board.digest().version.0);
+            let was_on_duty = std::mem::replace(&mut on_duty, duty(&self.board).is_some());
+            if on_duty != was_on_duty {
+                self.note_duty(on_duty);
             }
-            if duty.is_none() {
+            if !on_duty {
                 let _ = tokio::time::timeout(LOOK, rosters.changed()).await;
                 continue;
             }
@@ -133,6 +128,15 @@
         }
     }
 
+    fn note_duty(&self, on_duty: bool) {
+        let line = if on_duty {
+            "reading begins"
+        } else {
+            "reading ends"
+        };
+        info!(self.board.logger, "{}", line; "version" => self.board.digest().version.0);
+    }
+
     /// Reads and folds one page; waits up to `wait` for its first record. Returns the log's head.
     ///
     /// # Errors
--- a/src/membership/refresh.rs
+++ b/src/membership/refresh.rs
@@ -1,8 +1,8 @@
-//! Renewing a watermark that has grown old.
+//! Renewing a stale watermark.
 //!
-//! Readers renew those of their data centre. Where they don't, each daemon does so by itself, at a random
-//! moment, and tells the others: mostly one read serves a data centre. It also asks a few members, since the
-//! platform may turn this daemon away.
+//! Readers renew the watermarks of their data centre. When they don't, each daemon reads the platform itself, at
+//! a random moment, and tells the others: mostly one read serves a data centre. It also asks a few members, since
+//! the platform may turn this daemon away.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -26,7 +26,7 @@
 /// are asked tell it.
 const READ_PAUSES: Backoff = Backoff::new(Duration::from_secs(1), Duration::from_secs(4));
 
-/// Keeps the watermark of one daemon from growing old.
+/// Keeps the watermark of one daemon fresh.
 #[derive(Debug)]
 pub struct Refresher {
     board: Arc<Board>,
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Reads and asks until the watermark is young again.
+    /// Reads and asks until the watermark is fresh again.
     async fn renew(&self) {
         let mut watermarks = self.board.freshness.subscribe();
         let mut pauses = Backoff::new(self.limits.retry, LONGEST_RETRY);
@@ -84,7 +84,7 @@
                     let pause = if matches!(result, Ok(Ok(_))) {
                         info!(self.board.logger, "read in place of a reader";
                             "version" => self.board.digest().version.0);
-                        // Where it is stale still, more follows what was read.
+                        // If the watermark is still stale, more records follow those that were read.
                         Duration::ZERO
                     } else {
                         if !std::mem::replace(&mut warned, true) {
@@ -131,10 +131,10 @@
 
 /// Waits for a watermark that is not stale.
 async fn renewed(watermarks: &mut watch::Receiver<Watermark>, stale: Duration) {
-    let is_young = |latest: &Watermark| {
+    let is_fresh = |latest: &Watermark| {
         let age = latest.age(Instant::now());
         age.is_some_and(|age| age < stale)
     };
     // The board, which holds the sender, outlives every controller.
-    let _ = watermarks.wait_for(is_young).await;
+    let _ = watermarks.wait_for(is_fresh).await;
 }
