Tell each end of a target that a supervisor restarts within milliseconds

What callers saw: a request that ends its targets went on ending them where two of the ends were at one host.

Cause: an end was noted twice over, by a look for the listener and by the announcement of the next life, and both wrote to a state without a life. Where the next life announced itself in the 10 ms between the look and its result, the result (nobody listens) was kept for that next life. Its own end then passed for seen, the announcement after it cleared the broken run, and the look found nothing to tell.

Change: a look says since when nobody listens, an announcement when the next life began, and runs that began up to then are not told again; no flag outlives its life. What is cut while a target leaves is not kept at all.

Two tests change their set-up, not what they ask: answered_before_is_not_accused and given_up_counts_for_a_while let a run of the first life be under way at the end of a second one, which no target can do and which is the double telling that late_break guards against. Each begins another run for its second half.

--- a/src/quarantine/inspect.rs
+++ b/src/quarantine/inspect.rs
@@ -87,15 +87,15 @@
         let (inspector, target) = (self.clone(), Arc::clone(target));
         tokio::spawn(async move {
             // At once: a supervisor may have the next life listen within a few milliseconds.
-            let mut gone = is_refused(target.address).await;
+            let mut gone_since = refused_at(target.address).await;
             tokio::time::sleep(SETTLE).await;
             let together = inspector.running().ended_within(Instant::now(), 2 * SETTLE) > 1;
-            if !gone && together {
+            if gone_since.is_none() && together {
                 // Its connections may have been closed before its listener.
-                gone = is_refused(target.address).await;
+                gone_since = refused_at(target.address).await;
             }
-            let runs = inspector.running().inspected(Instant::now(), gone);
-            if gone {
+            let runs = inspector.running().inspected(Instant::now(), gone_since);
+            if gone_since.is_some() {
                 inspector.board.drop_target(&target);
             }
             if !runs.is_empty() {
@@ -164,12 +164,14 @@
     running.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Whether nobody listens at an address of this host.
+/// When it was found that nobody listens at an address of this host, if nobody does.
 ///
 /// Guards against a target whose answer was lost, or that cuts one connection: it still listens. One that
 /// has ended does not, and its host says so at once.
-async fn is_refused(address: SocketAddr) -> bool {
+async fn refused_at(address: SocketAddr) -> Option<Instant> {
+    let looked = Instant::now();
     let connecting = tokio::time::timeout(REFUSAL, TcpStream::connect(address)).await;
     let refused = |error: std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
-    connecting.is_ok_and(|connected| connected.is_err_and(refused))
+    let gone = connecting.is_ok_and(|connected| connected.is_err_and(refused));
+    gone.then_some(looked)
 }
--- a/src/quarantine/running.rs
+++ b/src/quarantine/running.rs
@@ -61,8 +61,8 @@
     oldest_answered: usize,
     /// Whether the target has said that it ends.
     leaving: bool,
-    /// Whether it was seen that this life has ended.
-    seen_gone: bool,
+    /// Runs that began up to then were at lives whose end is known.
+    known_until: Option<Instant>,
     /// Whether it is being found out if the target is still there.
     inspected: bool,
 }
@@ -93,6 +93,8 @@
         match end {
             End::Answered => self.remember(run.fingerprint),
             End::Over => {}
+            // What is cut while the target leaves is not the cause.
+            End::Open if self.leaving => {}
             End::Open => {
                 self.forget_old(now);
                 if self.ended.len() == MOST_ENDED {
@@ -112,38 +114,40 @@
             .count()
     }
 
-    /// Notes that the target has said that it ends: what is cut then is not the cause.
-    pub const fn leave(&mut self) {
+    /// Notes that the target has said that it ends: what was cut before did not end it.
+    pub fn leave(&mut self) {
         self.leaving = true;
+        self.ended.clear();
     }
 
     /// Notes that the target takes requests; `another` when it is not the life that did so before.
     pub fn open(&mut self, another: bool) {
         self.leaving = false;
         if another {
-            self.seen_gone = false;
-            self.ended.clear();
             self.answered.clear();
             self.oldest_answered = 0;
         }
     }
 
     /// Notes that another life of the target has announced itself, `age` after it began where it tells that;
-    /// returns what may have ended the former one, unless its end was seen.
+    /// returns what may have ended the former one, unless its end is known.
     ///
     /// Guards against a supervisor that starts a target again before its gate has looked: the end would pass for
     /// a connection that was cut.
     pub fn succeed(&mut self, now: Instant, age: Option<Duration>) -> Vec<Run> {
         self.forget_old(now);
-        if self.seen_gone || self.leaving {
+        if self.leaving {
             return Vec::new();
         }
+        let born = age.and_then(|age| now.checked_sub(age));
         let ended = std::mem::take(&mut self.ended);
+        let last = ended.iter().map(|(_, run)| run.began).max();
         let ended = ended.into_iter().map(|(_, run)| run);
-        let before =
-            |run: &&Run| age.is_some_and(|age| now.saturating_duration_since(run.began) > age);
+        let before = |run: &&Run| born.is_some_and(|born| run.began < born);
         let under_way = self.under_way().filter(before).cloned();
-        self.unanswered(ended.chain(under_way))
+        let runs = self.suspects(ended.chain(under_way));
+        self.know_until(born.or(last));
+        runs
     }
 
     /// Whether to find out if the target is still there; no second time until [`Running::inspected`].
@@ -153,29 +157,44 @@
         begins
     }
 
-    /// Notes whether the target has ended without a word; returns what may have ended it.
+    /// Notes whether the target has ended without a word, and since when nobody listens; returns what may have
+    /// ended it.
     ///
     /// What this life has answered before did not end it now: a request that many callers send is under
     /// way whenever a target ends.
-    pub fn inspected(&mut self, now: Instant, gone: bool) -> Vec<Run> {
+    pub fn inspected(&mut self, now: Instant, gone_since: Option<Instant>) -> Vec<Run> {
         self.inspected = false;
         self.forget_old(now);
-        self.seen_gone |= gone;
-        if !gone || self.leaving {
+        let Some(gone_since) = gone_since.filter(|_| !self.leaving) else {
             return Vec::new();
-        }
+        };
+        let at_the_end = |run: &Run| run.began <= gone_since;
         let ended = std::mem::take(&mut self.ended);
+        let (ended, later) = ended.into_iter().partition(|(_, run)| at_the_end(run));
+        self.ended = later;
         let lingers = |over: Instant| now.saturating_duration_since(over) < LINGER;
         let ended = ended.into_iter().filter(|(over, _)| lingers(*over));
-        let under_way = self.under_way().cloned();
-        self.unanswered(ended.map(|(_, run)| run).chain(under_way))
+        let under_way = self.under_way().filter(|run| at_the_end(run)).cloned();
+        let runs = self.suspects(ended.map(|(_, run)| run).chain(under_way));
+        self.know_until(Some(gone_since));
+        runs
     }
 
-    fn unanswered(&self, runs: impl Iterator<Item = Run>) -> Vec<Run> {
-        runs.filter(|run| !self.answered.contains(&run.fingerprint))
+    /// Those of some runs that may have ended this life: not answered by it, nor told at an earlier end.
+    fn suspects(&self, runs: impl Iterator<Item = Run>) -> Vec<Run> {
+        runs.filter(|run| self.known_until.is_none_or(|until| run.began > until))
+            .filter(|run| !self.answered.contains(&run.fingerprint))
             .collect()
     }
 
+    /// Notes that the end of the life is known at which runs were that began up to `until`.
+    ///
+    /// Guards against one end that is told twice, and against a look that comes back when the next life is there:
+    /// the end of that one would pass for known.
+    fn know_until(&mut self, until: Option<Instant>) {
+        self.known_until = self.known_until.max(until);
+    }
+
     fn remember(&mut self, fingerprint: Fingerprint) {
         if self.answered.len() < MOST_ANSWERED {
             self.answered.push(fingerprint);
--- a/tests/running.rs
+++ b/tests/running.rs
@@ -18,7 +18,7 @@
 /// Notes that the target ended at `now`; what may have ended it.
 fn end(running: &mut Running, now: Instant) -> Vec<Run> {
     assert!(running.inspect());
-    running.inspected(now, true)
+    running.inspected(now, Some(now))
 }
 
 #[test]
@@ -43,7 +43,7 @@
     running.finish(now, broken, End::Open);
     assert!(running.inspect());
     assert!(!running.inspect(), "once at a time");
-    assert!(running.inspected(now, false).is_empty());
+    assert!(running.inspected(now, None).is_empty());
     assert!(running.inspect());
 }
 
@@ -69,9 +69,11 @@
     running.begin(run("/popular", now));
     assert!(end(&mut running, now).is_empty());
     running.open(true);
+    let later = now + Duration::from_millis(1);
+    running.begin(run("/popular", later));
     assert_eq!(
-        end(&mut running, now),
-        [run("/popular", now)],
+        end(&mut running, later),
+        [run("/popular", later)],
         "another life"
     );
 }
@@ -84,9 +86,10 @@
     running.finish(now, given_up, End::Open);
     let soon = now + Duration::from_millis(100);
     assert_eq!(end(&mut running, soon).len(), 1);
-    let given_up = running.begin(run("/given-up", now));
-    running.finish(now, given_up, End::Open);
-    assert!(end(&mut running, now + Duration::from_secs(2)).is_empty());
+    let later = soon + Duration::from_millis(1);
+    let given_up = running.begin(run("/given-up", later));
+    running.finish(later, given_up, End::Open);
+    assert!(end(&mut running, later + Duration::from_secs(2)).is_empty());
 }
 
 /// Guards against a target that is started again before its gate has looked whether it is there.
@@ -97,7 +100,7 @@
     running.finish(now, broken, End::Open);
     assert!(running.inspect());
     assert!(
-        running.inspected(now, false).is_empty(),
+        running.inspected(now, None).is_empty(),
         "the next life listens"
     );
     running.begin(run("/under-way", now));
@@ -139,3 +142,53 @@
     let later = now + Duration::from_secs(6);
     assert!(running.succeed(later, None).is_empty());
 }
+
+/// Guards against the end of a life that passes for known, since the look after the one before it came back late.
+#[test]
+fn late_look() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let restart = |life: u32| now + life * Duration::from_millis(400);
+    for life in 1..=3 {
+        let began = restart(life) - Duration::from_millis(350);
+        let broken = running.begin(run("/fatal", began));
+        let looked = restart(life) - Duration::from_millis(5);
+        running.finish(looked, broken, End::Open);
+        assert!(running.inspect());
+        let age = Some(Duration::from_millis(2));
+        assert_eq!(running.succeed(restart(life), age), [run("/fatal", began)]);
+        running.open(true);
+        let late = restart(life) + Duration::from_millis(5);
+        assert!(running.inspected(late, Some(looked)).is_empty(), "told");
+    }
+}
+
+/// Guards against an end that is forgotten, since the next life announced itself before the look came back.
+#[test]
+fn nameless_restart() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let broken = running.begin(run("/fatal", now));
+    running.finish(now, broken, End::Open);
+    assert!(running.inspect());
+    running.open(true);
+    let next = running.begin(run("/next", now + Duration::from_millis(5)));
+    let late = now + Duration::from_millis(10);
+    assert_eq!(running.inspected(late, Some(now)), [run("/fatal", now)]);
+    running.finish(late, next, End::Open);
+    assert_eq!(
+        end(&mut running, late),
+        [run("/next", now + Duration::from_millis(5))]
+    );
+}
+
+/// Guards against one end that is told twice, once with the runs whose connections break late.
+#[test]
+fn late_break() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let late = running.begin(run("/late", now));
+    let later = now + Duration::from_millis(400);
+    let age = Some(Duration::from_millis(100));
+    assert_eq!(running.succeed(later, age), [run("/late", now)]);
+    running.open(true);
+    running.finish(later, late, End::Open);
+    assert!(end(&mut running, later).is_empty());
+}
