--- a/tests/running.rs
+++ b/tests/running.rs
@@ -147,17 +147,20 @@
 #[test]
 fn late_look() {
     let (mut running, now) = (Running::default(), Instant::now());
-    let restart = |life: u32| now + life * Duration::from_millis(400);
+    let ms = Duration::from_millis;
     for life in 1..=3 {
-        let began = restart(life) - Duration::from_millis(350);
+        let began = now + life * ms(400);
         let broken = running.begin(run("/fatal", began));
-        let looked = restart(life) - Duration::from_millis(5);
+        let looked = began + ms(345);
+        let announced = looked + ms(5);
         running.finish(looked, broken, End::Open);
         assert!(running.inspect());
-        let age = Some(Duration::from_millis(2));
-        assert_eq!(running.succeed(restart(life), age), [run("/fatal", began)]);
+        assert_eq!(
+            running.succeed(announced, Some(ms(2))),
+            [run("/fatal", began)]
+        );
         running.open(true);
-        let late = restart(life) + Duration::from_millis(5);
+        let late = announced + ms(5);
         assert!(running.inspected(late, Some(looked)).is_empty(), "told");
     }
 }
