--- a/src/board.rs
+++ b/src/board.rs
@@ -30,8 +30,7 @@
 use crate::telemetry::Meter;
 use crate::units::{Birth, Era, Instance, Millis, Revision, Slots, Version};
 
-/// Lines a second that requests may cause. At about 50 microseconds each, as measured on a day of
-/// overload (27.5 s of processor time with them, 26.3 s without), they stay at 0.2 % of a core.
+/// Lines a second that requests may cause, so that an overload is not made worse by being logged.
 const LINES: u32 = 40;
 
 /// The configuration of one version, compiled for the path of a request.
--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -187,8 +187,7 @@
     ///
     /// Guards against work in vain: a call that is refused because its answer would come later than
     /// usual fails the request that made it, with all that has been done for that one. Its answer is
-    /// of full use until the deadline. On a day with a burst and crashed targets 4,174 runs of such
-    /// requests failed without this and 145 with it (one run each).
+    /// of full use until the deadline.
     pub const fn nest(&mut self) {
         self.prompt = self.deadline;
     }
--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -111,8 +111,7 @@
         if let Some(reason) = refused {
             self.note_refusal(&id, reason, &config, began);
             // Guards against memory that grows with refusals: callers come back on new connections,
-            // and the old ones stay open for as long as idle ones may. On the heaviest days the
-            // largest daemon went from 39 to 11 MB, over all daemons and the day from 18 to 7 GB x s.
+            // and the old ones stay open for as long as idle ones may.
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         metrics::counter!("jackdaw_calls_total", "outcome" => fate).increment(1);
@@ -125,8 +124,7 @@
     ///
     /// Guards against a caller that loses its request to a short absence: a daemon that comes back is
     /// ready a moment after it takes connections, and a caller that was refused twice meanwhile has
-    /// no try left. Together with welcomes that are taken one by one, the credit of the two worst
-    /// spans of a day that ends with a loss of power went from 0.47 to 0.61 (one run each).
+    /// no try left.
     async fn await_floor(&self, request: &Request<Body>) {
         if self.board.stage() != Stage::Starting {
             return;
--- a/src/calls/retry.rs
+++ b/src/calls/retry.rs
@@ -100,9 +100,7 @@
     /// there is room for more than one.
     ///
     /// Guards against a failing service whose many lists and lookups spend every retry before a
-    /// purchase comes by. On two days on which every target of a service refused half of its
-    /// requests, purchases and urgent bookings went from 0.900 to 0.913 and from 0.920 to 0.933 of
-    /// their credit (one run each).
+    /// purchase comes by.
     #[must_use]
     pub fn withdraw_for(&self, share: Percent, rank: Priority) -> bool {
         let beyond = self.ceiling.load(Ordering::Relaxed) - PRICE;
--- a/src/calls/stream.rs
+++ b/src/calls/stream.rs
@@ -21,8 +21,7 @@
 /// Flow-control window of a stream towards a peer that serves, in bytes: so much of each body may be
 /// on its way at once.
 ///
-/// Small calls that go to the same host wait behind what is on its way. Three bodies with whole
-/// windows of 64 KB keep a link of 7 Mbit/s for 0.2 s, with these for 0.03 s (worked out, not measured).
+/// Small calls that go to the same host wait behind what is on its way.
 pub const REQUEST_WINDOW: u32 = 8 << 10;
 /// Bodies up to this many bytes go along with their heads, for all the difference that they make to a
 /// link.
--- a/src/calls/work.rs
+++ b/src/calls/work.rs
@@ -239,9 +239,7 @@
     /// Guards against a link that is narrower than the slots: bodies that all come at once share it
     /// and are all late, small calls to the same target wait behind them, and slots are held by
     /// requests of which nothing can run yet. A request that is refused here has cost the link its
-    /// head alone. On a heavy day of a mesh with links of 7 Mbit/s and uploads of 60 kB, uploads earned
-    /// 0.13 of their credit without this and 0.69 with it, and bookings whose calls go to the same
-    /// hosts 0.30 and 0.94 (one run each).
+    /// head alone.
     async fn take_body(
         &mut self,
         held_back: &HeldBack,
--- a/src/configuration/config.rs
+++ b/src/configuration/config.rs
@@ -26,8 +26,7 @@
 
 /// Earlier versions that deltas can start from; whoever is further behind takes the whole document.
 ///
-/// A document of some hundred routes is about half a megabyte: with sixteen versions kept, 85
-/// daemons on a calm day took 82.5 GB x s of memory, with four 58.5 (one run each).
+/// A document of some hundred routes takes about half a megabyte of memory.
 const HISTORY: usize = 4;
 
 /// How a version reaches a daemon.
--- a/src/configuration/exchange.rs
+++ b/src/configuration/exchange.rs
@@ -76,8 +76,8 @@
 
 /// An [`Update`], compressed.
 ///
-/// Guards against slow links: a version that brings 1,400 routes is sent on four times by each daemon
-/// of the tree, and over links of 5 Mbit/s the last daemons had it 3.9 s after the first (one run).
+/// Guards against slow links: a version that brings many routes is sent on four times by each daemon of
+/// the tree, and the last daemons would have it seconds after the first.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Packed(Vec<u8>);
 
--- a/src/membership/census.rs
+++ b/src/membership/census.rs
@@ -19,8 +19,7 @@
 /// What was said last of the number of members.
 ///
 /// Guards against lines that grow with the square of a fleet: a joint start changes the view of every
-/// daemon once for each of the others. Told one by one, these were 2,132 of 4,113 lines of a day of 24
-/// daemons (one run); a daemon that sums them up writes one a second at most.
+/// daemon once for each of the others.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Census {
     members: usize,
--- a/src/membership/greeting.rs
+++ b/src/membership/greeting.rs
@@ -146,8 +146,7 @@
 ///
 /// Guards against a peer that is silent: after a loss of power a few of those that are asked are
 /// mostly still dark, and a daemon that waits for them before it takes the others' welcomes refuses its
-/// callers for as long. Half of 28 daemons served 0.92 s after their start when each waited for all
-/// that it had asked, and 0.27 s when it did not (one run each).
+/// callers for as long.
 #[derive(Debug)]
 pub struct Round {
     greeting: Arc<Greeting>,
--- a/src/membership/rounds.rs
+++ b/src/membership/rounds.rs
@@ -14,8 +14,7 @@
 /// One probe in this many goes to another data centre.
 ///
 /// A member is noticed to be gone by those beside it; the probes between data centres carry news
-/// and notice when a whole one is gone. When every member was probed alike, and joined through any
-/// other, a calm day of 82 daemons sent 15 MB between data centres, and 5 MB since (one run each).
+/// and notice when a whole one is gone. Bytes between data centres are dear.
 const FAR_PROBE: u64 = 4;
 
 /// The rounds of one daemon.
--- a/src/quarantine/inspect.rs
+++ b/src/quarantine/inspect.rs
@@ -56,8 +56,7 @@
         let standing = quarantine.standing(run.fingerprint);
         // Guards against a request that ends each target which runs it, while its caller sends it again and
         // again: callers of all kinds see the service shrink to a few targets. Every gate refuses it by the
-        // same evidence, so no entry that has not heard of it yet can bring it to a target. Of eight targets
-        // it ended 22 in three seconds without this and none with it (one run of its test each).
+        // same evidence, so no entry that has not heard of it yet can bring it to a target.
         if standing.until.is_some_and(|until| run.began < until) {
             return Err(Reason::Quarantined);
         }
--- a/src/quarantine/shared.rs
+++ b/src/quarantine/shared.rs
@@ -119,8 +119,7 @@
     ///
     /// Guards against a request that was under way at the ends of three targets by chance, as one that
     /// many callers send may be: it would be refused everywhere. While it ran at one end only, the answer is
-    /// kept here until it matters. Where fifty targets are killed at once, each with 18 requests under way,
-    /// telling a fleet of 300 each of those answers would take 1,080,000 datagrams, by reckoning.
+    /// kept here until it matters: told at once, the answers after many ends would flood a fleet.
     pub fn answered(&self, fingerprint: Fingerprint) {
         let standing = self.standing(fingerprint);
         if standing.ends == 0 {
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -31,8 +31,7 @@
 /// has are mostly answered by then.
 ///
 /// Guards against a target that stands idle, though well, for as long as its daemon waits for callers
-/// to go elsewhere, and once more while the next daemon starts. On a day on which every host was
-/// stopped in turn 3.4 in 100 requests ended refused without this and 2.3 with it (one run each).
+/// to go elsewhere, and once more while the next daemon starts.
 const LAST_CALLS: Duration = Duration::from_millis(800);
 /// Time between two looks at the settings, which may change without a word.
 const LOOK: Duration = Duration::from_secs(2);
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -9,9 +9,8 @@
 
 use crate::settings::Logs;
 
-/// Log lines that may wait to be written; more are dropped and counted by the drain. Requests cause at
-/// most forty a second, and a queue takes its memory whether it is used or not: with 4,096 places and
-/// samples in place of buckets a daemon had 9.5 MB at its peak on a calm day, now 8.0.
+/// Log lines that may wait to be written; more are dropped and counted by the drain. Requests cause a few
+/// a second, and a queue takes its memory whether it is used or not.
 const LOG_QUEUE: usize = 256;
 /// Upper bounds of a histogram's buckets, in seconds, around the times that callers find right.
 const BUCKETS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
