--- a/src/calls/patience.rs
+++ b/src/calls/patience.rs
@@ -21,7 +21,7 @@
 ///
 /// Under load a line of requests grows to whatever is tolerated, and stays there: everybody waits
 /// that long. The rest keeps the answers in time, since the work of half of the requests is longer
-/// than usual. Tried on the platform's heaviest days: 0.15 and 0.7 gained nothing.
+/// than usual.
 const TOLERATED: f64 = 0.4;
 /// Wait that is tolerated in any case: a request that is late already may use what is free.
 const LEAST: Duration = Duration::from_millis(15);
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -22,3 +22,4 @@
 pub(crate) mod refresh;
 pub(crate) mod roster;
 pub(crate) mod rounds;
+pub(crate) mod versions;
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -11,8 +11,7 @@
 
 use crate::board::Board;
 use crate::clock;
-use crate::configuration::reader::duty;
-use crate::configuration::relay::{Relay, jitter};
+use crate::configuration::relay::Relay;
 use crate::error::{ListenSnafu, Result};
 use crate::membership::census::Census;
 use crate::membership::datagram::{Datagram, Join, Probe, Welcome};
@@ -23,16 +22,12 @@
 use crate::membership::view::{Effects, Send, View};
 use crate::rollout::usual::Usual;
 use crate::settings::{Delivery, Settings};
-use crate::units::{Incarnation, Millis, Revision, Service, Version};
+use crate::units::{Incarnation, Millis, Revision, Service};
 use crate::wire;
 use snafu::ResultExt;
 
 /// Ticks of the view in one probe period.
 const TICKS: u64 = 5;
-/// Time in which a version reaches daemons by itself before a reader tells them of it: many times what a
-/// read takes, or the way through the tree.
-const HEAD_START: Duration = Duration::from_millis(200);
-
 /// Keeps the membership view.
 #[derive(Debug)]
 pub struct Membership {
@@ -118,63 +113,6 @@
         }
     }
 
-    /// Tells the other data centres of each version, while reading is this daemon's duty.
-    async fn announce(&self) {
-        let mut versions = self.board.versions();
-        while versions.changed().await.is_ok() {
-            tokio::time::sleep(jitter(HEAD_START)).await;
-            versions.borrow_and_update();
-            if self.board.settings.delivery == Delivery::Poll || duty(&self.board).is_none() {
-                continue;
-            }
-            let sends = {
-                let mut guard = self.state();
-                self.refresh(&mut guard);
-                let State { view, rng, .. } = &mut *guard;
-                view.announce(rng)
-            };
-            self.send(sends).await;
-        }
-    }
-
-    /// Tells the own data centre how recent the version in force is, after each read of this daemon.
-    async fn vouch(&self) {
-        if self.board.settings.delivery == Delivery::Poll {
-            // Each daemon reads for itself.
-            return;
-        }
-        let mut watermarks = self.board.freshness.subscribe();
-        let mut told = Version(0);
-        while watermarks.changed().await.is_ok() {
-            let own = watermarks.borrow_and_update().own;
-            if !own || self.board.stage() == Stage::Starting {
-                continue;
-            }
-            let version = self.board.digest().version;
-            if std::mem::replace(&mut told, version) != version {
-                // It travels by the tree meanwhile; whom it does not reach hears of it here.
-                tokio::time::sleep(HEAD_START).await;
-            }
-            let sends = {
-                let mut guard = self.state();
-                self.refresh(&mut guard);
-                guard.view.vouch()
-            };
-            self.send(sends).await;
-        }
-    }
-
-    /// Asks a few members what they have in force and how recent that is.
-    pub async fn ask_around(&self) {
-        let sends = {
-            let mut guard = self.state();
-            self.refresh(&mut guard);
-            let State { view, rng, .. } = &mut *guard;
-            view.ask(Instant::now(), rng)
-        };
-        self.send(sends).await;
-    }
-
     fn close_idle_links(&self) {
         for (_, upstream) in self.board.roster().all() {
             upstream.link.close_idle();
@@ -315,20 +253,8 @@
         self.carry_out(effects).await;
     }
 
-    /// Takes over a watermark, unless its sender has something newer in force, which has to be fetched first.
-    fn note_watermark(&self, datagram: &Datagram) {
-        if datagram.digest.version > self.board.digest().version {
-            return;
-        }
-        if let Some(report) = &datagram.watermark {
-            let complete = datagram.evidence == self.evidence();
-            let now = Instant::now();
-            self.board.freshness.note_report(report, complete, now);
-        }
-    }
-
     /// Hash of what this daemon knows of requests that end targets and of roll-outs.
-    fn evidence(&self) -> u64 {
+    pub(super) fn evidence(&self) -> u64 {
         self.board.quarantine.hash() ^ self.board.rollouts.hash()
     }
 
