Begin the move of a roll-out late with fewer answers

Cause: both daemons that decide on it were killed, one after the other. While nobody decides the share lapses, so the first step came to 15 answers where half of the planned ones, 18, are asked for. It waited for more until half of the time for the move was gone, and went back as "time is up".

Ruled out: a doubt (no line has one), a fault found.

Change: from 0.65 of the time for the move on, four answers are enough to begin it.

--- a/src/rollout/decision.rs
+++ b/src/rollout/decision.rs
@@ -44,6 +44,8 @@
 const LAST_CALL: Duration = Duration::from_millis(400);
 /// Answers of the new revision that the move asks for, where the requests are frequent enough.
 const ENOUGH_ANSWERS: f64 = 40.0;
+/// Part of the time for the move that is left when it begins with fewer answers.
+const LATE_PART: f64 = 0.65;
 /// Answers without which nothing is known of a revision.
 const FEWEST_ANSWERS: u64 = 4;
 
@@ -176,8 +178,10 @@
     }
     let expected = expected_answers(permille, seen);
     let enough = ENOUGH_ANSWERS.min(expected / 2.0);
-    let known = seen.answers >= FEWEST_ANSWERS && count(seen.answers) >= enough;
-    if known {
+    // Guards against a good revision that goes back for want of answers, since nobody decided for a while: the move
+    // looks at it as well.
+    let is_late = left < moves.mul_f64(LATE_PART);
+    if seen.answers >= FEWEST_ANSWERS && (is_late || count(seen.answers) >= enough) {
         let (permille, targets) = ramp(seen);
         return Decision {
             step: Step::Ramp,
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -131,6 +131,30 @@
     );
 }
 
+/// Guards against a good revision that goes back for want of answers, since nobody decided for a while.
+#[test]
+fn few_answers_move_late() {
+    let few = Observed {
+        duration: Duration::from_secs(9),
+        answers: 15,
+        per_second: Some(74.0),
+        ..observed(Step::Canary, 6_000)
+    };
+    assert_eq!(decide(&LIMITS, &few).step, Step::Canary, "more may come");
+    let late = Observed {
+        age: Duration::from_millis(6_800),
+        ..few
+    };
+    assert_eq!(decide(&LIMITS, &late).step, Step::Ramp);
+    let none = Observed { answers: 3, ..late };
+    assert_eq!(decide(&LIMITS, &none).step, Step::Canary);
+    let over = Observed {
+        age: Duration::from_millis(7_300),
+        ..none
+    };
+    assert_eq!(decide(&LIMITS, &over).cause, Cause::TimeIsUp);
+}
+
 /// Guards against a revision that is completed although most of what is known speaks against it.
 #[test]
 fn doubt_waits() {
