--- a/src/rollout/evidence.rs
+++ b/src/rollout/evidence.rs
@@ -207,8 +207,7 @@
         let routes = self.routes();
         let all = self.ticks.len();
         let leans = |span: usize| {
-            let compare = |route: &RouteId| self.compare(*route, span);
-            let compared: Vec<Comparison> = routes.iter().map(compare).collect();
+            let compared = self.compare_all(&routes, span);
             test.compare(&compared, targets <= 1) >= Leaning::Doubtful
         };
         leans(all) || leans(all.min(LATELY))
@@ -238,13 +237,18 @@
         let mut spans: Vec<usize> = spans.take_while(|span| *span < self.ticks.len()).collect();
         spans.push(self.ticks.len());
         spans.into_iter().find_map(|span| {
-            let compare = |route: &RouteId| self.compare(*route, span);
-            let compared: Vec<Comparison> = routes.iter().map(compare).collect();
+            let compared = self.compare_all(routes, span);
             let leaning = test.compare(&compared, targets <= 1);
             (leaning == Leaning::Worse).then(|| Finding::new(routes, &compared, span))
         })
     }
 
+    /// Answers of both revisions on some routes over the last ticks.
+    fn compare_all(&self, routes: &[RouteId], span: usize) -> Vec<Comparison> {
+        let routes = routes.iter();
+        routes.map(|route| self.compare(*route, span)).collect()
+    }
+
     /// Answers of both revisions on one route over the last ticks.
     fn compare(&self, route: RouteId, span: usize) -> Comparison {
         let asked = self.answered(route, span).max(BASE);
