Look for room in another data centre after a refusal

Cause: a way to another data centre is priced like a wait of some 400 ms, and a gate refuses at a wait of 150 ms; so an entry asked three gates nearby and gave up. And the load that a gate tells with its refusal was thrown away, so the next request was sent to the same full gates.

Change: the load that a refusal tells is learnt as that of an answer is, and a call that was refused for lack of room does not pay for the way.

It holds since the price is paid where there is a choice, and a refusal ends it. refusal_tells_load and room_far_away fail without their part of it; crowd_finds_room compares both ways in virtual time.

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -13,7 +13,7 @@
 use crate::board::Board;
 use crate::calls::call::{Call, Part};
 use crate::calls::choice::Chooser;
-use crate::calls::gate::Gate;
+use crate::calls::gate::{Gate, Load};
 use crate::calls::outcome::{Fate, OUTCOME, REASON, Reason};
 use crate::calls::retry::{Budget, Budgets};
 use crate::calls::stream::Held;
@@ -136,12 +136,15 @@
             Ok(result) => result,
             Err(_) => Err(Reason::TimedOut),
         };
+        let load = result.as_ref().ok();
+        let load = load.and_then(|response| Load::of(response.headers()));
         let attempt = result.map_or_else(Attempt::Failed, judge);
         let seen = match &attempt {
             Attempt::Answered(response) => Ok(response),
             Attempt::Failed(reason) => Err(*reason),
         };
-        if self.chooser.experience.learn(upstream, seen, began, &route) {
+        let experience = &self.chooser.experience;
+        if experience.learn(upstream, seen, load, began, &route) {
             let roster = self.board.roster();
             let upstreams = roster.upstreams(&service);
             let now = Instant::now();
--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -41,6 +41,8 @@
     pub made: u32,
     /// Whether any of it has been handed to an upstream.
     pub sent: bool,
+    /// Whether a gate had no room for it.
+    pub crowded: bool,
     /// Why it has no answer yet.
     pub reason: Option<Reason>,
     /// Time that the caller still gives, by its own word.
@@ -146,6 +148,7 @@
             head,
             body,
             tried: Vec::new(),
+            crowded: false,
             made: 0,
             sent: false,
             reason: None,
--- a/src/calls/choice.rs
+++ b/src/calls/choice.rs
@@ -121,7 +121,13 @@
         let mut rng = SmallRng::from_rng(&mut rand::rng());
         let all = upstreams.iter();
         if settings.pick == pick::Policy::Expected {
-            let far_ms = settings.far_ms_per_kb;
+            // Guards against a data centre that refuses its callers while others have room: gates refuse a request
+            // before its wait there is as dear as the way.
+            let far_ms = if call.crowded {
+                0.0
+            } else {
+                settings.far_ms_per_kb
+            };
             let costs = all.map(|upstream| upstream.cost(&call.group, typical, far_ms, now));
             return pick::cheapest(&costs.collect::<Vec<Cost>>(), &mut rng);
         }
--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -266,6 +266,7 @@
             // touched; each upstream is asked only once.
             let free = reason.is_absence() || full;
             refusals += u32::from(full);
+            call.crowded |= full;
             // One that has to run apart is refused while another of its kind runs; the next target is
             // not to end beside that one's.
             let held = reason == Reason::Overloaded && self.attempts.chooser.is_suspect(call);
--- a/src/calls/experience.rs
+++ b/src/calls/experience.rs
@@ -6,7 +6,7 @@
 use http::{Response, header};
 use volo_http::body::Body;
 
-use crate::calls::gate::{LOAD, Load};
+use crate::calls::gate::Load;
 use crate::calls::outcome::Reason;
 use crate::calls::pace::Typical;
 use crate::calls::patience::Patience;
@@ -38,15 +38,24 @@
 }
 
 impl Experience {
-    /// Takes an attempt as evidence on its upstream; whether it speaks against it.
+    /// Takes an attempt as evidence on its upstream, with the load that its gate told; whether it speaks against
+    /// it.
     pub fn learn(
         &self,
         upstream: &Upstream,
         attempt: Result<&Response<Body>, Reason>,
+        load: Option<Load>,
         began: Instant,
         route: &str,
     ) -> bool {
         let now = Instant::now();
+        // A refusal tells it as well: a gate that has just refused for lack of room is the last to ask again.
+        if let Some(load) = load {
+            upstream.report(now, load.in_flight);
+            if load.nested {
+                place(&mut self.routes(), route).nested_until = Some(now + NESTED);
+            }
+        }
         let response = match attempt {
             Ok(response) => response,
             Err(reason) => {
@@ -61,14 +70,6 @@
                 return reason.blames_upstream();
             }
         };
-        let load = response.headers().get(LOAD).and_then(|v| v.to_str().ok());
-        let load = load.and_then(|text| text.parse::<Load>().ok());
-        if let Some(load) = load {
-            upstream.report(now, load.in_flight);
-            if load.nested {
-                place(&mut self.routes(), route).nested_until = Some(now + NESTED);
-            }
-        }
         let failed = response.status().is_server_error();
         if failed {
             upstream.pace().failed(now);
--- a/src/calls/gate.rs
+++ b/src/calls/gate.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
-use http::{HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use slog::info;
 use volo_http::body::Body;
 
@@ -45,6 +45,14 @@
     pub nested: bool,
 }
 
+impl Load {
+    /// What a gate told with an answer or a refusal, if it did.
+    #[must_use]
+    pub fn of(headers: &HeaderMap) -> Option<Self> {
+        headers.get(LOAD)?.to_str().ok()?.parse().ok()
+    }
+}
+
 impl fmt::Display for Load {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let nested = u8::from(self.nested);
--- a/trial/src/load/mod.rs
+++ b/trial/src/load/mod.rs
@@ -33,6 +33,8 @@
     Expected,
     /// The same, without telling callers that come back from new ones.
     ExpectedAlike,
+    /// As expected, but a refusal tells nothing, and the next gate is chosen as the first one was.
+    ExpectedNear,
 }
 
 /// Arguments of the trial.
@@ -53,6 +55,9 @@
     /// One target of the first service is this many times slower for the middle third
     #[arg(long, default_value_t = 1.0)]
     pub slow: f64,
+    /// Callers come this many times as often to the first data centre as to the others
+    #[arg(long, default_value_t = 1.0)]
+    pub crowd: f64,
     /// File for a plot of the credit over time, as SVG
     #[arg(long)]
     pub plot: Option<PathBuf>,
--- a/trial/src/load/world.rs
+++ b/trial/src/load/world.rs
@@ -109,6 +109,7 @@
     policy: Policy,
     kinds: Vec<Kind>,
     load: f64,
+    crowd: f64,
     slow: f64,
     until: u64,
     now: u64,
@@ -161,6 +162,7 @@
             tallies: vec![Tally::new(); kinds.len()],
             kinds,
             load: args.load,
+            crowd: args.crowd,
             slow: args.slow,
             until: u64::from(args.seconds) * 1_000_000,
             now: 0,
@@ -244,8 +246,15 @@
 
     /// Schedules the next caller of a kind at a host, at a random time.
     fn expect_caller(&mut self, kind: usize, host: usize) {
-        let hosts = f64::from(u32::try_from(self.entries.len()).unwrap_or(u32::MAX));
-        let rate = self.kinds[kind].rate * self.load / hosts;
+        let weight = |entry: &Entry| {
+            if entry.data_centre == 0 {
+                self.crowd
+            } else {
+                1.0
+            }
+        };
+        let share = weight(&self.entries[host]) / self.entries.iter().map(weight).sum::<f64>();
+        let rate = self.kinds[kind].rate * self.load * share;
         if rate <= 0.0 {
             return;
         }
@@ -293,6 +302,7 @@
             }
             self.refused += 1;
             refusals += 1;
+            self.learn_refusal(call, target);
             self.calls[call].tried.push(target);
             if refusals == REFUSALS {
                 return self.refuse(call);
@@ -300,6 +310,23 @@
         }
     }
 
+    /// Learns how full a gate is that has refused a call.
+    fn learn_refusal(&mut self, call: usize, target: usize) {
+        if self.policy == Policy::ExpectedNear {
+            return;
+        }
+        let now = self.at(self.now);
+        let load = self.load_of(target);
+        let entry = &mut self.entries[self.calls[call].host];
+        entry.paces[target].report(now, load, entry.own[target]);
+    }
+
+    /// Calls that run at a target or wait at its gate.
+    fn load_of(&self, target: usize) -> u32 {
+        let there = &self.targets[target];
+        there.running + count(there.waiting.len())
+    }
+
     /// Wait that a call tolerates at a target.
     fn tolerance(&mut self, call: usize, target: usize) -> Duration {
         let Call {
@@ -362,7 +389,9 @@
                     &typical,
                 );
                 let far = entry.data_centre != self.targets[*target].data_centre;
-                let way_ms = if far {
+                let free =
+                    !self.calls[call].tried.is_empty() && self.policy != Policy::ExpectedNear;
+                let way_ms = if far && !free {
                     FAR.0 * (0.5 + typical.bytes / 1_024.0)
                 } else {
                     0.0
@@ -394,7 +423,7 @@
             priority, patience, ..
         } = self.kinds[kind];
         let tolerance = self.tolerance(call, target);
-        let expected = matches!(self.policy, Policy::Expected | Policy::ExpectedAlike);
+        let expected = !matches!(self.policy, Policy::Random | Policy::TwoChoices);
         let wait = self.targets[target].limit.expected_wait(priority);
         if expected && wait > tolerance {
             return false;
@@ -502,7 +531,7 @@
         let far = self.entries[host].data_centre != self.targets[target].data_centre;
         self.far_kb += if far { self.kinds[kind].kb } else { 0.0 };
         let work = Duration::from_micros(self.now - began);
-        let load = self.targets[target].running + count(self.targets[target].waiting.len());
+        let load = self.load_of(target);
         let entry = &mut self.entries[host];
         let factor = entry.paces[target].factor(now);
         entry.typicals[kind].learn(work, factor, bytes(self.kinds[kind].kb));
--- a/trial/tests/calls.rs
+++ b/trial/tests/calls.rs
@@ -9,12 +9,12 @@
 use common::{document, fleet, places};
 use http::{Method, StatusCode};
 use jackdaw_trial::rig::deployment::Place;
-use jackdaw_trial::rig::fleet::{Fleet, until};
+use jackdaw_trial::rig::fleet::{Fleet, get, until};
 use jackdaw_trial::rig::session::{Answer, Failure, Session};
 use jackdaw_trial::stand_in::target::Echo;
 use jackdawpulley::calls::outcome::{OUTCOME, REASON};
 use jackdawpulley::configuration::document::Document;
-use jackdawpulley::units::{DataCentre, Millis};
+use jackdawpulley::units::{DataCentre, Millis, Slots};
 use rustix::process::Signal;
 
 const PATIENCE: Duration = Duration::from_secs(8);
@@ -43,8 +43,7 @@
 async fn sees(fleet: &Fleet, index: usize, count: usize) {
     let operator = fleet.hosts[index].operator();
     let seen = until(PATIENCE, || async move {
-        let state: Option<serde_json::Value> =
-            jackdaw_trial::rig::fleet::get(operator, "/state").await;
+        let state: Option<serde_json::Value> = get(operator, "/state").await;
         state.is_some_and(|s| {
             s["upstreams"]
                 .as_array()
@@ -347,3 +346,64 @@
     let report: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
     assert_eq!(report["outcome"], "not-run");
 }
+
+/// Guards against an entry that goes on asking a gate which has just refused for lack of room.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_tells_load() {
+    let mut document = document(1);
+    for group in &mut document.groups {
+        (group.slots, group.queue) = (Some(Slots(1)), 0);
+    }
+    let fleet = hosts(2, &[1], document).await;
+    sees(&fleet, 0, 1).await;
+    let (door, operator) = (fleet.hosts[0].calls(), fleet.hosts[0].operator());
+    let long = tokio::spawn(async move {
+        let headers = [("x-request", "long"), ("x-work-ms", "1500")];
+        let request = Session::request(Method::POST, "/grants", &headers, "");
+        Session::new(door).send(request, PATIENCE).await
+    });
+    assert!(until(PATIENCE, || std::future::ready(!fleet.runs().is_empty())).await);
+    let refused = call(door, Method::POST, "/grants", "refused").await;
+    assert_eq!(told(&refused.expect("whole")), ("not-run", "overloaded"));
+    let state: Option<serde_json::Value> = get(operator, "/state").await;
+    let state = state.expect("the daemon is there");
+    assert_eq!(state["upstreams"][0]["reported"], 1);
+    assert!(long.await.expect("it ends").is_ok());
+}
+
+/// Guards against callers that are refused nearby while another data centre has room.
+#[tokio::test(flavor = "multi_thread")]
+async fn room_far_away() {
+    let mut document = document(1);
+    for group in &mut document.groups {
+        (group.slots, group.queue) = (Some(Slots(1)), 0);
+    }
+    for route in &mut document.routes {
+        route.timeout_ms = Millis(20_000);
+    }
+    let mut fleet = fleet(&["--pick", "expected", "--far-ms-per-kb", "100000"]).await;
+    fleet.add(&places(4, 1)).await;
+    assert!(fleet.meets(4, PATIENCE).await);
+    let version = fleet.put(0, document).await;
+    assert!(fleet.converges(version, PATIENCE).await);
+    sees(&fleet, 0, 4).await;
+    let door = fleet.hosts[0].calls();
+    let mut near = tokio::task::JoinSet::new();
+    for busy in 1..=4 {
+        near.spawn(async move {
+            let headers = [("x-request", "near"), ("x-work-ms", "6000")];
+            let request = Session::request(Method::POST, "/grants", &headers, "");
+            Session::new(door).send(request, 2 * PATIENCE).await
+        });
+        assert!(until(PATIENCE, || std::future::ready(fleet.runs().len() == busy)).await);
+    }
+    let mut far = places(1, 1);
+    far[0].data_centre = DataCentre::from("far");
+    fleet.add(&far).await;
+    sees(&fleet, 0, 5).await;
+    let answer = call(door, Method::POST, "/grants", "far")
+        .await
+        .expect("whole");
+    assert_eq!(told(&answer), ("answered", ""));
+    near.shutdown().await;
+}
--- a/trial/tests/load.rs
+++ b/trial/tests/load.rs
@@ -12,6 +12,7 @@
         seconds: 20,
         seed,
         slow,
+        crowd: 1.0,
         plot: None,
     }
 }
@@ -94,3 +95,17 @@
     let (counts, expected) = (far(Policy::TwoChoices), far(Policy::Expected));
     assert!(3.0 * expected < counts, "{counts} {expected}");
 }
+
+/// Guards against a data centre that refuses its callers while others have room.
+#[test]
+fn crowd_finds_room() {
+    let credit = |policy| {
+        let crowded = (1..=SEEDS).map(|seed| Args {
+            crowd: 6.0,
+            ..args(Deployment::Hooghly, 0.9, 1.0, seed)
+        });
+        crowded.map(|args| run(&args, policy).credit).sum::<f64>() / 5.0
+    };
+    let (near, told) = (credit(Policy::ExpectedNear), credit(Policy::Expected));
+    assert!(told > near + 0.01, "{near} {told}");
+}
