Tell a version that is held and not taken, and which host was asked for

Observability for the incident on real processes, before any change of logic: four hypotheses could not be told apart by lines and metrics. - /state names the newest version that a daemon has read from the platform (offered) beside the one in force, and jackdaw_version_offered tells it as a metric: they differ where a version was refused. - "refused a faulty document" says by which way it came and which version stays; it said "from a peer" of all. - "call refused" names the host that was asked for, "reading begins" and "reading ends" the stage. - jackdaw_unreadable_requests_total counts connections that end with a request that the HTTP library refuses (400, 431), which write no line.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -72,6 +72,7 @@
         self.await_floor(&request).await;
         let config = self.board.config();
         let id = self.identify(&request);
+        let host = request.headers().get(header::HOST).cloned();
         let named = id.as_deref().ok_or(Reason::Unnamed);
         let prepared = match named {
             Ok(id) => tokio::select! {
@@ -109,7 +110,7 @@
             .to_owned();
         let refused = headers.get(REASON).and_then(|v| v.to_str().ok());
         if let Some(reason) = refused {
-            self.note_refusal(&id, reason, &config, began);
+            self.note_refusal(&id, reason, host.as_ref(), &config, began);
             // Guards against memory that grows with refusals: callers come back on new connections,
             // and the old ones stay open for as long as idle ones may.
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -138,9 +139,17 @@
         let _ = tokio::time::timeout(share.min(START_WAIT), started).await;
     }
 
-    fn note_refusal(&self, id: &str, reason: &str, config: &Snapshot, began: Instant) {
+    fn note_refusal(
+        &self,
+        id: &str,
+        reason: &str,
+        host: Option<&HeaderValue>,
+        config: &Snapshot,
+        began: Instant,
+    ) {
         if self.board.lines.admit(Instant::now()) {
             info!(self.board.logger, "call refused"; "call" => id, "reason" => reason,
+                "host" => host.and_then(|host| host.to_str().ok()),
                 "version" => config.digest.version.0,
                 "watermark_ms" => self.board.freshness.age(Instant::now()).map(|age| age.0),
                 "after_ms" => Millis::from(began.elapsed()).0);
--- a/src/calls/http_server.rs
+++ b/src/calls/http_server.rs
@@ -14,6 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics::counter;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use volo::Service;
@@ -105,9 +106,14 @@
         .header_read_timeout(patience)
         .max_buf_size(usize::try_from(bounds.max_head).unwrap_or(usize::MAX));
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    // An error here is the caller's end of the connection; its requests have been dropped with it.
+    // Any other error here is the caller's end of the connection; its requests have been dropped with it.
     tokio::select! {
-        _ = connection.as_mut() => return,
+        ended = connection.as_mut() => {
+            if ended.is_err_and(|error| error.is_parse()) {
+                counter!("jackdaw_unreadable_requests_total").increment(1);
+            }
+            return;
+        }
         () = reach(&mut phases, Phase::Ending) => {}
         () = admitted.displaced() => {}
     }
--- a/src/configuration/config.rs
+++ b/src/configuration/config.rs
@@ -203,8 +203,8 @@
         // whole of it again, and holds on to what it has when a fault turns up.
         let faults = check::document(&document);
         if !faults.is_empty() {
-            warn!(self.board.logger, "refused a faulty document from a peer";
-                "version" => version.0, "faults" => faults.len(),
+            warn!(self.board.logger, "refused a faulty document"; "way" => %way,
+                "version" => version.0, "keeps" => state.fold.version().0, "faults" => faults.len(),
                 "first" => faults.first().map(ToString::to_string));
             return Err(Error::Faults { faults });
         }
--- a/src/configuration/freshness.rs
+++ b/src/configuration/freshness.rs
@@ -14,13 +14,14 @@
 //! assert!(latest < Duration::from_millis(1_600));
 //! ```
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use crate::configuration::origin::Position;
-use crate::units::Millis;
+use crate::units::{Millis, Version};
 
 /// Parts of the time in which a version has to be in force, in percent.
 const WAIT_PERCENT: u64 = 30;
@@ -93,13 +94,17 @@
 
 /// The watermark of one daemon.
 #[derive(Debug, Default)]
-pub struct Freshness(watch::Sender<Watermark>);
+pub struct Freshness {
+    watermark: watch::Sender<Watermark>,
+    /// Newest version that was read, in force or not.
+    offered: AtomicU64,
+}
 
 impl Freshness {
     /// The watermark as it is.
     #[must_use]
     pub fn latest(&self) -> Watermark {
-        *self.0.borrow()
+        *self.watermark.borrow()
     }
 
     /// Age of the watermark at `now`; `None` before the first one.
@@ -108,9 +113,20 @@
         self.latest().age(now).map(Millis::from)
     }
 
+    /// Newest version that this daemon has read from the platform, in force or not.
+    #[must_use]
+    pub fn offered(&self) -> Version {
+        Version(self.offered.load(Ordering::Relaxed))
+    }
+
+    /// Notes a version that the platform holds, before it is checked.
+    pub fn note_offer(&self, version: Version) {
+        self.offered.fetch_max(version.0, Ordering::Relaxed);
+    }
+
     /// Notes a read of this daemon that goes on at `next`, as of a time where that was the end.
     pub fn note_read(&self, next: Position, as_of: Option<Instant>) {
-        self.0.send_modify(|latest| {
+        self.watermark.send_modify(|latest| {
             *latest = Watermark {
                 as_of: latest.as_of.max(as_of),
                 next: Some(next),
@@ -125,7 +141,7 @@
     /// Guards against an order that only its reader knows: whoever read on after it would never find it.
     pub fn note_report(&self, report: &Report, complete: bool, now: Instant) {
         let as_of = now.checked_sub(report.age.duration());
-        self.0.send_if_modified(|latest| {
+        self.watermark.send_if_modified(|latest| {
             let later = as_of > latest.as_of;
             if later {
                 latest.as_of = as_of;
@@ -142,6 +158,6 @@
     /// Follows the watermark.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<Watermark> {
-        self.0.subscribe()
+        self.watermark.subscribe()
     }
 }
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -134,7 +134,8 @@
         } else {
             "reading ends"
         };
-        info!(self.board.logger, "{}", line; "version" => self.board.digest().version.0);
+        info!(self.board.logger, "{}", line; "version" => self.board.digest().version.0,
+            "stage" => %self.board.stage());
     }
 
     /// Reads and folds one page; waits up to `wait` for its first record. Returns the log's head.
@@ -182,6 +183,7 @@
         };
         self.note_faults(&found.faults);
         let accepted = found.release.map(|Release { version, document }| {
+            self.board.freshness.note_offer(version);
             let update = Update {
                 version,
                 body: Body::Whole(document.sorted()),
--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -29,6 +29,8 @@
     pub stage: Stage,
     /// Version in force.
     pub version: Version,
+    /// Newest version that this daemon has read from the platform, in force or not.
+    pub offered: Version,
     /// Hash of the document, in hexadecimal.
     pub hash: String,
     /// Age of the watermark: since then the platform may hold a newer version.
@@ -153,6 +155,7 @@
             stage: board.stage(),
             version: config.digest.version,
             hash: format!("{:016x}", config.digest.hash),
+            offered: board.freshness.offered(),
             watermark_ms: board.freshness.age(now),
             routes: config.table.len(),
             reads_log: reader::duty(board).is_some(),
