--- a/tests/route.rs
+++ b/tests/route.rs
@@ -51,3 +51,34 @@
     let plan = table.find("GET", None, "/rentals/7").expect("the fallback");
     assert_eq!(plan.route.name, "all");
 }
+
+/// Guards against a 404 for a host that is spelled otherwise than in the document.
+#[test]
+fn hosts_match_in_any_spelling() {
+    let mut document = numbered(1);
+    document.routes.clear();
+    for (name, host) in [("plain", "Shop.Example"), ("six", "[2001:db8::1]")] {
+        let mut route = route(name, "/", "shelf");
+        route.host = Some(host.into());
+        document.routes.push(route);
+    }
+    let table = Table::compile(&document.sorted());
+    let found = |host| {
+        let plan = table.find("GET", Some(host), "/x");
+        plan.map(|plan| plan.route.name.clone()).unwrap_or_default()
+    };
+    for host in [
+        "shop.example",
+        "SHOP.EXAMPLE",
+        "shop.example.",
+        "Shop.Example:80",
+        "shop.example.:80",
+    ] {
+        assert_eq!(found(host), "plain", "{host}");
+    }
+    assert_eq!(found("[2001:DB8::1]:80"), "six");
+    assert_eq!(found("[2001:db8::1]"), "six");
+    for host in ["shop", "shop.example..", "xshop.example", "", ":80", "."] {
+        assert_eq!(found(host), "", "{host:?}");
+    }
+}
