Compare hosts whatever their case, port or root dot

What callers saw: 404 for a proper request whose Host is spelled otherwise than the operators' document (SHOP, shop., an IPv6 address with a port): rule DENIED. Cause: Table::find compared the header's bytes after cutting at the first colon. Names of hosts are case-insensitive (RFC 9110, 4.2.3). Ruled out: that a document's own case is the cause, since it may have any (Shop.Example in the test). Change: one spelling of a host, authority::normalized, for the routes of a version when it is compiled and for the fingerprint of a request; a request's header is compared in place, without an allocation. The same cause elsewhere: the quarantine took SHOP for another request than shop, so that a request under which targets end could go on under another spelling. No other place compares hosts.

--- a/src/calls/route.rs
+++ b/src/calls/route.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use crate::authority;
 use crate::configuration::document::{Document, Group, Retry, Route};
 
 /// A route with the group and rule that it names, all of one version.
@@ -74,8 +75,12 @@
             };
             let parts = parts?;
             let retry = document.retry(&route.retry)?.clone();
+            let host = route.host.as_deref().map(authority::normalized);
             Some(Arc::new(Plan {
-                route: route.clone(),
+                route: Route {
+                    host,
+                    ..route.clone()
+                },
                 parts,
                 retry,
             }))
@@ -101,10 +106,10 @@
         self.plans.is_empty()
     }
 
-    /// Finds the plan for a request; `host` may carry a port.
+    /// Finds the plan for a request; `host` may carry a port, and is compared whatever its case.
     #[must_use]
     pub fn find(&self, method: &str, host: Option<&str>, path: &str) -> Option<&Arc<Plan>> {
-        let host = host.map(|host| host.split(':').next().unwrap_or(host));
+        let host = host.map(authority::plain);
         let fits = |route: &Route| {
             let begins = !route.below || path.starts_with(&route.path);
             begins
@@ -115,7 +120,7 @@
                 && route
                     .host
                     .as_deref()
-                    .is_none_or(|wanted| Some(wanted) == host)
+                    .is_none_or(|wanted| host.is_some_and(|host| wanted.eq_ignore_ascii_case(host)))
         };
         let mut prefix = stem(path);
         loop {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 //!
 //! [`daemon`] and [`ctl`](operation::ctl) are the two programs; `src/bin/` only calls them.
 
+pub mod authority;
 pub mod backoff;
 pub mod board;
 pub mod calls;
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -19,6 +19,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::authority;
+
 /// A hash of what stays the same when a request is sent again, printed in hexadecimal.
 ///
 /// 64 bits: with one fingerprint in quarantine and 710,000 other requests a second, another request would
@@ -45,6 +47,7 @@
             Content::Whole(body) => ([0], body),
             Content::Stream(length) => ([1], length.unwrap_or_default()),
         };
+        let host = authority::normalized(host);
         for field in [method.as_bytes(), host.as_bytes(), path.as_bytes(), body] {
             // The length first, so that no two lists of fields read alike.
             hasher.update(&(field.len() as u64).to_le_bytes());
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -4,7 +4,7 @@
 
 use jackdawpulley::quarantine::crash::{Crash, CrashId};
 use jackdawpulley::quarantine::evidence::MOMENT;
-use jackdawpulley::quarantine::fingerprint::Fingerprint;
+use jackdawpulley::quarantine::fingerprint::{Content, Fingerprint};
 use jackdawpulley::quarantine::shared::Quarantine;
 use jackdawpulley::units::Millis;
 
@@ -72,3 +72,13 @@
     assert_eq!(quarantine.take_news().len(), 2);
     assert_eq!(quarantine.standing(BYSTANDER).ends, 0);
 }
+
+/// Guards against a request that leaves the quarantine by another spelling of its host.
+#[test]
+fn spelling_is_no_escape() {
+    let of = |host| Fingerprint::of("GET", host, "/x", Content::Whole(b""));
+    for host in ["Shop.Example", "shop.example.", "SHOP.example:80"] {
+        assert_eq!(of(host), of("shop.example"), "{host}");
+    }
+    assert_ne!(of("shop.example"), of("shop"));
+}
