End connections that were opened for smaller heads than the version in force allows

What callers saw: 431 on a kept connection for a request that the version in force allows, for as long as the connection stays open. Cause: the HTTP library's buffer is bounded once, when a connection is accepted, by the version of that moment. Evidence: kept_connection_follows got 431 in each play before (a head of 40,000 bytes, 16,384 allowed at first and 80,000 by the version that had been in force for 2 s), and passes now. Ruled out: the body's bound, which is read anew for each request; shorter times, which only keep an idle connection longer than needed. Change: a connection waits for a version that allows larger heads than its own buffer, ends after the answer that is under way, and its caller opens another. Weighed: a fixed large buffer for all, which would let each upload fill it. Why it holds: no request is cut, since the library ends a connection between requests only.

--- a/src/calls/http_server.rs
+++ b/src/calls/http_server.rs
@@ -23,9 +23,11 @@
 use volo_http::context::ServerContext;
 use volo_http::server::{IntoResponse, Router};
 
+use crate::board::Board;
 use crate::calls::callers::{self, Callers};
 use crate::calls::stream::Held;
 use crate::configuration::document::Bounds;
+use crate::units::Version;
 
 /// Pause after a failed accept: it is mostly a lack of descriptors, which ends with a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -44,13 +46,45 @@
     Ending,
 }
 
-/// Serves `handler` on `listener`; the sizes and times are those of `bounds` at each connection,
-/// and `callers` bounds how many there are.
+/// What callers may send, which may change.
+#[derive(Debug, Clone)]
+pub enum Limits {
+    /// Always the same.
+    Fixed(Bounds),
+    /// Those of the version in force.
+    InForce(Arc<Board>),
+}
+
+impl Limits {
+    fn now(&self) -> Bounds {
+        match self {
+            Self::Fixed(bounds) => *bounds,
+            Self::InForce(board) => board.config().document.bounds,
+        }
+    }
+
+    /// Waits until larger heads than `largest` are allowed.
+    ///
+    /// Guards against a connection that was opened at an earlier version: its buffer is fixed, and a request
+    /// that the version in force allows would be refused with 431.
+    async fn outgrow(&self, largest: u32) {
+        if let Self::InForce(board) = self {
+            let mut versions = board.versions();
+            let allows = |_: &Version| self.now().max_head > largest;
+            if versions.wait_for(allows).await.is_ok() {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Serves `handler` on `listener` within `limits`; `callers` bounds how many connections there are.
 pub async fn serve<H, F>(
     listener: TcpListener,
     callers: Arc<Callers>,
     phases: watch::Receiver<Phase>,
-    bounds: impl Fn() -> Bounds,
+    limits: Limits,
     handler: H,
 ) where
     H: Fn(Request<Body>) -> F + Send + Sync + 'static,
@@ -70,7 +104,7 @@
             Ok((stream, _)) => {
                 let admitted = callers.admit().await;
                 let handler = Arc::clone(&handler);
-                let serving = serve_one(stream, admitted, phases.clone(), bounds(), handler);
+                let serving = serve_one(stream, admitted, phases.clone(), limits.clone(), handler);
                 tokio::spawn(serving);
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
@@ -82,7 +116,7 @@
     stream: TcpStream,
     mut admitted: callers::Connection,
     mut phases: watch::Receiver<Phase>,
-    bounds: Bounds,
+    limits: Limits,
     handler: Arc<H>,
 ) where
     H: Fn(Request<Body>) -> F + Send + Sync + 'static,
@@ -98,6 +132,7 @@
             Ok::<_, Infallible>(Response::from_parts(parts, Held::wrap(body, under_way)))
         }
     });
+    let bounds = limits.now();
     let mut builder = http1::Builder::new();
     // One clock bounds both a slow head and an idle connection, so it is set to the longer.
     let patience = bounds.head_ms.max(bounds.idle_ms).duration() + IDLE_GRACE;
@@ -116,6 +151,7 @@
         }
         () = reach(&mut phases, Phase::Ending) => {}
         () = admitted.displaced() => {}
+        () = limits.outgrow(bounds.max_head) => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -322,7 +322,7 @@
             listener,
             Callers::new(OTHERS),
             phases,
-            Bounds::default,
+            http_server::Limits::Fixed(Bounds::default()),
             routed,
         ));
     }
@@ -354,13 +354,10 @@
         }
     };
     let callers = Callers::new(board.settings.callers);
-    let bounds = {
-        let board = Arc::clone(&board);
-        move || board.config().document.bounds
-    };
+    let limits = http_server::Limits::InForce(board);
     let handler = move |request| {
         let entry = Arc::clone(&entry);
         async move { entry.serve(request).await }
     };
-    http_server::serve(listener, callers, phases, bounds, handler).await;
+    http_server::serve(listener, callers, phases, limits, handler).await;
 }
