Read on while a daemon stops

What callers saw: a route that was added refused with 404, or a dropped one served, for up to 2.1 s by daemons that still take connections, where all of them stop at about the same time. Ruled out: that somebody else should read. With one or two of three stopping the others tell the rest, but the order ranks the members that are alive, those that stop among them, so nobody took the duty over before either. Change: both go on until the process ends; a daemon leaves the order when it tells the others that it leaves. Why it holds: what reads is bound to what serves, and depends on nobody else.

--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -39,12 +39,12 @@
 }
 
 /// Rank of a daemon among the readers; `None` while reading is not its duty.
+///
+/// A daemon that stops has its duty until it leaves: callers use their connections to the end, and where all
+/// daemons stop together nobody else would read.
 #[must_use]
 pub fn duty(board: &Board) -> Option<usize> {
     let settings = &board.settings;
-    if board.stage().is_stopping() {
-        return None;
-    }
     if settings.delivery == Delivery::Poll {
         return Some(0);
     }
--- a/src/membership/refresh.rs
+++ b/src/membership/refresh.rs
@@ -50,13 +50,14 @@
         }
     }
 
-    /// Renews the watermark for as long as the daemon serves.
+    /// Renews the watermark from when the daemon serves until its process ends.
     pub async fn run(mut self) {
         let mut stages = self.board.stages();
         // Until then the joiner reads.
         let _ = stages.wait_for(|stage| *stage != Stage::Starting).await;
         self.began = Instant::now();
-        while !self.board.stage().is_stopping() {
+        // A daemon that stops takes calls to its end, and so do all of them where all stop together.
+        loop {
             let left = self.limits.stale.saturating_sub(self.age());
             if left > Duration::ZERO {
                 tokio::time::sleep(left).await;
@@ -76,7 +77,7 @@
         let mut read_pauses = READ_PAUSES;
         let mut reading = tokio::spawn(read(Arc::clone(&self.reader), Duration::ZERO));
         let mut warned = false;
-        while self.is_stale() && !self.board.stage().is_stopping() {
+        while self.is_stale() {
             self.membership.ask_around().await;
             let pause = tokio::time::sleep(pauses.random_pause());
             tokio::select! {
