Carry out what the platform has accepted, within limits

Cause: two judges of one question. configuration::check and the adapter's types were stricter than the store, and one field out of their range held every daemon at the version before; the read was then made again every second by all. What contradicts itself is still refused whole, and a refused version no longer holds up the position: the next valid one below or after it is taken. Weighed: taking a document unchecked (a route to no group would turn 404 into a panic or a lie), and only widening the check (the next field would do the same). Found on the way: twins were looked for in the square of the routes; they are sorted now.

--- a/src/configuration/check.rs
+++ b/src/configuration/check.rs
@@ -5,6 +5,7 @@
 
 use snafu::ResultExt;
 
+use crate::authority;
 use crate::configuration::document::{Bounds, Document, Group, Retry, Route};
 use crate::configuration::fault::Fault;
 use crate::error::{DocumentSnafu, Error, Result};
@@ -14,10 +15,11 @@
 /// Most resources of one kind in a document.
 pub const MAX_RESOURCES: usize = 10_000;
 /// Longest time-out of a route, in milliseconds.
-pub const MAX_TIMEOUT_MS: u64 = 600_000;
-const MAX_ATTEMPTS: u32 = 10;
+pub const MAX_TIMEOUT_MS: u64 = 86_400_000;
+/// Most attempts of one request.
+pub const MAX_ATTEMPTS: u32 = 10;
 /// Smallest bound on a head: what the HTTP server needs, in bytes.
-const MIN_HEAD: u32 = 8_192;
+pub const MIN_HEAD: u32 = 8_192;
 const MAX_PERCENT: u8 = 100;
 
 impl Document {
@@ -41,7 +43,10 @@
 /// Finds every fault of `document`.
 #[must_use]
 pub fn document(document: &Document) -> Vec<Fault> {
-    let mut check = Check::default();
+    let mut check = Check {
+        faults: Vec::new(),
+        twins: twins(&document.routes),
+    };
     check.names("routes", document.routes.iter().map(|r| r.name.as_str()));
     check.names("groups", document.groups.iter().map(|g| g.name.as_str()));
     check.names("retries", document.retries.iter().map(|r| r.name.as_str()));
@@ -58,9 +63,31 @@
     check.faults
 }
 
-#[derive(Default)]
+/// Routes that match the same requests as an earlier one, each with the first of those; sorted.
+#[must_use]
+pub fn twins(routes: &[Route]) -> Vec<(usize, usize)> {
+    let key = |route: &Route| {
+        (
+            route.host.as_deref().map(authority::normalized),
+            route.method.clone(),
+        )
+    };
+    let keys: Vec<_> = routes
+        .iter()
+        .map(|route| (&route.path, key(route)))
+        .collect();
+    let mut order: Vec<usize> = (0..routes.len()).collect();
+    order.sort_by(|a, b| keys[*a].cmp(&keys[*b]).then(a.cmp(b)));
+    let alike = order.chunk_by(|a, b| keys[*a] == keys[*b]);
+    let twins = alike.flat_map(|alike| alike[1..].iter().map(|later| (*later, alike[0])));
+    let mut twins: Vec<(usize, usize)> = twins.collect();
+    twins.sort_unstable();
+    twins
+}
+
 struct Check {
     faults: Vec<Fault>,
+    twins: Vec<(usize, usize)>,
 }
 
 impl Check {
@@ -136,7 +163,7 @@
         );
         let fits = (1..=MAX_TIMEOUT_MS).contains(&route.timeout_ms.0);
         let problem = format!("{} ms", route.timeout_ms);
-        self.require(fits, at("timeout_ms"), problem, "use 1 to 600000 ms");
+        self.require(fits, at("timeout_ms"), problem, "use 1 to 86400000 ms");
         if let Some(method) = &route.method {
             let valid = http::Method::from_bytes(method.as_bytes()).is_ok()
                 && method.bytes().all(|b| b.is_ascii_uppercase());
@@ -144,7 +171,7 @@
             self.require(valid, at("method"), problem, "write it in capitals, as GET");
         }
         if let Some(host) = &route.host {
-            let valid = !host.is_empty() && !host.contains([':', '/', ' ']);
+            let valid = authority::is_host(host);
             let problem = format!("{host:?} is no host name");
             self.require(
                 valid,
@@ -153,11 +180,10 @@
                 "leave out scheme, port and path",
             );
         }
-        let twin = document.routes[..index].iter().find(|other| {
-            (&other.host, &other.method, &other.path) == (&route.host, &route.method, &route.path)
-        });
-        if let Some(twin) = twin {
-            let problem = format!("matches the same requests as {:?}", twin.name);
+        let twin = self.twins.binary_search_by_key(&index, |twin| twin.0);
+        if let Ok(place) = twin {
+            let first = &document.routes[self.twins[place].1];
+            let problem = format!("matches the same requests as {:?}", first.name);
             self.require(false, at("path"), problem, "remove one of the two");
         }
     }
@@ -189,7 +215,12 @@
         self.require(fits, at("max_head"), problem, "use 8192 or more");
         for (field, span) in [("head_ms", bounds.head_ms), ("idle_ms", bounds.idle_ms)] {
             let fits = (1..=MAX_TIMEOUT_MS).contains(&span.0);
-            self.require(fits, at(field), format!("{span} ms"), "use 1 to 600000 ms");
+            self.require(
+                fits,
+                at(field),
+                format!("{span} ms"),
+                "use 1 to 86400000 ms",
+            );
         }
     }
 
--- /dev/null
+++ b/src/configuration/fit.rs
@@ -0,0 +1,184 @@
+//! Bringing what a platform has accepted within what daemons can carry out.
+//!
+//! A platform judges its operators' documents by bounds of its own. A daemon that refused what lies beyond
+//! [`check`](super::check)'s would hold the whole fleet at the version before. So the nearest value that can be
+//! carried out stands in for such a field, and the rest of the version is in force. What contradicts itself, such as a
+//! route to a group that is not there, is left as it is, for [`check`](super::check) to refuse.
+//!
+//! Every daemon gets the same document from the same version.
+//!
+//! ```
+//! use jackdawpulley::configuration::document::Document;
+//! use jackdawpulley::configuration::fit::fit;
+//!
+//! let mut document = Document::default();
+//! document.bounds.max_head = 4_096;
+//! let (document, faults) = fit(document);
+//! assert_eq!(document.bounds.max_head, 8_192);
+//! assert_eq!(faults.len(), 1);
+//! ```
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::authority;
+use crate::configuration::check::{MAX_ATTEMPTS, MAX_NAME, MAX_TIMEOUT_MS, MIN_HEAD, twins};
+use crate::configuration::document::{Bounds, Document, Retry, Route, Share};
+use crate::configuration::fault::Fault;
+use crate::units::Millis;
+
+/// Bytes that are kept of a name that is too long; a hash of all of it follows.
+const KEPT_NAME: usize = 96;
+
+/// Brings a document within bounds; says what was changed. Its resources are sorted.
+#[must_use]
+pub fn fit(document: Document) -> (Document, Vec<Fault>) {
+    let mut document = document.sorted();
+    let mut faults = Vec::new();
+    drop_repeated_groups(&mut document, &mut faults);
+    for route in &mut document.routes {
+        route.host = route.host.take().map(|host| authority::normalized(&host));
+        fit_split(route, &mut faults);
+    }
+    drop_twins(&mut document.routes, &mut faults);
+    rename(&mut document.routes, &mut faults);
+    for retry in &mut document.retries {
+        fit_attempts(retry, &mut faults);
+    }
+    fit_bounds(&mut document.bounds, &mut faults);
+    (document.sorted(), faults)
+}
+
+fn fault(path: String, problem: String, remedy: &str) -> Fault {
+    Fault {
+        path,
+        problem,
+        remedy: remedy.to_owned(),
+    }
+}
+
+fn drop_repeated_groups(document: &mut Document, faults: &mut Vec<Fault>) {
+    document.groups.dedup_by(|later, first| {
+        let repeated = later.name == first.name;
+        if repeated {
+            let path = format!("groups[{:?}]", later.name);
+            faults.push(fault(path, "it stands twice".into(), "the first is taken"));
+        }
+        repeated
+    });
+}
+
+/// Has a split's weights add up to a number above 0 that fits.
+fn fit_split(route: &mut Route, faults: &mut Vec<Fault>) {
+    let total: u64 = route.split.iter().map(|part| u64::from(part.weight)).sum();
+    if route.split.is_empty() || (1..=u64::from(u32::MAX)).contains(&total) {
+        return;
+    }
+    let path = format!("routes[{:?}].split", route.name);
+    let problem = format!("the weights add up to {total}");
+    if total == 0 {
+        faults.push(fault(path, problem, "the parts are taken as equal"));
+        route.split.iter_mut().for_each(|part| part.weight = 1);
+    } else {
+        faults.push(fault(path, problem, "the weights are scaled down"));
+        scale(&mut route.split, total);
+    }
+}
+
+/// Scales weights that add up to `total` down to a sum that fits.
+fn scale(split: &mut [Share], total: u64) {
+    // A part that is rounded up to 1 still fits below this.
+    let largest = u64::from(u32::MAX / 2);
+    for part in split.iter_mut().filter(|part| part.weight > 0) {
+        let weight = (u128::from(part.weight) * u128::from(largest) / u128::from(total)).max(1);
+        part.weight = u32::try_from(weight).unwrap_or(u32::MAX);
+    }
+}
+
+/// Drops routes that match the same requests as an earlier one.
+fn drop_twins(routes: &mut Vec<Route>, faults: &mut Vec<Fault>) {
+    let twins = twins(routes);
+    for (later, first) in &twins {
+        let path = format!("routes[{:?}]", routes[*later].name);
+        let problem = format!("it matches the same requests as {:?}", routes[*first].name);
+        faults.push(fault(path, problem, "the first by name is taken"));
+    }
+    let mut index = 0;
+    routes.retain(|_| {
+        index += 1;
+        twins
+            .binary_search_by_key(&(index - 1), |twin| twin.0)
+            .is_err()
+    });
+}
+
+/// Gives each route a name of its own that fits. They are sorted by name.
+fn rename(routes: &mut [Route], faults: &mut Vec<Fault>) {
+    let mut taken: Vec<String> = Vec::with_capacity(routes.len());
+    for route in routes {
+        let mut name = short(&route.name);
+        let mut count = 1;
+        let place = loop {
+            let Err(place) = taken.binary_search(&name) else {
+                count += 1;
+                name = format!("{}#{count}", short(&route.name));
+                continue;
+            };
+            break place;
+        };
+        taken.insert(place, name.clone());
+        if name != route.name {
+            let path = format!("routes[{name:?}].name");
+            let problem = format!(
+                "a name of {} bytes is empty, too long or used before",
+                route.name.len()
+            );
+            faults.push(fault(path, problem, "another name stands for it"));
+            route.name = name;
+        }
+    }
+}
+
+/// A name that fits.
+fn short(name: &str) -> String {
+    if name.is_empty() {
+        return "unnamed".to_owned();
+    }
+    if name.len() <= MAX_NAME {
+        return name.to_owned();
+    }
+    let kept = name.floor_char_boundary(KEPT_NAME);
+    format!("{}#{:016x}", &name[..kept], xxh3_64(name.as_bytes()))
+}
+
+fn fit_attempts(retry: &mut Retry, faults: &mut Vec<Fault>) {
+    if retry.attempts > MAX_ATTEMPTS {
+        let path = format!("retries[{:?}].attempts", retry.name);
+        let problem = format!("{} attempts", retry.attempts);
+        faults.push(fault(path, problem, "10 are made at most"));
+        retry.attempts = MAX_ATTEMPTS;
+    }
+}
+
+fn fit_bounds(bounds: &mut Bounds, faults: &mut Vec<Fault>) {
+    if bounds.max_head < MIN_HEAD {
+        let problem = format!("{} bytes", bounds.max_head);
+        faults.push(fault("bounds.max_head".into(), problem, "8192 are taken"));
+        bounds.max_head = MIN_HEAD;
+    }
+    let times = [
+        ("bounds.head_ms", &mut bounds.head_ms),
+        ("bounds.idle_ms", &mut bounds.idle_ms),
+    ];
+    for (path, time) in times {
+        let fitting = Millis(time.0.clamp(1, MAX_TIMEOUT_MS));
+        if *time != fitting {
+            let problem = format!("{time} ms");
+            faults.push(fault(
+                path.into(),
+                problem,
+                "the nearest of 1 to 86400000 ms is taken",
+            ));
+            *time = fitting;
+        }
+    }
+}
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -10,6 +10,7 @@
 pub mod exchange;
 pub mod fault;
 pub mod fetches;
+pub mod fit;
 pub mod floor;
 pub mod fold;
 pub mod freshness;
--- a/src/configuration/origin.rs
+++ b/src/configuration/origin.rs
@@ -23,7 +23,7 @@
 pub struct Release {
     /// Its version.
     pub version: Version,
-    /// Its whole content, not checked yet.
+    /// Its whole content, neither checked nor brought within bounds yet.
     pub document: Document,
 }
 
@@ -39,8 +39,8 @@
 /// What a read of the platform found.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Found {
-    /// The newest version, if any is there that was not read before.
-    pub release: Option<Release>,
+    /// Versions that were not read before, the highest one last.
+    pub releases: Vec<Release>,
     /// Orders to roll out a revision that were not read before, the last one last.
     pub orders: Vec<Notice>,
     /// Where to read on.
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -13,6 +13,8 @@
 use crate::board::Board;
 use crate::configuration::config::{Store, Way};
 use crate::configuration::exchange::{Body, Update};
+use crate::configuration::fault::Fault;
+use crate::configuration::fit::fit;
 use crate::configuration::fold::Record;
 use crate::configuration::freshness::Limits;
 use crate::configuration::log::{Log, Stream};
@@ -22,7 +24,7 @@
 use crate::membership::member::Stage;
 use crate::rollout::order::Notice;
 use crate::settings::Delivery;
-use crate::units::{Millis, Offset};
+use crate::units::{Millis, Offset, Version};
 
 /// Time that a read waits at the log for the first record.
 const WAIT: Millis = Millis(5_000);
@@ -163,7 +165,7 @@
         }
     }
 
-    /// Takes the newest version of an origin, or what follows the latest watermark.
+    /// Takes the newest version of an origin that can be taken, or what follows the latest watermark.
     async fn follow(&self, origin: &dyn Origin, wait: Millis) -> Result<Offset> {
         let from = self.board.freshness.latest().next;
         let mut began = Instant::now();
@@ -182,20 +184,10 @@
             found => found?,
         };
         self.note_faults(&found.faults);
-        let accepted = found.release.map(|Release { version, document }| {
-            self.board.freshness.note_offer(version);
-            let update = Update {
-                version,
-                body: Body::Whole(document.sorted()),
-                accepted: Vec::new(),
-            };
-            self.store.accept(update, Way::Read)
-        });
-        // A version that can't be accepted holds up no order.
+        self.take_newest(found.releases);
         for notice in &found.orders {
             self.note_order(notice);
         }
-        accepted.transpose()?;
         let has_waited = from == Some(found.next) && began.elapsed() >= wait.duration();
         // After a wait that brought nothing, nothing had come until its end.
         let as_of = if has_waited {
@@ -208,6 +200,37 @@
         Ok(found.next.offset)
     }
 
+    /// Puts the newest version in force that does not contradict itself.
+    ///
+    /// Guards against a record that is no valid version: were the read to fail by it, it would be made again
+    /// and again, and a valid version beside it would wait.
+    fn take_newest(&self, releases: Vec<Release>) {
+        for Release { version, document } in releases.into_iter().rev() {
+            self.board.freshness.note_offer(version);
+            if version <= self.board.digest().version {
+                return;
+            }
+            let (document, faults) = fit(document);
+            let update = Update {
+                version,
+                body: Body::Whole(document),
+                accepted: Vec::new(),
+            };
+            if self.store.accept(update, Way::Read).is_ok() {
+                self.note_fit(version, &faults);
+                return;
+            }
+        }
+    }
+
+    /// Says which parts of a version are carried out otherwise than they are written.
+    fn note_fit(&self, version: Version, faults: &[Fault]) {
+        if let Some(first) = faults.first() {
+            warn!(self.board.logger, "version brought within limits"; "version" => version.0,
+                "faults" => faults.len(), "first" => %first);
+        }
+    }
+
     fn note_order(&self, notice: &Notice) {
         if !self.board.rollouts.notice(notice) {
             return;
