--- a/trial/src/rig/mod.rs
+++ b/trial/src/rig/mod.rs
@@ -5,6 +5,7 @@
 pub mod host;
 pub mod loopback;
 pub mod net;
+pub mod pipe;
 pub mod process;
 pub mod publish;
 pub mod session;
--- a/trial/src/rig/net.rs
+++ b/trial/src/rig/net.rs
@@ -1,4 +1,4 @@
-//! A network between daemons that can be cut between data centres.
+//! A network between daemons that can be cut, between data centres or around a host, slowed and reset.
 //!
 //! Each daemon listens on an inner address and advertises an outer one; this module forwards from
 //! the outer to the inner, and drops what crosses a cut. Who sends is told by the source address,
@@ -28,6 +28,23 @@
     places: Vec<(IpAddr, DataCentre)>,
     /// Pairs of data centres that can't reach each other.
     cuts: Vec<(DataCentre, DataCentre)>,
+    /// Hosts that are cut off, each by the ways that are.
+    muted: Vec<(IpAddr, Way)>,
+    /// Hosts to and from which everything takes longer.
+    slowed: Vec<(IpAddr, Duration)>,
+    /// Times that all connections were reset.
+    resets: u64,
+}
+
+/// Ways to or from a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// To the host.
+    In,
+    /// From the host.
+    Out,
+    /// Both.
+    Both,
 }
 
 impl Net {
@@ -61,11 +78,52 @@
 
     /// Joins everything again.
     pub fn heal(&self) {
-        self.state().cuts.clear();
+        let mut state = self.state();
+        state.cuts.clear();
+        state.muted.clear();
+        state.slowed.clear();
+    }
+
+    /// Cuts a host off, by its inner address.
+    pub fn mute(&self, host: IpAddr, way: Way) {
+        self.state().muted.push((host, way));
+    }
+
+    /// Has everything to and from a host take so much longer.
+    pub fn slow(&self, host: IpAddr, delay: Duration) {
+        self.state().slowed.push((host, delay));
+    }
+
+    /// Joins a host again.
+    pub fn heal_host(&self, host: IpAddr) {
+        let mut state = self.state();
+        state.muted.retain(|(muted, _)| *muted != host);
+        state.slowed.retain(|(slowed, _)| *slowed != host);
+    }
+
+    /// Resets all connections.
+    pub fn reset(&self) {
+        self.state().resets += 1;
+    }
+
+    fn delay(&self, one: IpAddr, other: IpAddr) -> Option<Duration> {
+        let state = self.state();
+        let mut slowed = state.slowed.iter();
+        let slowed = slowed.find(|(host, _)| *host == one || *host == other);
+        slowed.map(|(_, delay)| *delay)
     }
 
+    /// Whether what `one` sends does not reach `other`.
     fn parted(&self, one: IpAddr, other: IpAddr) -> bool {
         let state = self.state();
+        let stops = |host: IpAddr, way: Way| match way {
+            Way::In => host == other,
+            Way::Out => host == one,
+            Way::Both => host == one || host == other,
+        };
+        if state.muted.iter().any(|(host, way)| stops(*host, *way)) {
+            return true;
+        }
         let place = |ip| {
             state
                 .places
@@ -84,14 +142,24 @@
     }
 
     async fn forward_datagrams(&self, socket: UdpSocket, inner: SocketAddr) {
+        let socket = Arc::new(socket);
         let mut buffer = vec![0; 4_096];
         loop {
             let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
                 continue;
             };
-            if !self.parted(sender.ip(), inner.ip()) {
-                let _ = socket.send_to(&buffer[..length], inner).await;
+            if self.parted(sender.ip(), inner.ip()) {
+                continue;
             }
+            if let Some(delay) = self.delay(sender.ip(), inner.ip()) {
+                let (socket, datagram) = (Arc::clone(&socket), buffer[..length].to_vec());
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    let _ = socket.send_to(&datagram, inner).await;
+                });
+                continue;
+            }
+            let _ = socket.send_to(&buffer[..length], inner).await;
         }
     }
 
@@ -115,21 +183,28 @@
         let net = Arc::clone(&self);
         let ends = (sender, inner.ip());
         let forth = tokio::spawn(async move { net.copy(from, to, ends).await });
-        self.copy(answers, back, ends).await;
+        self.copy(answers, back, (ends.1, ends.0)).await;
         forth.abort();
     }
 
     /// Copies one direction; holds everything back while the ends are parted.
     async fn copy(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, ends: (IpAddr, IpAddr)) {
+        let began = self.state().resets;
         let mut buffer = vec![0; 16 << 10];
         loop {
-            let length = match from.read(&mut buffer).await {
-                Ok(0) | Err(_) => break,
-                Ok(length) => length,
+            let length = tokio::select! {
+                read = from.read(&mut buffer) => match read {
+                    Ok(0) | Err(_) => break,
+                    Ok(length) => length,
+                },
+                () = self.until_reset(began) => return,
             };
             while self.parted(ends.0, ends.1) {
                 tokio::time::sleep(LOOK).await;
             }
+            if let Some(delay) = self.delay(ends.0, ends.1) {
+                tokio::time::sleep(delay).await;
+            }
             if to.write_all(&buffer[..length]).await.is_err() {
                 break;
             }
@@ -137,6 +212,13 @@
         let _ = to.shutdown().await;
     }
 
+    /// Waits until all connections that are as old as `began` are reset.
+    async fn until_reset(&self, began: u64) {
+        while self.state().resets == began {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
