Cut nobody when a stop is ordered again

Cause: a second SIGTERM ended the process at once, with exit status 3, whatever was in flight. Ruled out: the drain limit and the end of the grace time: no line of either, and the process was gone within a second. Change: only SIGINT, from a person at a terminal, ends a stop at once (interrupt_ends_a_stop); SIGTERM may come as often as a supervisor likes, and SIGHUP meanwhile changes nothing. Why it holds: the stop that is under way answers to its own drain limit alone; the platform's SIGKILL still bounds it.

--- a/src/stop.rs
+++ b/src/stop.rs
@@ -22,7 +22,7 @@
 
 /// Exit status after a planned stop.
 pub const EXIT_STOPPED: u8 = 0;
-/// Exit status when a second signal cut the stop short.
+/// Exit status when an interrupt cut the stop short.
 pub const EXIT_CUT_SHORT: u8 = 3;
 
 /// Time for which sessions are ended after an answer before the process goes.
@@ -98,7 +98,7 @@
                 info!(board.logger, "stopped");
                 Ok(EXIT_STOPPED)
             }
-            _ = terminate.recv() => Ok(EXIT_CUT_SHORT),
+            // A supervisor may order a stop more than once, which must cut nobody; a person at a terminal may.
             _ = interrupt.recv() => Ok(EXIT_CUT_SHORT),
         }
     }
