Count old targets that are out of sight as not drained

Cause: whether nothing runs at the old targets any more was judged by those that the deciding daemon sees. Beyond a cut between data centres the others are taken for gone after 1.5 s, and serve callers of their own. Ruled out: daemons that have left as planned; nothing runs at their targets, and they count as before. Change: old targets whose daemons are gone without having left hold the completion up. Why it holds: nothing is completed early by what is not seen. What it costs: a host that is lost for good during a roll-out holds it up until shortly before its deadline, where it is completed as before; what runs beyond a cut that lasts so long is still cut then.

--- a/src/rollout/duty.rs
+++ b/src/rollout/duty.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::idempotency::keys;
-use crate::membership::member::Member;
+use crate::membership::member::{Health, Member};
 use crate::membership::roster::Roster;
 use crate::rollout::evidence::Evidence;
 use crate::rollout::observed::Observed;
@@ -64,24 +64,27 @@
     pub new: Vec<SocketAddr>,
     /// Of others, by rank.
     pub old: Vec<SocketAddr>,
+    /// Of others, by rank, that are out of sight and have not left as planned.
+    pub lost: Vec<SocketAddr>,
 }
 
 impl Gates {
     /// The gates of a service whose targets are of `revision`, and those of others.
     #[must_use]
     pub fn of(roster: &Roster, service: &Service, revision: &Revision) -> Self {
-        let of = |new: bool| {
-            let members = roster.members.iter().filter(|member| {
-                let offer = member.offer.as_ref().filter(|offer| offer.open);
-                let offer = offer.filter(|offer| offer.service == *service);
-                let told = offer.and_then(|offer| offer.revision.as_ref());
-                told.is_some_and(|told| (told == revision) == new)
-            });
-            ranked(service, members)
+        let is_new = |member: &&Member| {
+            let offer = member.offer.as_ref().filter(|offer| offer.open);
+            let offer = offer.filter(|offer| offer.service == *service);
+            let told = offer.and_then(|offer| offer.revision.as_ref());
+            told.map(|told| told == revision)
         };
+        let seen = roster.members.iter();
+        let lost = roster.gone.iter().map(|departed| &departed.member);
+        let lost = lost.filter(|member| member.health == Health::Gone);
         Self {
-            new: of(true),
-            old: of(false),
+            new: ranked(service, seen.clone().filter(|m| is_new(m) == Some(true))),
+            old: ranked(service, seen.filter(|m| is_new(m) == Some(false))),
+            lost: ranked(service, lost.filter(|m| is_new(m) == Some(false))),
         }
     }
 }
@@ -149,7 +152,8 @@
             answers: self.evidence.answers(),
             bad,
             doubtful: self.evidence.is_doubtful(Test::default(), gates.new.len()),
-            drained: gates.old.iter().all(is_drained),
+            // Whoever is out of sight may be beyond a cut, with callers of its own.
+            drained: gates.lost.is_empty() && gates.old.iter().all(is_drained),
         }
     }
 
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -7,7 +7,10 @@
 
 use common::fixed;
 use jackdawpulley::configuration::origin::Position;
+use jackdawpulley::membership::member::{Health, Member, Offer, Stage};
+use jackdawpulley::membership::roster::{Departed, Roster};
 use jackdawpulley::rollout::decision::{Cause, decide};
+use jackdawpulley::rollout::duty::{Duty, Gates};
 use jackdawpulley::rollout::evidence::Evidence;
 use jackdawpulley::rollout::observed::{Limits, Observed};
 use jackdawpulley::rollout::order::{Fault, Notice, Order, Verdict};
@@ -17,7 +20,9 @@
 use jackdawpulley::rollout::tally::{Outcome, Report, RouteId, Tally};
 use jackdawpulley::rollout::test::Test;
 use jackdawpulley::rollout::usual::Usual;
-use jackdawpulley::units::{Era, Millis, Offset, Revision, Service};
+use jackdawpulley::units::{
+    DataCentre, Era, Incarnation, Millis, Offset, Revision, Service, Slots,
+};
 use proptest::prelude::*;
 
 const LIMITS: Limits = Limits {
@@ -802,3 +807,62 @@
     }
     assert!(rounds.is_bad());
 }
+
+/// A member that offers a target of a revision.
+fn member(host: u8, revision: &str, health: Health) -> Member {
+    Member {
+        peer: peer(host),
+        operator: peer(host),
+        data_centre: DataCentre::from("north"),
+        incarnation: Incarnation(1),
+        health,
+        stage: Stage::Serving,
+        offer: Some(Offer {
+            service: Service::from("shelf"),
+            slots: Slots(8),
+            born: None,
+            revision: Some(Revision::from(revision)),
+            open: true,
+        }),
+    }
+}
+
+/// Guards against a roll-out that is completed while old targets beyond a cut have work.
+#[test]
+fn lost_sight_is_no_drain() {
+    let now = Instant::now();
+    let known = known("v2");
+    let drained = |lost: Option<Health>| {
+        let gone = lost.map(|health| Departed {
+            member: member(3, "v1", health),
+            since: now,
+        });
+        let mut roster = Roster::default();
+        roster.members = vec![
+            member(1, "v1", Health::Alive),
+            member(2, "v2", Health::Alive),
+        ];
+        roster.gone = gone.into_iter().collect();
+        let mut duty = Duty::new(order("v2"), &known);
+        duty.evidence.hear(now, peer(1), idle("v1"));
+        let service = Service::from("shelf");
+        let gates = Gates::of(&roster, &service, &Revision::from("v2"));
+        duty.observe(now, &known, &gates, false).drained
+    };
+    assert!(drained(None));
+    assert!(drained(Some(Health::Left)));
+    assert!(!drained(Some(Health::Gone)));
+}
+
+/// What a gate reports whose target has no work in the last step.
+fn idle(revision: &str) -> Report {
+    Report {
+        service: Service::from("shelf"),
+        revision: Revision::from(revision),
+        step: Step::All,
+        busy: 0,
+        warm: true,
+        under_way: Vec::new(),
+        tally: Tally::default(),
+    }
+}
