Date a target's end to when its connections broke

Cause: an end that is told by the next life's announcement counted from then. Targets that end together and come back one after the other pass for ends at several moments, and what ran on all of them for their cause. Ruled out: that the look came late; ends told by a look are dated to it within milliseconds. Change: such an end is dated to the latest break of a run of unknown fate, at the latest to the next life's begin. Why it holds: all ends at one host and on all hosts are dated by the same event, whoever tells them.

--- a/src/quarantine/inspect.rs
+++ b/src/quarantine/inspect.rs
@@ -99,7 +99,7 @@
             }
             if !runs.is_empty() {
                 inspector.report(&target, &runs);
-                inspector.accuse(runs);
+                inspector.accuse(runs, Duration::ZERO);
             }
         });
     }
@@ -108,20 +108,27 @@
     pub fn succeed(&self, target: &Target) {
         let began = target.born.map(|born| born.0);
         let age = began.map(|began| Duration::from_millis(clock::unix_ms().saturating_sub(began)));
-        let runs = self.running().succeed(Instant::now(), age);
+        let now = Instant::now();
+        let mut running = self.running();
+        let ended_at = running.ended_at(now, age);
+        let runs = running.succeed(now, age);
+        drop(running);
         if !runs.is_empty() {
             self.report(target, &runs);
-            self.accuse(runs);
+            self.accuse(runs, now.saturating_duration_since(ended_at));
         }
     }
 
-    /// Tells that the target ended under these runs. Where they are too many, those that are suspected
+    /// Tells that the target ended `ago` under these runs. Where they are too many, those that are suspected
     /// already and those that began last are told.
-    fn accuse(&self, mut runs: Vec<Run>) {
+    fn accuse(&self, mut runs: Vec<Run>, ago: Duration) {
         let quarantine = &self.board.quarantine;
         runs.sort_by_key(|run| Reverse((quarantine.standing(run.fingerprint).ends, run.began)));
         let running = runs.into_iter().map(|run| run.fingerprint).collect();
-        quarantine.see(&Crash::new(CrashId(rand::random()), running));
+        quarantine.see(&Crash {
+            age: ago.into(),
+            ..Crash::new(CrashId(rand::random()), running)
+        });
     }
 
     fn report(&self, target: &Target, runs: &[Run]) {
--- a/src/quarantine/running.rs
+++ b/src/quarantine/running.rs
@@ -114,6 +114,17 @@
             .count()
     }
 
+    /// When the target ended that another life, `age` after its begin, has taken the place of.
+    ///
+    /// Guards against targets that end together and whose ends pass for several moments: the next lives announce
+    /// themselves one after the other.
+    #[must_use]
+    pub fn ended_at(&self, now: Instant, age: Option<Duration>) -> Instant {
+        let broken = self.ended.iter().map(|(over, _)| *over).max();
+        let born = age.and_then(|age| now.checked_sub(age));
+        broken.into_iter().chain(born).min().unwrap_or(now)
+    }
+
     /// Notes that the target has said that it ends: what was cut before did not end it.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/tests/running.rs
+++ b/tests/running.rs
@@ -113,6 +113,24 @@
     );
 }
 
+/// Guards against targets that end together and pass for ends at several moments.
+#[test]
+fn successor_dates_the_end() {
+    let (mut running, now) = (Running::default(), Instant::now());
+    let ms = Duration::from_millis;
+    assert_eq!(running.ended_at(now, None), now);
+    let broken = running.begin(run("/broken", now));
+    running.finish(now + ms(10), broken, End::Open);
+    let announced = now + ms(700);
+    assert_eq!(running.ended_at(announced, None), now + ms(10));
+    assert_eq!(running.ended_at(announced, Some(ms(600))), now + ms(10));
+    // What was given up after the next life began does not date the end.
+    let late = running.begin(run("/late", now));
+    running.finish(now + ms(500), late, End::Open);
+    let end = running.ended_at(announced, Some(ms(600)));
+    assert_eq!(end, now + ms(100));
+}
+
 /// Guards against one end that is told twice, when it is seen and when the next life announces itself.
 #[test]
 fn seen_end() {
