Go on logging after an output that was full or closed for a moment

What operators saw: the log of a daemon ends in the middle of a play while the daemon serves on. Cause: any error of a write ended the thread that writes lines, for good. A pipe that its reader has set not to block refuses a write (EAGAIN) whenever it is full. Evidence: full_output_ends_no_log: a daemon whose output is full at its start writes no line before ("slog::Fuse Drain: WouldBlock"), and all of them now. Ruled out: that a daemon blocks: lines go through a queue that drops what does not fit. Change: a line waits for up to a second for an output that is full; an error ends only its own line.

--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,8 +1,10 @@
 //! Logs and metrics of a process.
 
+use std::io::{self, ErrorKind, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use slog::{Drain, Level, LevelFilter, Logger, o};
@@ -12,17 +14,47 @@
 /// Log lines that may wait to be written; more are dropped and counted by the drain. Requests cause a few
 /// a second, and a queue takes its memory whether it is used or not.
 const LOG_QUEUE: usize = 256;
+/// Time for which a line waits for an output that is full.
+const FULL_WAIT: Duration = Duration::from_secs(1);
+/// Time between two tries to write to it.
+const FULL_PAUSE: Duration = Duration::from_millis(5);
 /// Upper bounds of a histogram's buckets, in seconds, around the times that callers find right.
 const BUCKETS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
 
-/// A logger that writes to standard output without blocking its callers.
+/// Standard output, which may be set not to wait for its reader.
+///
+/// Guards against a daemon that writes no line any more: a pipe that is full for a moment refuses a write, and the
+/// rest of the line would be lost with it.
+struct Output;
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let deadline = Instant::now() + FULL_WAIT;
+        loop {
+            match io::stdout().write(bytes) {
+                Err(error)
+                    if error.kind() == ErrorKind::WouldBlock && Instant::now() < deadline =>
+                {
+                    thread::sleep(FULL_PAUSE);
+                }
+                written => return written,
+            }
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        io::stdout().flush()
+    }
+}
+
+/// A logger that writes to standard output without blocking its callers. What can't be written is dropped.
 pub fn logger(form: Logs, verbose: bool) -> Logger {
     let level = if verbose { Level::Debug } else { Level::Info };
     let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match form {
-        Logs::Json => Box::new(slog_json::Json::default(std::io::stdout()).fuse()),
+        Logs::Json => Box::new(slog_json::Json::default(Output).ignore_res()),
         Logs::Terminal => {
             let decorator = slog_term::TermDecorator::new().stdout().build();
-            Box::new(slog_term::FullFormat::new(decorator).build().fuse())
+            Box::new(slog_term::FullFormat::new(decorator).build().ignore_res())
         }
     };
     let queued = slog_async::Async::new(drain)
