--- a/tests/fit.rs
+++ b/tests/fit.rs
@@ -78,8 +78,7 @@
 proptest! {
     #![proptest_config(fixed(300))]
 
-    /// Guards against a version that is still refused after it was brought within limits, and against daemons
-    /// that make different documents of one version.
+    /// Guards against a version that is still refused, or changes again, after it was brought within limits.
     #[test]
     fn fitted_is_valid(
         routes in prop::collection::vec(("[a-c]{0,1}|x{120,140}", "/[a-b]{0,2}/", any::<[u32; 2]>()), 0..12),
