Trials: find a free part of the loopback network without listening on it

Cause: whether an address is free was tried by listening on it. A process that another test starts at that moment inherits the listener until it has replaced its own program, and holds the address for a few milliseconds. Ruled out: a run left behind (none listened there afterwards) and two runs with one network (claims are kept). Change: the addresses are tried by a connection, which nobody's listener means refused.

--- a/trial/src/rig/loopback.rs
+++ b/trial/src/rig/loopback.rs
@@ -1,6 +1,6 @@
 //! Parts of the loopback network, one for each trial.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, PoisonError};
 
@@ -34,13 +34,14 @@
             continue;
         };
         // Guards against daemons that a killed run has left behind: they would answer in the place
-        // of this run's own, which could not listen.
+        // of this run's own, which could not listen. A listener of our own could not tell: a process that is
+        // started at this moment holds it for longer than we do.
         let own = [(0, LOG), (1, PEER), (1, TARGET), (1, WORK), (9, LOG)];
         let mut ports = own.into_iter().chain(PLATFORM.map(|port| (9, port)));
         let free = ports.all(|(rack, port)| {
             (1..=3).all(|host| {
                 let ip = IpAddr::V4(Ipv4Addr::new(127, network, rack, host));
-                TcpListener::bind(SocketAddr::new(ip, port)).is_ok()
+                TcpStream::connect(SocketAddr::new(ip, port)).is_err()
             })
         });
         if free {
