--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -3,15 +3,17 @@
 //! Each attempt updates the statistics of its upstream. Further attempts are paid from the retry
 //! budget of the service.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
 use futures_util::future::{Either, select};
 use http::{HeaderValue, Response};
+use rand::RngExt;
 use volo_http::body::Body;
 
 use crate::calls::balancer::Balancer;
 use crate::calls::call::{Attempt, Call};
+use crate::calls::notice::Memory;
 use crate::calls::outcome::{OUTCOME, Outcome, REASON, Reason};
 use crate::calls::retry::{Budget, Budgets};
 use crate::calls::sidecar::{Load, Sidecar};
@@ -39,6 +41,8 @@
     shared: Arc<SharedState>,
     sidecar: Arc<Sidecar>,
     budgets: Budgets,
+    /// Locked for a few instructions at a time.
+    notices: Mutex<Memory>,
     /// Chooses the upstream of each attempt.
     pub balancer: Balancer,
 }
@@ -55,6 +59,7 @@
         Self {
             balancer: Balancer::new(Arc::clone(&shared)),
             budgets: Budgets::new(retry_reserve, shared_reserve),
+            notices: Mutex::default(),
             shared,
             sidecar,
         }
@@ -120,7 +125,12 @@
         }
     }
 
-    async fn attempt(&self, upstream: &Arc<Upstream>, attempt: Attempt, rule: &Ejection) -> Reply {
+    async fn attempt(
+        &self,
+        upstream: &Arc<Upstream>,
+        mut attempt: Attempt,
+        rule: &Ejection,
+    ) -> Reply {
         let in_flight = upstream.track_request();
         let left = attempt.deadline.saturating_duration_since(Instant::now());
         if left.is_zero() {
@@ -129,6 +139,7 @@
         let service = attempt.metadata.service.clone();
         let route = attempt.metadata.route.clone();
         let began = Instant::now();
+        attempt.metadata.notice = self.notices(|notices| notices.get(upstream.peer));
         let exchange = async {
             if upstream.peer == self.shared.settings.identity() {
                 Ok(self.sidecar.run(attempt.metadata, attempt.request).await)
@@ -147,6 +158,7 @@
             Reply::Answered(response) => Ok(response),
             Reply::Failed(reason) => Err(*reason),
         };
+        self.record_notice(upstream, seen, load.unwrap_or_default(), began);
         let statistics = &self.balancer.statistics;
         if statistics.record(upstream, seen, load, began, &route) {
             let roster = self.shared.roster();
@@ -165,6 +177,37 @@
     }
 }
 
+impl Sender {
+    /// Records what a sidecar reports of its target's limit.
+    fn record_notice(
+        &self,
+        upstream: &Upstream,
+        attempt: Result<&Response<Body>, Reason>,
+        load: Load,
+        began: Instant,
+    ) {
+        let now = Instant::now();
+        let delay = load.token_delay.duration();
+        match attempt {
+            Ok(_) => {
+                upstream.pace().record_response(now, delay);
+                self.notices(|notices| notices.record(upstream.peer, load.notice, began, now));
+            }
+            Err(Reason::Overloaded) if !delay.is_zero() => {
+                let fraction = rand::rng().random_range(0.0..1.0);
+                upstream.pace().record_refusal(now, delay, fraction);
+                metrics::counter!("jackdaw_token_refusals_total").increment(1);
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn notices<T>(&self, access: impl FnOnce(&mut Memory) -> T) -> T {
+        let mut notices = self.notices.lock().unwrap_or_else(PoisonError::into_inner);
+        access(&mut notices)
+    }
+}
+
 /// Reads a sidecar's response: the target's own, or a reason.
 fn parse_reply(response: Response<Body>) -> Reply {
     let text = |name| {
--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -131,6 +131,7 @@
             key: key.filter(|_| !resolved_route.route.repeatable),
             guard: resolved_route.route.guard,
             draining: Vec::new(),
+            notice: None,
         };
         stream::strip_hop_by_hop(&mut head.headers);
         // The sidecar writes the identifier and the remaining time anew, from the metadata.
--- a/src/calls/dialect.rs
+++ b/src/calls/dialect.rs
@@ -26,6 +26,8 @@
     pub instance: Option<HeaderName>,
     /// Service on whose host the request began, sent to the target.
     pub caller_service: Option<HeaderName>,
+    /// Requests per second that the target accepts from all daemons together, in its responses.
+    pub limit: HeaderName,
     /// Whether callers accept fractions of a second in `Retry-After`.
     pub fractional_retry_after: bool,
 }
@@ -42,6 +44,7 @@
             expected_instance: None,
             instance: None,
             caller_service: None,
+            limit: HeaderName::from_static("x-jackdaw-limit"),
             fractional_retry_after: false,
         }
     }
--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -16,6 +16,7 @@
 use crate::calls::metadata::Metadata;
 use crate::calls::outcome::{OUTCOME, Outcome, Reason};
 use crate::calls::stream::{self, Buffered, Continue, Guarded};
+use crate::calls::throttle::Throttle;
 use crate::calls::validator::Validator;
 use crate::calls::wait;
 use crate::configuration::document::Guard;
@@ -25,7 +26,7 @@
 use crate::rollout::counters;
 use crate::settings::Limits;
 use crate::shared_state::{InFlight, SharedState, Target};
-use crate::units::{Millis, Service};
+use crate::units::{Millis, Rate, Service};
 
 /// Divisor of the time left: a request may wait for a slot for that part.
 const QUEUE_WAIT_DIVISOR: u32 = 2;
@@ -73,6 +74,7 @@
     dispatcher: Dispatcher,
     crash_detector: Detector,
     queue: Arc<Queue>,
+    throttle: Throttle,
     /// Bodies that are being received, and those waiting for that.
     body_queue: Arc<Queue>,
 }
@@ -82,11 +84,13 @@
     #[must_use]
     pub fn new(shared: Arc<SharedState>) -> Self {
         let dispatcher = Dispatcher::new(shared.settings.target_idle_ms.duration());
+        let queue: Arc<Queue> = Arc::default();
         Self {
             crash_detector: Detector::new(Arc::clone(&shared)),
+            throttle: Throttle::new(Arc::clone(&shared), Arc::clone(&queue)),
             shared,
             dispatcher,
-            queue: Arc::default(),
+            queue,
             body_queue: Arc::default(),
         }
     }
@@ -99,6 +103,18 @@
         (running, waiting + queued + receiving as usize)
     }
 
+    /// Time until a request that arrives now may start by the limit of the target.
+    #[must_use]
+    pub fn token_delay(&self) -> Duration {
+        self.queue.token_delay()
+    }
+
+    /// Limit of the target.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<Rate> {
+        self.throttle.limit()
+    }
+
     /// Admits and runs a request.
     ///
     /// # Errors
@@ -203,7 +219,8 @@
     ///
     /// Why the request was refused; it has provably not run.
     pub async fn admit(mut self, executor: &Executor) -> Result<Admitted, Reason> {
-        executor.target(&self.metadata)?;
+        let target = executor.target(&self.metadata)?;
+        executor.throttle.prepare(&target, self.metadata.notice);
         let left = self.deadline.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Err(Reason::Expired);
@@ -233,6 +250,7 @@
             return Err(Reason::Expired);
         }
         let target = executor.target(&self.metadata)?;
+        executor.throttle.prepare(&target, self.metadata.notice);
         Ok(Admitted {
             received: self,
             permit,
@@ -305,6 +323,7 @@
         });
         let run = run?;
         let mut recorder = Recorder::begin(&executor.shared, &metadata.route, deadline);
+        let mut notice = None;
         let exchange = async {
             let sending =
                 executor
@@ -312,6 +331,11 @@
                     .send(self.target.address, request, metadata.repeatable);
             let (response, connection) = sending.await?;
             let validator = Validator::new(response, connection, dialect, &metadata.id);
+            if let Some(headers) = validator.headers_of_target() {
+                let has_run = !validator.is_refusal();
+                let throttle = &executor.throttle;
+                notice = throttle.record(&self.target, headers, has_run, began);
+            }
             validator.validate(&executor.dispatcher).await
         };
         // Dropping the exchange closes its connection, so that a late response can't be taken for
@@ -334,6 +358,9 @@
         debug_assert_eq!(Outcome::Answered.to_string(), "answered");
         headers.insert(OUTCOME, outcome_value);
         response.extensions_mut().insert(QueueTime(self.waited));
+        if let Some(notice) = notice {
+            response.extensions_mut().insert(notice);
+        }
         let (parts, body) = response.into_parts();
         Ok(Response::from_parts(
             parts,
--- a/src/calls/ingress.rs
+++ b/src/calls/ingress.rs
@@ -32,6 +32,9 @@
 ///
 /// The first is the one expected to have the most room, so trying more would only cost time.
 const MAX_OVERLOAD_REFUSALS: u32 = 3;
+/// Number of sidecars that may refuse a request for lack of tokens although they were expected to
+/// have some.
+const MAX_TOKEN_REFUSALS: u32 = 8;
 /// Range of `Retry-After` for refused callers, in seconds. A queue drains in less, and most callers
 /// have this much time left.
 const RETRY_AFTER_S: Range<f64> = 0.15..0.5;
@@ -48,6 +51,11 @@
 #[derive(Debug, Clone, Copy)]
 struct QuarantineEnd(Instant);
 
+/// When a target that limits its rate next has room for a refused request; an extension of the
+/// response inside the daemon.
+#[derive(Debug, Clone, Copy)]
+struct RoomAt(Instant);
+
 /// Serves callers' requests.
 #[derive(Debug)]
 pub struct Ingress {
@@ -89,6 +97,7 @@
             Err(reason) => outcome::caller_refusal(&id, reason),
         };
         let quarantined = response.extensions_mut().remove::<QuarantineEnd>();
+        let room_at = response.extensions_mut().remove::<RoomAt>();
         let headers = response.headers_mut();
         if let Ok(id) = HeaderValue::from_str(&id) {
             headers.insert(&self.shared.dialect.call_id, id);
@@ -97,6 +106,10 @@
         if self.shared.dialect.fractional_retry_after && headers.contains_key(header::RETRY_AFTER) {
             headers.insert(header::RETRY_AFTER, jittered_retry_after());
         }
+        if let Some(RoomAt(at)) = room_at {
+            let is_fractional = self.shared.dialect.fractional_retry_after;
+            headers.insert(header::RETRY_AFTER, retry_after_room(at, is_fractional));
+        }
         if let Some(QuarantineEnd(until)) = quarantined {
             headers.insert(header::RETRY_AFTER, seconds_until(until));
         }
@@ -258,10 +271,12 @@
         let rule = &Arc::clone(&call.resolved_route).retry;
         self.sender.budget(call).deposit_share(rule.budget);
         let mut refusals = 0;
+        let mut token_refusals = 0;
         loop {
             let Some(upstream) = self.sender.balancer.choose(call) else {
                 break;
             };
+            let was_held = upstream.pace().is_held(Instant::now());
             let reason = match self.sender.attempt_hedged(&upstream, call).await {
                 Reply::Answered(response) => return Some(response),
                 Reply::Failed(reason) => reason,
@@ -281,15 +296,20 @@
             // An attempt that no target processed counts neither as one of the rule's attempts nor
             // against the budget; each upstream is tried only once.
             let unprocessed = reason.is_unavailable() || overloaded;
-            refusals += u32::from(overloaded);
-            call.overloaded |= overloaded;
+            // One refusal for lack of tokens says nothing of the room elsewhere.
+            let unexpected = overloaded && !was_held && upstream.pace().is_held(Instant::now());
+            token_refusals += u32::from(unexpected);
+            refusals += u32::from(overloaded && !unexpected);
+            call.overloaded |= overloaded && !unexpected;
             // A request that must run in isolation is refused while another such request runs at
             // the target. It is not sent to the next target, which might crash as well.
             let isolated = reason == Reason::Overloaded && self.sender.balancer.is_suspect(call);
             let will_retry = if isolated || reason == Reason::Quarantined {
                 false
             } else if unprocessed {
-                call.is_sendable() && !call.left().is_zero() && refusals < MAX_OVERLOAD_REFUSALS
+                let may_continue =
+                    refusals < MAX_OVERLOAD_REFUSALS && token_refusals < MAX_TOKEN_REFUSALS;
+                call.is_sendable() && !call.left().is_zero() && may_continue
             } else {
                 self.may_retry(rule, call, reason)
             };
@@ -330,9 +350,26 @@
         {
             response.extensions_mut().insert(until);
         }
+        if reason == Reason::Overloaded
+            && let Some(room_at) = self.room_at(call)
+        {
+            response.extensions_mut().insert(room_at);
+        }
         response
     }
 
+    /// When the first target of the service has room, if all of them limit their rate.
+    fn room_at(&self, call: &Call) -> Option<RoomAt> {
+        let now = Instant::now();
+        let roster = self.shared.roster();
+        let upstreams = roster.upstreams(&call.metadata.service).iter();
+        let room_in = upstreams
+            .map(|upstream| upstream.pace().room_in(now))
+            .min()?;
+        let room_at = now.checked_add(room_in)?;
+        (!room_in.is_zero()).then_some(RoomAt(room_at))
+    }
+
     /// When the quarantine of a call ends, if targets have crashed while running the same request.
     fn quarantine_end(&self, call: &Call) -> Option<QuarantineEnd> {
         let assessment = self.shared.quarantine.assessment(call.metadata.fingerprint);
@@ -349,6 +386,19 @@
     HeaderValue::from(left.as_secs().max(1))
 }
 
+/// When a caller should retry that was refused since all targets limit their rate.
+fn retry_after_room(at: Instant, is_fractional: bool) -> HeaderValue {
+    let left = at.saturating_duration_since(Instant::now()).as_secs_f64();
+    let spread = rand::rng().random_range(0.0..RETRY_AFTER_S.end - RETRY_AFTER_S.start);
+    let seconds = left.max(RETRY_AFTER_S.start) + spread;
+    let text = if is_fractional {
+        format!("{seconds:.2}")
+    } else {
+        format!("{:.0}", seconds.ceil())
+    };
+    HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
+}
+
 /// When a refused caller should retry, in fractional seconds.
 ///
 /// The delay is random, so that callers refused together do not all retry at once.
--- a/src/calls/limit.rs
+++ b/src/calls/limit.rs
@@ -44,6 +44,8 @@
     slots: u32,
     queue: u32,
     running: u32,
+    /// Requests that may start now; `None` if their rate is not limited.
+    allowance: Option<u32>,
     /// Sorted by priority, then by ticket: the first is the next to run.
     waiting: Vec<(Priority, Ticket)>,
     /// Moving average of the time for which a slot is held; 0 before the first sample.
@@ -58,6 +60,7 @@
             slots,
             queue,
             running: 0,
+            allowance: None,
             waiting: Vec::new(),
             mean_hold_s: 0.0,
         }
@@ -75,6 +78,11 @@
         self.waiting.len()
     }
 
+    /// Sets how many requests may start until the next call; `None` for any number.
+    pub const fn set_allowance(&mut self, allowance: Option<u32>) {
+        self.allowance = allowance;
+    }
+
     /// Changes the sizes and returns the tickets that may run now.
     pub fn resize(&mut self, slots: u32, queue: u32) -> Vec<Ticket> {
         self.slots = slots;
@@ -85,8 +93,8 @@
     /// Requests a slot.
     pub fn acquire(&mut self, ticket: Ticket, priority: impl Into<Priority>) -> Decision {
         let priority = priority.into();
-        if self.running < self.slots && self.waiting.is_empty() {
-            self.running += 1;
+        if self.may_start() && self.waiting.is_empty() {
+            self.start();
             return Decision::Run;
         }
         if self.waiting.len() < self.queue as usize {
@@ -109,12 +117,30 @@
     /// is free.
     #[must_use]
     pub fn position(&self, priority: impl Into<Priority>) -> usize {
-        if self.running < self.slots && self.waiting.is_empty() {
+        if self.has_free_slot() {
             return 0;
         }
+        1 + self.ahead(priority)
+    }
+
+    /// Number of waiting requests that start before this one; `None` if it does not wait.
+    #[must_use]
+    pub fn ahead_of(&self, ticket: Ticket) -> Option<usize> {
+        let mut waiting = self.waiting.iter();
+        waiting.position(|&(_, other)| other == ticket)
+    }
+
+    /// Whether a slot is free.
+    #[must_use]
+    pub const fn has_free_slot(&self) -> bool {
+        self.running < self.slots
+    }
+
+    /// Number of waiting requests that start before a new one of `priority`.
+    #[must_use]
+    pub fn ahead(&self, priority: impl Into<Priority>) -> usize {
         let priority = priority.into();
-        1 + self
-            .waiting
+        self.waiting
             .partition_point(|&(other, _)| other <= priority)
     }
 
@@ -151,14 +177,24 @@
         self.promote()
     }
 
-    fn promote(&mut self) -> Option<Ticket> {
-        if self.running >= self.slots || self.waiting.is_empty() {
+    /// Starts the first waiting request if it may start, and returns its ticket.
+    pub fn promote(&mut self) -> Option<Ticket> {
+        if !self.may_start() || self.waiting.is_empty() {
             return None;
         }
-        self.running += 1;
+        self.start();
         Some(self.waiting.remove(0).1)
     }
 
+    fn may_start(&self) -> bool {
+        self.has_free_slot() && self.allowance != Some(0)
+    }
+
+    fn start(&mut self) {
+        self.running += 1;
+        self.allowance = self.allowance.map(|allowance| allowance.saturating_sub(1));
+    }
+
     fn insert(&mut self, priority: Priority, ticket: Ticket) {
         let index = self
             .waiting
--- a/src/calls/metadata.rs
+++ b/src/calls/metadata.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, HeaderValue};
 use serde::{Deserialize, Serialize};
 
+use crate::calls::notice::Notice;
 use crate::configuration::document::Guard;
 use crate::error::Result;
 use crate::quarantine::fingerprint::Fingerprint;
@@ -25,6 +26,8 @@
 const ROUTE: &str = "x-jackdaw-route";
 /// Header with the service on whose host the call began.
 const CALLER_SERVICE: &str = "x-jackdaw-from";
+/// Header with the [`Notice`]; a release of the sidecar that does not know it ignores it.
+const NOTICE: &str = "x-jackdaw-notice";
 
 /// What a sidecar needs to know about a call beside the HTTP request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,6 +60,9 @@
     pub guard: Guard,
     /// Sidecars that have told the ingress that they accept no more calls.
     pub draining: Vec<SocketAddr>,
+    /// Last notice of the sidecar's target that the ingress has received.
+    #[serde(skip)]
+    pub notice: Option<Notice>,
 }
 
 /// Writes the metadata into the headers of a call.
@@ -76,6 +82,11 @@
             name.clear();
         }
     }
+    headers.remove(NOTICE);
+    let notice = metadata.notice.map(|notice| notice.to_string());
+    if let Some(Ok(value)) = notice.map(HeaderValue::try_from) {
+        headers.insert(NOTICE, value);
+    }
     headers.insert(METADATA, wire::to_header(&metadata));
 }
 
@@ -102,5 +113,7 @@
     if let Some(service) = take(CALLER_SERVICE) {
         metadata.caller_service = Service(service);
     }
+    // Without it the request is still complete.
+    metadata.notice = take(NOTICE).and_then(|notice| notice.parse().ok());
     Ok(metadata)
 }
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -3,8 +3,8 @@
 //! The ingress is the daemon that receives a caller's request. It finds the request's [`route`],
 //! [`pick`]s an upstream by its [`latency`] and forwards the request with its [`metadata`] to the
 //! sidecar, the daemon beside the target. The sidecar's concurrency [`limit`] bounds the requests
-//! at the target; [`wait`] bounds how long a request may wait for a slot there. Only the ingress
-//! may [`retry`]. The response names the [`outcome`]. Header names and conventions are those of a
+//! at the target, and a [`pacer`] the rate at which they start if the target names one in a
+//! [`notice`]; [`wait`] bounds how long a request may wait for that. Only the ingress may [`retry`]. The response names the [`outcome`]. Header names and conventions are those of a
 //! [`dialect`]. The number of callers' [`connections`] is limited where they are accepted.
 
 pub(crate) mod admission;
@@ -23,13 +23,17 @@
 pub mod log_rate;
 pub mod metadata;
 pub mod nesting;
+pub mod notice;
 pub mod outcome;
+pub mod pace;
+pub mod pacer;
 pub mod pick;
 pub mod retry;
 pub mod route;
 pub(crate) mod sidecar;
 pub(crate) mod statistics;
 pub(crate) mod stream;
+pub(crate) mod throttle;
 pub mod transit_delay;
 pub(crate) mod validator;
 pub mod wait;
--- a/src/calls/pick.rs
+++ b/src/calls/pick.rs
@@ -10,7 +10,7 @@
 //! use jackdawpulley::calls::pick::{Candidate, Policy, choose};
 //! use rand::SeedableRng;
 //!
-//! let idle = Candidate { local: true, load: 0, slots: 20, share: 1.0, ejected: false };
+//! let idle = Candidate { local: true, load: 0, slots: 20, share: 1.0, held: false, ejected: false };
 //! let busy = Candidate { load: 20, ..idle };
 //! let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
 //! assert_eq!(choose(Policy::TwoChoices, &[busy, idle], &mut rng), Some(1));
@@ -71,6 +71,8 @@
     pub slots: u32,
     /// Current fraction of its full share, above 0 and up to 1.
     pub share: f64,
+    /// Whether the limit of its target leaves no room for now.
+    pub held: bool,
     /// Whether to avoid it for now: it is ejected, suspected of having failed, or silent.
     pub ejected: bool,
 }
@@ -81,8 +83,8 @@
         f64::from(self.load + 1) / (f64::from(self.slots.max(1)) * self.share)
     }
 
-    const fn has_free_slot(&self) -> bool {
-        self.load < self.slots
+    const fn has_room(&self) -> bool {
+        self.load < self.slots && !self.held
     }
 }
 
@@ -100,8 +102,9 @@
             .collect()
     };
     let tiers = [
-        matching(&|c| !c.ejected && c.local && c.has_free_slot()),
-        matching(&|c| !c.ejected && c.has_free_slot()),
+        matching(&|c| !c.ejected && c.local && c.has_room()),
+        matching(&|c| !c.ejected && c.has_room()),
+        matching(&|c| !c.ejected && !c.held),
         matching(&|c| !c.ejected),
         matching(&|_| true),
     ];
@@ -112,17 +115,17 @@
     Some(if better { second } else { first })
 }
 
-/// Returns the index of the upstream with about the lowest cost, ejected ones only if there is no
-/// other.
+/// Returns the index of the upstream with about the lowest cost, held ones only if all others are
+/// ejected, and ejected ones only if there is no other.
 ///
 /// Each cost is increased by a random amount, so that ingresses with the same information do not all
 /// choose the same upstream.
 #[must_use]
 pub fn cheapest(costs: &[Cost], rng: &mut SmallRng) -> Option<usize> {
-    let any_available = costs.iter().any(|cost| !cost.ejected);
+    let best_tier = costs.iter().map(Cost::tier).min()?;
     let candidates = costs.iter().enumerate();
     candidates
-        .filter(|(_, cost)| !(any_available && cost.ejected))
+        .filter(|(_, cost)| cost.tier() == best_tier)
         .map(|(index, cost)| (index, cost.ms * rng.random_range(1.0..1.0 + COST_JITTER)))
         .min_by(|a, b| a.1.total_cmp(&b.1))
         .map(|(index, _)| index)
@@ -133,10 +136,19 @@
 pub struct Cost {
     /// Expected latency plus the cost of another data centre, in milliseconds.
     pub ms: f64,
+    /// Whether the limit of its target leaves no room for now.
+    pub held: bool,
     /// Whether to avoid it for now: it is ejected, suspected of having failed, or silent.
     pub ejected: bool,
 }
 
+impl Cost {
+    /// Upstreams of a lower tier are preferred at any cost.
+    const fn tier(&self) -> (bool, bool) {
+        (self.ejected, self.held)
+    }
+}
+
 /// Fraction of its full share that a target of this `age` gets in a slow start of length `ramp`.
 #[must_use]
 pub fn slow_start_share(age: Duration, ramp: Duration) -> f64 {
--- a/src/calls/sidecar.rs
+++ b/src/calls/sidecar.rs
@@ -16,10 +16,11 @@
 use crate::calls::executor::{Executor, QueueTime, Received};
 use crate::calls::metadata::Metadata;
 use crate::calls::nesting::Detector;
+use crate::calls::notice::Notice;
 use crate::calls::outcome::{self, Reason};
 use crate::idempotency::deduplicator::Deduplicator;
 use crate::shared_state::SharedState;
-use crate::units::{Millis, Service};
+use crate::units::{Millis, Rate, Service};
 
 /// Header with a sidecar's [`Load`].
 pub const LOAD: &str = "x-jackdaw-load";
@@ -43,6 +44,10 @@
     pub waited: Millis,
     /// Whether only targets call this request's route.
     pub nested: bool,
+    /// Time until another request may start by the limit that the target names.
+    pub token_delay: Millis,
+    /// What the target has said of itself in this response.
+    pub notice: Option<Notice>,
 }
 
 impl Load {
@@ -56,7 +61,12 @@
 impl fmt::Display for Load {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let nested = u8::from(self.nested);
-        write!(f, "{},{},{nested}", self.in_flight, self.waited)
+        write!(f, "{},{},{nested}", self.in_flight, self.waited)?;
+        // Releases that do not know these fields ignore them.
+        if self.token_delay > Millis(0) || self.notice.is_some() {
+            write!(f, ",{}", self.token_delay)?;
+        }
+        self.notice.map_or(Ok(()), |notice| write!(f, ",{notice}"))
     }
 }
 
@@ -64,12 +74,14 @@
     type Err = std::num::ParseIntError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut fields = text.split(',');
+        let mut fields = text.splitn(5, ',');
         let mut next = || fields.next().unwrap_or("0");
         Ok(Self {
             in_flight: next().parse()?,
             waited: next().parse()?,
             nested: next() == "1",
+            token_delay: next().parse()?,
+            notice: next().parse().ok(),
         })
     }
 }
@@ -93,6 +105,12 @@
         self.executor.load()
     }
 
+    /// Limit that the target names.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<Rate> {
+        self.executor.rate_limit()
+    }
+
     /// Runs a request; the response carries the reason if it could not be run.
     pub async fn run(&self, metadata: Metadata, request: Request<Body>) -> Response<Body> {
         let (id, key) = (metadata.id.clone(), metadata.key.clone());
@@ -122,7 +140,8 @@
             }
         };
         let waited = response.extensions().get::<QueueTime>().copied();
-        let load = self.load_report(waited.unwrap_or_default(), nested);
+        let notice = response.extensions().get::<Notice>().copied();
+        let load = self.load_report(waited.unwrap_or_default(), nested, notice);
         if let Ok(load) = HeaderValue::from_str(&load.to_string()) {
             response.headers_mut().insert(LOAD, load);
         }
@@ -146,12 +165,14 @@
         )
     }
 
-    fn load_report(&self, waited: QueueTime, nested: bool) -> Load {
+    fn load_report(&self, waited: QueueTime, nested: bool, notice: Option<Notice>) -> Load {
         let (running, waiting) = self.load();
         Load {
             in_flight: running + u32::try_from(waiting).unwrap_or(u32::MAX),
             waited: Millis::from(waited.0),
             nested,
+            token_delay: Millis::from(self.executor.token_delay()),
+            notice,
         }
     }
 }
--- a/src/calls/validator.rs
+++ b/src/calls/validator.rs
@@ -3,7 +3,7 @@
 //! A target may respond late, twice, to another request, or break off. A response is passed on only
 //! if it belongs to its request. Its connection is reused only if the whole response was buffered.
 
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use volo_http::body::Body;
@@ -44,6 +44,19 @@
         }
     }
 
+    /// Headers of the response if it is from the process that the request was sent to.
+    #[must_use]
+    pub fn headers_of_target(&self) -> Option<&HeaderMap> {
+        let is_own = self.belongs_to_request() && !self.is_misdirected();
+        is_own.then(|| self.response.headers())
+    }
+
+    /// Whether the response says that the request has not run.
+    #[must_use]
+    pub fn is_refusal(&self) -> bool {
+        self.response.headers().contains_key(&self.dialect.refused)
+    }
+
     /// Returns the response if it belongs to the request; buffers it where it is small.
     ///
     /// # Errors
@@ -54,9 +67,8 @@
             dispatcher.mark_suspect();
             return Err(Reason::Broken);
         }
-        let misdirected = self.dialect.expected_instance.is_some()
-            && self.response.status() == StatusCode::MISDIRECTED_REQUEST;
-        let refused = self.response.headers().contains_key(&self.dialect.refused);
+        let misdirected = self.is_misdirected();
+        let refused = self.is_refusal();
         let (parts, body) = self.response.into_parts();
         let buffered = stream::buffer(Body::from_incoming(body), MAX_BUFFERED_BYTES).await;
         let body = match buffered.map_err(|_| Reason::Broken)? {
@@ -75,6 +87,12 @@
         Ok(Response::from_parts(parts, body))
     }
 
+    /// Whether another process has responded than the one that was named.
+    fn is_misdirected(&self) -> bool {
+        self.dialect.expected_instance.is_some()
+            && self.response.status() == StatusCode::MISDIRECTED_REQUEST
+    }
+
     /// Whether the response belongs to the request.
     ///
     /// A target may send more bytes than one response. The rest would be read as the response to
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::calls::latency::{Baseline, Outstanding, Profile};
+use crate::calls::pace::Pace;
 use crate::calls::pick::{self, Candidate, Cost, Detector};
 use crate::configuration::document::{Ejection, Group};
 use crate::membership::member::{Health, Member};
@@ -86,6 +87,8 @@
     latency: Mutex<Profile>,
     /// Locked for a few instructions, by the request path and the state dump.
     detector: Mutex<Detector>,
+    /// Locked like the detector.
+    pace: Mutex<Pace>,
 }
 
 impl Roster {
@@ -232,6 +235,7 @@
             reported_load: AtomicU32::new(0),
             latency: Mutex::new(Profile::new(now)),
             detector: Mutex::default(),
+            pace: Mutex::default(),
         }
     }
 
@@ -255,6 +259,7 @@
             load: own_requests.max(self.reported_load.load(Ordering::Relaxed)),
             slots: group.slots.map_or(slots, |bound| slots.min(bound.0)),
             share: pick::slow_start_share(age, group.slow_start_ms.duration()),
+            held: self.pace().is_held(now),
             ejected: self.suspect.load(Ordering::Relaxed)
                 || self.ejected(now)
                 || self.link.is_silent(),
@@ -277,8 +282,10 @@
             .latency()
             .expected_ms(now, outstanding, candidate.slots, baseline);
         let transfer_ms = self.transfer_cost(baseline, remote_ms_per_kb).as_secs_f64() * 1_000.0;
+        let token_ms = self.pace().room_in(now).as_secs_f64() * 1_000.0;
         Cost {
-            ms: expected / candidate.share + transfer_ms,
+            ms: expected / candidate.share + transfer_ms + token_ms,
+            held: candidate.held,
             ejected: candidate.ejected,
         }
     }
@@ -298,6 +305,11 @@
         self.latency.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Pace by the limit of its target, to read or to update.
+    pub fn pace(&self) -> MutexGuard<'_, Pace> {
+        self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether this daemon's outlier detection ejects it at `now`.
     #[must_use]
     pub fn ejected(&self, now: Instant) -> bool {
--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use crate::shared_state::{SharedState, Target};
 use crate::telemetry::Reading;
-use crate::units::{DataCentre, Generation, Millis, Revision, Service, Version};
+use crate::units::{DataCentre, Generation, Millis, Rate, Revision, Service, Version};
 
 /// Maximum number of members, of upstreams and of quarantined requests in a dump.
 const MAX_LISTED: usize = 500;
@@ -41,6 +41,8 @@
     pub reads_log: bool,
     /// The co-located target.
     pub target: Option<Target>,
+    /// Requests per second that the target accepts, if it names a limit.
+    pub target_limit: Option<Rate>,
     /// Time until the target's lease expires.
     pub lease_left_ms: Option<Millis>,
     /// Number of calls in flight in this daemon.
@@ -99,6 +101,8 @@
     pub failures: u32,
     /// Whether it is ejected as an outlier.
     pub ejected: bool,
+    /// Time until its target's limit is expected to leave room for a request of this daemon.
+    pub room_in_ms: Millis,
     /// Time since it was first seen.
     pub age_ms: Millis,
 }
@@ -163,6 +167,7 @@
                 .as_ref()
                 .map(|target| time_left(target.lease_until).into()),
             target: target.as_deref().cloned(),
+            target_limit: sidecar.rate_limit(),
             in_flight: shared.in_flight(),
             running,
             waiting,
@@ -222,6 +227,7 @@
             reported,
             failures: upstream.detector().failures,
             ejected: upstream.ejected(now),
+            room_in_ms: upstream.pace().room_in(now).into(),
             age_ms: age.into(),
         }
     }
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -16,6 +16,7 @@
 
 use crate::calls::dialect::Dialect;
 use crate::calls::log_rate::Limiter;
+use crate::calls::notice::Tag;
 use crate::calls::route::Table;
 use crate::clock;
 use crate::configuration::document::Document;
@@ -89,6 +90,12 @@
 }
 
 impl Target {
+    /// Tag of its process.
+    #[must_use]
+    pub fn tag(&self) -> Tag {
+        Tag::new(self.instance.as_ref(), self.start_time)
+    }
+
     /// Offer of this target that other daemons receive.
     #[must_use]
     pub fn offer(&self) -> Offer {
--- a/src/units.rs
+++ b/src/units.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use snafu::Snafu;
 
 macro_rules! number {
     ($(#[$doc:meta])* $name:ident, $inner:ty) => {
@@ -148,6 +149,67 @@
     IdempotencyKey
 }
 
+/// Number of requests per second; finite and not negative.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Rate(f64);
+
+/// Why a text is not a [`Rate`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[non_exhaustive]
+pub enum ParseRateError {
+    /// The text is empty.
+    #[snafu(display("it is empty; give a decimal number"))]
+    Empty,
+    /// The text is not a decimal number.
+    #[snafu(display("it is not a decimal number; use digits and at most one point"))]
+    NotDecimal,
+    /// The number is too large.
+    #[snafu(display("it is too large; leave it out to name no limit"))]
+    TooLarge,
+}
+
+impl Rate {
+    /// A rate, unless `per_second` is negative or not finite.
+    #[must_use]
+    pub fn new(per_second: f64) -> Option<Self> {
+        (per_second.is_finite() && per_second >= 0.0).then_some(Self(per_second))
+    }
+
+    /// Number of requests per second.
+    #[must_use]
+    pub const fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+// A rate is never NaN.
+impl Eq for Rate {}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Rate {
+    type Err = ParseRateError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.is_empty() {
+            return Err(ParseRateError::Empty);
+        }
+        let decimal = |byte: u8| byte.is_ascii_digit() || byte == b'.';
+        let number: Option<f64> = text
+            .bytes()
+            .all(decimal)
+            .then(|| text.parse().ok())
+            .flatten();
+        let per_second = number.ok_or(ParseRateError::NotDecimal)?;
+        Self::new(per_second).ok_or(ParseRateError::TooLarge)
+    }
+}
+
 impl Service {
     /// Maximum length of a name, in bytes.
     pub const MAX: usize = 64;
--- a/tests/latency_profile.rs
+++ b/tests/latency_profile.rs
@@ -86,13 +86,22 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let ejected = Cost {
         ms: 1.0,
+        held: false,
         ejected: true,
     };
     let healthy = Cost {
         ms: 500.0,
+        held: false,
         ejected: false,
     };
+    let held = Cost {
+        ms: 10.0,
+        held: true,
+        ..healthy
+    };
     assert_eq!(cheapest(&[ejected, healthy], &mut rng), Some(1));
+    assert_eq!(cheapest(&[held, healthy], &mut rng), Some(1));
+    assert_eq!(cheapest(&[ejected, held], &mut rng), Some(1));
     assert_eq!(cheapest(&[ejected], &mut rng), Some(0));
     assert_eq!(cheapest(&[], &mut rng), None);
 }
--- a/tests/upstream_pick.rs
+++ b/tests/upstream_pick.rs
@@ -18,13 +18,15 @@
         0_u32..30,
         1_u32..30,
         0.1_f64..1.0,
+        prop::bool::weighted(0.2),
         prop::bool::weighted(0.3),
     )
-        .prop_map(|(local, load, slots, share, ejected)| Candidate {
+        .prop_map(|(local, load, slots, share, held, ejected)| Candidate {
             local,
             load,
             slots,
             share,
+            held,
             ejected,
         })
 }
@@ -36,11 +38,13 @@
     fn best_tier_is_preferred(all in prop::collection::vec(candidate(), 1..12), seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
         let chosen = all[choose(Policy::TwoChoices, &all, &mut rng).expect("there are candidates")];
-        let room = |c: &Candidate| !c.ejected && c.load < c.slots;
+        let room = |c: &Candidate| !c.ejected && !c.held && c.load < c.slots;
         if all.iter().any(|c| room(c) && c.local) {
             prop_assert!(room(&chosen) && chosen.local);
         } else if all.iter().any(room) {
             prop_assert!(room(&chosen));
+        } else if all.iter().any(|c| !c.ejected && !c.held) {
+            prop_assert!(!chosen.ejected && !chosen.held);
         } else if all.iter().any(|c| !c.ejected) {
             prop_assert!(!chosen.ejected);
         }
--- a/trial/src/load/simulation.rs
+++ b/trial/src/load/simulation.rs
@@ -398,6 +398,7 @@
                 };
                 Cost {
                     ms: expected + transfer_ms,
+                    held: false,
                     ejected: false,
                 }
             })
@@ -412,6 +413,7 @@
             load: ingress.own[target].max(there.running),
             slots: SLOTS,
             share: 1.0,
+            held: false,
             ejected: false,
         }
     }
