--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -158,7 +158,6 @@
             Reply::Answered(response) => Ok(response),
             Reply::Failed(reason) => Err(*reason),
         };
-        self.record_notice(upstream, seen, load.unwrap_or_default(), began);
         let statistics = &self.balancer.statistics;
         if statistics.record(upstream, seen, load, began, &route) {
             let roster = self.shared.roster();
@@ -167,6 +166,7 @@
             let ejected = upstreams.iter().filter(|other| other.ejected(now)).count();
             upstream.record_failure(now, rule, ejected, upstreams.len());
         }
+        self.record_notice(upstream, seen, load.unwrap_or_default(), began);
         match reply {
             Reply::Answered(response) => {
                 let (parts, body) = response.into_parts();
@@ -178,7 +178,7 @@
 }
 
 impl Sender {
-    /// Records what a sidecar reports of its target's limit.
+    /// Records what a sidecar reports of its target.
     fn record_notice(
         &self,
         upstream: &Upstream,
@@ -191,6 +191,10 @@
         match attempt {
             Ok(_) => {
                 upstream.pace().record_response(now, delay);
+                if load.notice.is_some_and(|notice| notice.leaving) {
+                    // The membership view shows it a moment later.
+                    upstream.record_unavailable(now);
+                }
                 self.notices(|notices| notices.record(upstream.peer, load.notice, began, now));
             }
             Err(Reason::Overloaded) if !delay.is_zero() => {
--- a/src/calls/dialect.rs
+++ b/src/calls/dialect.rs
@@ -28,6 +28,8 @@
     pub caller_service: Option<HeaderName>,
     /// Requests per second that the target accepts from all daemons together, in its responses.
     pub limit: HeaderName,
+    /// `1` in the responses of a target that is leaving.
+    pub leaving: HeaderName,
     /// Whether callers accept fractions of a second in `Retry-After`.
     pub fractional_retry_after: bool,
 }
@@ -45,6 +47,7 @@
             instance: None,
             caller_service: None,
             limit: HeaderName::from_static("x-jackdaw-limit"),
+            leaving: HeaderName::from_static("x-jackdaw-leaving"),
             fractional_retry_after: false,
         }
     }
--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -220,7 +220,7 @@
     /// Why the request was refused; it has provably not run.
     pub async fn admit(mut self, executor: &Executor) -> Result<Admitted, Reason> {
         let target = executor.target(&self.metadata)?;
-        executor.throttle.prepare(&target, self.metadata.notice);
+        executor.throttle.prepare(&target, self.metadata.notice)?;
         let left = self.deadline.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Err(Reason::Expired);
@@ -250,7 +250,7 @@
             return Err(Reason::Expired);
         }
         let target = executor.target(&self.metadata)?;
-        executor.throttle.prepare(&target, self.metadata.notice);
+        executor.throttle.prepare(&target, self.metadata.notice)?;
         Ok(Admitted {
             received: self,
             permit,
--- a/src/calls/notice.rs
+++ b/src/calls/notice.rs
@@ -1,4 +1,5 @@
-//! What a target process says of itself in its responses: a limit to its requests.
+//! What a target process says of itself in its responses: a limit to its requests, or that it is
+//! leaving.
 //!
 //! The sidecar reads the target's headers and acts on them. Callers get them unchanged. Each
 //! ingress also gets the [`Notice`] with the response and sends it back with its later requests to
@@ -9,7 +10,7 @@
 //! use jackdawpulley::units::{Instance, Rate};
 //!
 //! let process = Tag::new(Some(&Instance::from("a")), None);
-//! let notice = Notice { process, limit: Rate::new(7.9) };
+//! let notice = Notice { process, limit: Rate::new(7.9), leaving: false };
 //! assert_eq!(notice.to_string().parse(), Ok(notice));
 //! ```
 
@@ -69,11 +70,13 @@
     pub process: Tag,
     /// Requests that it accepts from all daemons together.
     pub limit: Option<Rate>,
+    /// Whether it accepts no more requests, which is final.
+    pub leaving: bool,
 }
 
 /// Error of parsing a [`Notice`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
-#[snafu(display("not a notice: three fields separated by commas are expected"))]
+#[snafu(display("not a notice: four fields separated by commas are expected"))]
 pub struct ParseNoticeError;
 
 /// Limit that one target process names, as of its latest response.
@@ -112,6 +115,15 @@
     rate.map(Some)
 }
 
+/// Whether a response says that the target is leaving.
+#[must_use]
+pub fn says_leaving(headers: &HeaderMap, dialect: &Dialect) -> bool {
+    let values = headers.get_all(&dialect.leaving);
+    values
+        .iter()
+        .any(|value| value.as_bytes().trim_ascii() == b"1")
+}
+
 impl Tag {
     /// Tag of the process with this name and start time.
     #[must_use]
@@ -140,7 +152,7 @@
 impl fmt::Display for Notice {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Tag { instance, start_ms } = self.process;
-        write!(f, "{instance:x},{start_ms:x},")?;
+        write!(f, "{instance:x},{start_ms:x},{},", u8::from(self.leaving))?;
         self.limit.map_or(Ok(()), |limit| limit.fmt(f))
     }
 }
@@ -150,7 +162,7 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let fields: Vec<&str> = text.split(',').collect();
-        let [instance, start_ms, limit] = fields[..] else {
+        let [instance, start_ms, leaving, limit] = fields[..] else {
             return Err(ParseNoticeError);
         };
         let number = |text| u64::from_str_radix(text, 16).map_err(|_| ParseNoticeError);
@@ -161,6 +173,7 @@
                 start_ms: number(start_ms)?,
             },
             limit: limit.transpose()?,
+            leaving: leaving == "1",
         })
     }
 }
--- a/src/calls/throttle.rs
+++ b/src/calls/throttle.rs
@@ -11,6 +11,7 @@
 
 use crate::calls::admission::Queue;
 use crate::calls::notice::{self, Fault, NamedLimit, Notice, Tag};
+use crate::calls::outcome::Reason;
 use crate::shared_state::{SharedState, Target};
 use crate::units::Rate;
 
@@ -44,20 +45,28 @@
 
     /// Prepares for a request to `target`, whose ingress has received this notice from it.
     ///
-    /// The notice counts until the process has responded to this daemon. Guards against a burst
-    /// after a restart of this daemon: it has forgotten the limit, and the first response that
-    /// names it comes only after all slots have been filled.
-    pub fn prepare(&self, target: &Target, notice: Option<Notice>) {
+    /// A limit in the notice counts until the process has responded to this daemon. Guards against
+    /// a burst after a restart of this daemon: it has forgotten the limit, and the first response
+    /// that names it comes only after all slots have been filled.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::NoTarget`] if the ingress knows that the process is leaving.
+    pub fn prepare(&self, target: &Target, notice: Option<Notice>) -> Result<(), Reason> {
         let mut known = self.known();
         self.follow(&mut known, target.tag());
         let notice = notice.filter(|notice| notice.process.may_be(target.tag()));
+        if notice.is_some_and(|notice| notice.leaving) {
+            return Err(Reason::NoTarget);
+        }
         let Some(limit) = notice.and_then(|notice| notice.limit) else {
-            return;
+            return Ok(());
         };
         if !known.has_responded && known.limit.rate() != Some(limit) {
             known.limit = NamedLimit::adopted(limit);
             self.queue.set_rate(Some(limit));
         }
+        Ok(())
     }
 
     /// Records a response of `target` to a request that was sent at `sent`; returns the notice for
@@ -72,10 +81,19 @@
         sent: Instant,
     ) -> Option<Notice> {
         let process = target.tag();
+        let leaving = notice::says_leaving(headers, &self.shared.dialect);
+        if leaving && self.shared.retire_target(target) {
+            info!(self.shared.logger, "target is leaving, by its response";
+                "instance" => target.instance.as_ref().map(ToString::to_string));
+        }
         let named = notice::read_limit(headers, &self.shared.dialect);
         let mut known = self.known();
         if !known.process.may_be(process) {
-            return None;
+            return leaving.then_some(Notice {
+                process,
+                limit: None,
+                leaving,
+            });
         }
         let before = known.limit.rate();
         match named {
@@ -91,9 +109,11 @@
             self.queue.set_rate(limit);
             self.log_change(target, limit);
         }
-        limit.map(|limit| Notice {
+        let is_notable = leaving || limit.is_some();
+        is_notable.then_some(Notice {
             process,
-            limit: Some(limit),
+            limit,
+            leaving,
         })
     }
 
--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
 
 use http::{Method, Request, StatusCode};
@@ -16,6 +16,7 @@
 use volo_http::server::route::{get, post};
 
 use crate::calls::dispatch::Dispatcher;
+use crate::calls::notice;
 use crate::clock;
 use crate::membership::controller::Membership;
 use crate::membership::member::Stage;
@@ -104,7 +105,6 @@
     membership: Arc<Membership>,
     dispatcher: Dispatcher,
     crash_detector: Detector,
-    processes: Mutex<Processes>,
     /// Latest start time of targets that name no instance, in milliseconds since 1970; 0 if none was reported.
     latest_start_ms: AtomicU64,
 }
@@ -122,7 +122,6 @@
             shared,
             membership,
             dispatcher: Dispatcher::new(Duration::ZERO),
-            processes: Mutex::default(),
             latest_start_ms: AtomicU64::new(0),
         }
     }
@@ -306,7 +305,9 @@
             .await
             .ok()?
             .ok()?;
-        let healthy = response.status().is_success();
+        // A health check may be wrong; what a target says of its end is not.
+        let leaving = notice::says_leaving(response.headers(), &self.shared.dialect);
+        let healthy = response.status().is_success() && !leaving;
         let instance = response.headers().get(name).filter(|_| healthy)?;
         instance.to_str().ok().map(Instance::from)
     }
@@ -315,8 +316,11 @@
         let identity = |target: &Target| (target.instance.clone(), target.start_time);
         let before = self.shared.target();
         let same = before.is_some_and(|before| identity(&before) == identity(&target));
+        if !self.shared.set_target(Some(target)) {
+            // A response has shown meanwhile that it is leaving.
+            return;
+        }
         lock_running(&self.shared.running).mark_ready(!same);
-        self.shared.set_target(Some(target));
         self.membership.publish_own_entry().await;
     }
 
@@ -330,9 +334,7 @@
     }
 
     fn processes(&self) -> MutexGuard<'_, Processes> {
-        self.processes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.shared.processes()
     }
 
     async fn announce(&self, body: &[u8]) -> (StatusCode, String) {
--- a/src/membership/controller.rs
+++ b/src/membership/controller.rs
@@ -87,6 +87,8 @@
         tokio::spawn(async move { receiver.receive().await });
         let announcer = Arc::clone(&self);
         tokio::spawn(async move { announcer.announce_version().await });
+        let publisher = Arc::clone(&self);
+        tokio::spawn(async move { publisher.publish_retirements().await });
         let voucher = Arc::clone(&self);
         tokio::spawn(async move { voucher.send_watermark().await });
         let period = self.shared.settings.probe_period_ms;
@@ -114,6 +116,14 @@
         }
     }
 
+    /// Publishes the own entry as soon as a response has shown that the target is leaving.
+    async fn publish_retirements(&self) {
+        loop {
+            self.shared.target_retired().await;
+            self.publish_own_entry().await;
+        }
+    }
+
     fn close_idle_links(&self) {
         for (_, upstream) in self.shared.roster().all_upstreams() {
             upstream.link.close_idle();
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -6,13 +6,13 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use serde::Serialize;
 use slog::Logger;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::calls::dialect::Dialect;
 use crate::calls::log_rate::Limiter;
@@ -24,6 +24,8 @@
 use crate::configuration::freshness::Freshness;
 use crate::membership::member::{Offer, Stage};
 use crate::membership::roster::Roster;
+use crate::membership::target::Processes;
+use crate::quarantine::detector::lock_running;
 use crate::quarantine::running::Running;
 use crate::quarantine::shared::Quarantine;
 use crate::rollout::shared::Rollouts;
@@ -127,6 +129,11 @@
     config: ArcSwap<Snapshot>,
     roster: ArcSwap<Roster>,
     target: ArcSwapOption<Target>,
+    /// Processes of the targets at the co-located address. Locked for a few instructions, and while
+    /// the target is set or removed.
+    processes: Mutex<Processes>,
+    /// Notified when a response has shown that the target is leaving.
+    target_retired: Notify,
     /// Requests running at the target; the lock is held for a few instructions only.
     pub running: Mutex<Running>,
     /// Requests quarantined because they crash targets.
@@ -164,6 +171,8 @@
             config: ArcSwap::from_pointee(Snapshot::compile(Version(0), Arc::default())),
             roster: ArcSwap::default(),
             target: ArcSwapOption::empty(),
+            processes: Mutex::default(),
+            target_retired: Notify::new(),
             running: Mutex::default(),
             stage: AtomicU8::new(Stage::Starting as u8),
             registered: AtomicBool::new(false),
@@ -260,9 +269,46 @@
         self.target.load_full()
     }
 
-    /// Replaces the co-located target.
-    pub fn set_target(&self, target: Option<Target>) {
+    /// Replaces the co-located target, unless the current process is leaving; returns whether there
+    /// is one now.
+    pub fn set_target(&self, target: Option<Target>) -> bool {
+        let processes = self.processes();
+        let target = target.filter(|_| !processes.is_leaving());
+        let is_set = target.is_some();
         self.target.store(target.map(Arc::new));
+        is_set
+    }
+
+    /// Records that a target has said in a response that it is leaving, like an announcement that
+    /// says so; returns `false` if it is not the current target.
+    pub fn retire_target(&self, leaving: &Target) -> bool {
+        let mut processes = self.processes();
+        let current = self.target();
+        let is_current = current.is_some_and(|current| current.tag().may_be(leaving.tag()));
+        if !is_current {
+            return false;
+        }
+        if let Some(instance) = &leaving.instance
+            && processes.is_current(instance)
+        {
+            processes.set_leaving();
+        }
+        lock_running(&self.running).mark_draining();
+        self.target.store(None);
+        self.target_retired.notify_one();
+        true
+    }
+
+    /// Waits until [`retire_target`](Self::retire_target) has retired a target.
+    pub async fn target_retired(&self) {
+        self.target_retired.notified().await;
+    }
+
+    /// Processes of the targets at the co-located address.
+    pub fn processes(&self) -> MutexGuard<'_, Processes> {
+        self.processes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Removes the co-located target if it is still the one that failed.
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -6,7 +6,9 @@
 use http::{HeaderMap, HeaderValue};
 use jackdawpulley::calls::dialect::Dialect;
 use jackdawpulley::calls::metadata::{Metadata, read_metadata, write_metadata};
-use jackdawpulley::calls::notice::{Fault, Memory, NamedLimit, Notice, Tag, read_limit};
+use jackdawpulley::calls::notice::{
+    Fault, Memory, NamedLimit, Notice, Tag, read_limit, says_leaving,
+};
 use jackdawpulley::configuration::document::Guard;
 use jackdawpulley::quarantine::fingerprint::Fingerprint;
 use jackdawpulley::units::{Instance, Millis, ParseRateError, Priority, Rate, Service, StartTime};
@@ -20,6 +22,7 @@
     Notice {
         process: Tag::new(Some(&Instance::from(instance)), start_time),
         limit: Some(rate(limit)),
+        leaving: false,
     }
 }
 
@@ -81,6 +84,23 @@
     assert_eq!(read(&[b"5", b"9"]), Err(Fault::Repeated { count: 2 }));
 }
 
+#[test]
+fn leaving_is_read() {
+    let dialect = Dialect::default();
+    for (value, expected) in [
+        ("1", true),
+        (" 1", true),
+        ("0", false),
+        ("yes", false),
+        ("", false),
+    ] {
+        let mut headers = HeaderMap::new();
+        headers.insert(&dialect.leaving, HeaderValue::from_static(value));
+        assert_eq!(says_leaving(&headers, &dialect), expected, "{value:?}");
+    }
+    assert!(!says_leaving(&HeaderMap::new(), &dialect));
+}
+
 /// Guards against log lines as long as the value that a target sends.
 #[test]
 fn long_values_are_cut() {
@@ -93,7 +113,13 @@
     for text in [notice("a", Some(7), 0.25), notice("b", None, 1e6)] {
         assert_eq!(text.to_string().parse(), Ok(text));
     }
-    for text in ["", "1,2", "1,2,x", "z,1,2", "1,2,3,4", "1,2,-3"] {
+    let leaving = Notice {
+        limit: None,
+        leaving: true,
+        ..notice("c", Some(1), 1.0)
+    };
+    assert_eq!(leaving.to_string().parse(), Ok(leaving));
+    for text in ["", "1,2,0", "1,2,0,x", "z,1,0,2", "1,2,0,3,4", "1,2,0,-3"] {
         assert!(text.parse::<Notice>().is_err(), "{text}");
     }
 }
@@ -126,7 +152,7 @@
         notice: None,
         ..metadata
     };
-    headers.insert("x-jackdaw-notice", HeaderValue::from_static("1,2,3"));
+    headers.insert("x-jackdaw-notice", HeaderValue::from_static("1,2,0,3"));
     write_metadata(&mut headers, without.clone());
     assert_eq!(read_metadata(&mut headers).expect("valid"), without);
 }
@@ -187,6 +213,7 @@
     let anonymous = Notice {
         process: Tag::default(),
         limit: Some(rate(1.0)),
+        leaving: true,
     };
     memory.record(peer, Some(anonymous), at(50), at(60));
     assert_eq!(memory.get(peer), None);
