--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -325,10 +325,13 @@
         let mut recorder = Recorder::begin(&executor.shared, &metadata.route, deadline);
         let mut notice = None;
         let exchange = async {
-            let sending =
-                executor
-                    .dispatcher
-                    .send(self.target.address, request, metadata.repeatable);
+            let on_connection = || run.mark_connected();
+            let sending = executor.dispatcher.send(
+                self.target.address,
+                request,
+                metadata.repeatable,
+                &on_connection,
+            );
             let (response, connection) = sending.await?;
             let validator = Validator::new(response, connection, dialect, &metadata.id);
             if let Some(headers) = validator.headers_of_target() {
--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -300,7 +300,7 @@
             .header(http::header::HOST, address.to_string())
             .body(Body::empty());
         let request = request.ok()?;
-        let asking = self.dispatcher.send(address, request, true);
+        let asking = self.dispatcher.send(address, request, true, &|| {});
         let (response, _lease) = tokio::time::timeout(HEALTH_CHECK_TIMEOUT, asking)
             .await
             .ok()?
--- a/src/quarantine/detector.rs
+++ b/src/quarantine/detector.rs
@@ -159,6 +159,12 @@
 }
 
 impl RunGuard {
+    /// Records that the request has a connection to the target.
+    pub fn mark_connected(&self) {
+        let now = Instant::now();
+        self.detector.running().mark_connected(now, self.id);
+    }
+
     /// Ends the run with its outcome.
     pub fn finish(mut self, completion: Completion) {
         self.completion = completion;
--- a/src/quarantine/running.rs
+++ b/src/quarantine/running.rs
@@ -30,7 +30,7 @@
     pub route: String,
     /// Service on whose host the request began.
     pub from: Service,
-    /// When the request was sent to the target.
+    /// When the request was handed to a connection to the target, or when it was to be sent until then.
     pub began: Instant,
 }
 
@@ -77,6 +77,17 @@
         RunId(id)
     }
 
+    /// Records that a run has a connection to the target.
+    ///
+    /// Guards against a run that waits for its connection while the target is restarted: the next process
+    /// gets it, so it must not count as one of the process before.
+    pub fn mark_connected(&mut self, now: Instant, id: RunId) {
+        let found = self.in_flight.binary_search_by_key(&id.0, |(id, _)| *id);
+        if let Ok(index) = found {
+            self.in_flight[index].1.began = now;
+        }
+    }
+
     /// The requests that are in flight.
     pub fn in_flight(&self) -> impl Iterator<Item = &Run> {
         self.in_flight.iter().map(|(_, run)| run)
--- a/tests/crash_detection.rs
+++ b/tests/crash_detection.rs
@@ -215,3 +215,17 @@
     running.finish(later, late, Completion::Unresolved);
     assert!(crash(&mut running, later).is_empty());
 }
+
+/// Guards against a crash that is not reported because the request that caused it began while the target was
+/// being restarted, and was taken for one of the process before.
+#[test]
+fn run_belongs_to_connected_process() {
+    let (mut running, start) = (Running::default(), Instant::now());
+    let at = |ms| start + Duration::from_millis(ms);
+    let cause = running.begin(run("/cause", at(0)));
+    // The next process starts at 10 ms, gets the request at 20 ms and announces itself at 30 ms.
+    running.mark_connected(at(20), cause);
+    let age = Some(Duration::from_millis(20));
+    assert!(running.restarted(at(30), age).is_empty(), "it never had it");
+    assert_eq!(crash(&mut running, at(400)), [run("/cause", at(20))]);
+}
