--- a/src/calls/admission.rs
+++ b/src/calls/admission.rs
@@ -1,8 +1,8 @@
 //! Admission queue in front of a target.
 //!
 //! [`Limit`] decides which requests run, wait or are shed, and a [`Bucket`] when they may start if
-//! the target names a rate; this module suspends and wakes their tasks. A slot and a place in the queue are guards that release on drop, so a request that is
-//! cancelled at any point leaks neither.
+//! the target names a rate; this module suspends and wakes their tasks. A slot and a place in the
+//! queue are guards that release on drop, so a request that is cancelled at any point leaks neither.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
