--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -1,10 +1,11 @@
 //! Calls: the path of a request from its caller to a target and back.
 //!
 //! The ingress is the daemon that receives a caller's request. It finds the request's [`route`],
-//! [`pick`]s an upstream by its [`latency`] and forwards the request with its [`metadata`] to the
-//! sidecar, the daemon beside the target. The sidecar's concurrency [`limit`] bounds the requests
-//! at the target, and a [`pacer`] the rate at which they start if the target names one in a
-//! [`notice`]; [`wait`] bounds how long a request may wait for that. Only the ingress may [`retry`]. The response names the [`outcome`]. Header names and conventions are those of a
+//! [`pick`]s an upstream by its [`latency`] and [`pace`], and forwards the request with its
+//! [`metadata`] to the sidecar, the daemon beside the target. The sidecar's concurrency [`limit`]
+//! bounds the requests at the target, and a [`pacer`] the rate at which they start if the target
+//! names one in a [`notice`]; [`wait`] bounds how long a request may wait for that. Only the ingress
+//! may [`retry`]. The response names the [`outcome`]. Header names and conventions are those of a
 //! [`dialect`]. The number of callers' [`connections`] is limited where they are accepted.
 
 pub(crate) mod admission;
