--- a/src/calls/notice.rs
+++ b/src/calls/notice.rs
@@ -179,7 +179,7 @@
 }
 
 impl NamedLimit {
-    /// A limit that another daemon was told, in force until the process responds.
+    /// A limit from the notice of an ingress, in force until the process responds.
     #[must_use]
     pub const fn adopted(rate: Rate) -> Self {
         Self {
