Configuration: teams with keys, priority and quota; public routes

Teams are resources of the document like routes: checked (a key held twice, an empty key, a negative rate), normalized where the platform has accepted them, and carried by whole documents and deltas. Nothing reads the teams yet.

--- a/src/configuration/check.rs
+++ b/src/configuration/check.rs
@@ -9,6 +9,8 @@
 use crate::configuration::document::{Bounds, Document, Group, Retry, Route};
 use crate::configuration::fault::Fault;
 use crate::error::{DocumentSnafu, Error, Result};
+use crate::teams::key::Key;
+use crate::teams::team::Team;
 
 /// Longest name of a resource, in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
@@ -50,6 +52,8 @@
     check.names("routes", document.routes.iter().map(|r| r.name.as_str()));
     check.names("groups", document.groups.iter().map(|g| g.name.as_str()));
     check.names("retries", document.retries.iter().map(|r| r.name.as_str()));
+    check.names("teams", document.teams.iter().map(|t| t.name.as_str()));
+    check.keys(&document.teams);
     for (index, route) in document.routes.iter().enumerate() {
         check.route(index, route, document);
     }
@@ -232,6 +236,30 @@
         }
     }
 
+    /// Requires that each key has text and a single holder.
+    fn keys(&mut self, teams: &[Team]) {
+        let mut seen: Vec<(&Key, &str)> = Vec::new();
+        for (index, team) in teams.iter().enumerate() {
+            for (position, key) in team.keys.iter().enumerate() {
+                let path = format!("teams[{index}].keys[{position}]");
+                let has_text = !key.expose().is_empty();
+                self.require(
+                    has_text,
+                    path.clone(),
+                    "the key is empty".into(),
+                    "use at least one character",
+                );
+                match seen.binary_search_by(|(other, _)| (*other).cmp(key)) {
+                    Ok(found) => {
+                        let problem = format!("{key} is held by {:?} already", seen[found].1);
+                        self.require(false, path, problem, "give each team keys of its own");
+                    }
+                    Err(at) => seen.insert(at, (key, &team.name)),
+                }
+            }
+        }
+    }
+
     fn retry(&mut self, index: usize, retry: &Retry) {
         let at = |field: &str| format!("retries[{index}].{field}");
         let fits = (1..=MAX_ATTEMPTS).contains(&retry.attempts);
--- a/src/configuration/delta.rs
+++ b/src/configuration/delta.rs
@@ -24,6 +24,7 @@
 
 use crate::configuration::document::{Bounds, Document, Group, Retry, Route};
 use crate::error::{DeltaSnafu, Result};
+use crate::teams::team::Team;
 
 /// Changes that turn one document into another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +34,9 @@
     routes: Edits<Route>,
     groups: Edits<Group>,
     retries: Edits<Retry>,
+    /// Absent in records of earlier releases.
+    #[serde(default)]
+    teams: Edits<Team>,
     bounds: Option<Bounds>,
 }
 
@@ -64,6 +68,12 @@
     }
 }
 
+impl Named for Team {
+    fn name(&self) -> &str {
+        &self.name
+    }
+}
+
 impl Delta {
     /// The changes from `old` to `new`, both of which must be sorted.
     #[must_use]
@@ -73,6 +83,7 @@
             routes: Edits::between(&old.routes, &new.routes),
             groups: Edits::between(&old.groups, &new.groups),
             retries: Edits::between(&old.retries, &new.retries),
+            teams: Edits::between(&old.teams, &new.teams),
             bounds: (old.bounds != new.bounds).then_some(new.bounds),
         }
     }
@@ -84,6 +95,7 @@
             self.routes.summary("route"),
             self.groups.summary("group"),
             self.retries.summary("retry rule"),
+            self.teams.summary("team"),
             self.bounds
                 .map(|_| "set bounds".to_owned())
                 .into_iter()
@@ -102,6 +114,7 @@
             routes: self.routes.apply(&base.routes),
             groups: self.groups.apply(&base.groups),
             retries: self.retries.apply(&base.retries),
+            teams: self.teams.apply(&base.teams),
             bounds: self.bounds.unwrap_or(base.bounds),
         };
         // If `base` is not the document that the delta was computed from, the result mixes two
@@ -114,6 +127,15 @@
     }
 }
 
+impl<T> Default for Edits<T> {
+    fn default() -> Self {
+        Self {
+            upserts: Vec::new(),
+            removals: Vec::new(),
+        }
+    }
+}
+
 impl<T: Named> Edits<T> {
     fn between(old: &[T], new: &[T]) -> Self {
         let upserts = new
--- a/src/configuration/document.rs
+++ b/src/configuration/document.rs
@@ -1,6 +1,6 @@
 //! The configuration document that operators publish.
 //!
-//! A document holds named resources (routes, upstream groups and retry rules) and the bounds on
+//! A document holds named resources (routes, upstream groups, retry rules and teams) and the bounds on
 //! callers' requests. Unknown JSON fields are rejected; fields with a default are optional. Within
 //! the system resources are sorted by name, and [`Document::hash`] depends on that order.
 
@@ -8,6 +8,7 @@
 use strum::{Display, EnumString, VariantNames};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::teams::team::Team;
 use crate::units::{Millis, Percent, Priority, Service, Slots};
 use crate::wire;
 
@@ -24,6 +25,9 @@
     /// Rules for retrying failed requests.
     #[serde(default)]
     pub retries: Vec<Retry>,
+    /// Callers with keys; if there are any, requests need a key.
+    #[serde(default)]
+    pub teams: Vec<Team>,
     /// Limits on callers' requests and connections.
     #[serde(default)]
     pub bounds: Bounds,
@@ -71,6 +75,9 @@
     /// How a repeated `Idempotency-Key` is kept from running twice.
     #[serde(default)]
     pub guard: Guard,
+    /// Whether requests need no key although there are teams.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// A group's share of a route's requests.
@@ -268,6 +275,7 @@
         self.routes.sort_by(|a, b| a.name.cmp(&b.name));
         self.groups.sort_by(|a, b| a.name.cmp(&b.name));
         self.retries.sort_by(|a, b| a.name.cmp(&b.name));
+        self.teams.sort_by(|a, b| a.name.cmp(&b.name));
         self
     }
 
--- a/src/configuration/normalize.rs
+++ b/src/configuration/normalize.rs
@@ -26,6 +26,8 @@
 };
 use crate::configuration::document::{Bounds, Document, Retry, Route, Share};
 use crate::configuration::fault::Fault;
+use crate::teams::key::Key;
+use crate::teams::team::Team;
 use crate::units::Millis;
 
 /// Bytes that are kept of a name that is too long; a hash of the whole name is appended.
@@ -47,6 +49,7 @@
         normalize_attempts(retry, &mut faults);
     }
     normalize_bounds(&mut document.bounds, &mut faults);
+    normalize_teams(&mut document.teams, &mut faults);
     (document.sorted(), faults)
 }
 
@@ -156,6 +159,48 @@
     format!("{}#{:016x}", &name[..kept], xxh3_64(name.as_bytes()))
 }
 
+/// Leaves each team name and each key with its first holder, and drops empty ones.
+fn normalize_teams(teams: &mut Vec<Team>, faults: &mut Vec<Fault>) {
+    teams.dedup_by(|later, first| {
+        let repeated = later.name == first.name;
+        if repeated {
+            let path = format!("teams[{:?}]", later.name);
+            faults.push(fault(
+                path,
+                "duplicate name".into(),
+                "their keys are joined",
+            ));
+            first.keys.append(&mut later.keys);
+        }
+        repeated
+    });
+    teams.retain(|team| {
+        let is_named = !team.name.is_empty();
+        if !is_named {
+            let problem = "the name is empty".into();
+            faults.push(fault("teams".into(), problem, "the team is left out"));
+        }
+        is_named
+    });
+    let mut used: Vec<Key> = Vec::new();
+    for team in teams {
+        let name = &team.name;
+        team.keys.retain(|key| {
+            let found = used.binary_search(key);
+            let is_usable = found.is_err() && !key.expose().is_empty();
+            if let Err(index) = found {
+                used.insert(index, key.clone());
+            }
+            if !is_usable {
+                let path = format!("teams[{name:?}].keys");
+                let problem = format!("{key} is empty or held already");
+                faults.push(fault(path, problem, "its first holder keeps it"));
+            }
+            is_usable
+        });
+    }
+}
+
 fn normalize_attempts(retry: &mut Retry, faults: &mut Vec<Fault>) {
     if retry.attempts > MAX_ATTEMPTS {
         let path = format!("retries[{:?}].attempts", retry.name);
--- a/src/configuration/replica.rs
+++ b/src/configuration/replica.rs
@@ -59,7 +59,7 @@
     /// The whole document.
     Whole(Document),
     /// The changes from the active document.
-    Delta(Delta),
+    Delta(Box<Delta>),
 }
 
 /// An edit as its publisher submits it.
--- a/src/configuration/store.rs
+++ b/src/configuration/store.rs
@@ -138,7 +138,10 @@
         // Every replica that could accept the edit holds its base, so the delta is enough.
         let known = base == Base::Version(state.replica.version());
         let content = if known && self.shared.settings.delivery == Delivery::Delta {
-            Content::Delta(Delta::between(state.replica.document(), &document))
+            Content::Delta(Box::new(Delta::between(
+                state.replica.document(),
+                &document,
+            )))
         } else {
             Content::Whole(document)
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod rollout;
 pub mod settings;
 pub mod shared_state;
+pub mod teams;
 pub mod telemetry;
 pub mod units;
 pub mod wire;
--- a/src/units.rs
+++ b/src/units.rs
@@ -104,6 +104,11 @@
     Slots, u32
 }
 
+number! {
+    /// Number of requests that a quota allows in addition to its rate.
+    Burst, u64
+}
+
 number! {
     /// Priority of a request: the lowest value goes first.
     Priority, u8
@@ -150,8 +155,8 @@
 }
 
 /// Number of requests per second; finite and not negative.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize)]
-#[serde(transparent)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
 pub struct Rate(f64);
 
 /// Why a text is not a [`Rate`].
@@ -186,6 +191,27 @@
 // A rate is never NaN.
 impl Eq for Rate {}
 
+/// A number that is not a [`Rate`].
+#[derive(Debug, Clone, Copy, PartialEq, Snafu)]
+#[snafu(display("{number} requests per second; use a number of 0 or more"))]
+pub struct RateError {
+    number: f64,
+}
+
+impl TryFrom<f64> for Rate {
+    type Error = RateError;
+
+    fn try_from(number: f64) -> Result<Self, Self::Error> {
+        Self::new(number).ok_or(RateError { number })
+    }
+}
+
+impl From<Rate> for f64 {
+    fn from(rate: Rate) -> Self {
+        rate.0
+    }
+}
+
 impl fmt::Display for Rate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -28,6 +28,7 @@
             budget: Percent(0),
             backoff_ms: Millis(number),
         }],
+        teams: Vec::new(),
         bounds: Bounds::default(),
     }
 }
@@ -56,6 +57,7 @@
         latency_ms: None,
         repeatable: false,
         guard: Guard::Memory,
+        public: false,
     }
 }
 
--- a/tests/configuration_replica.rs
+++ b/tests/configuration_replica.rs
@@ -187,7 +187,7 @@
                 let content = if number % 2 == 0 {
                     Content::Whole(document)
                 } else {
-                    Content::Delta(Delta::between(&log.current().1, &document))
+                    Content::Delta(Box::new(Delta::between(&log.current().1, &document)))
                 };
                 let id = EditId(format!("edit-{}", state.steps));
                 log.append(Record::Edit(Edit { id, base, content }));
--- a/trial/src/rig/deployment.rs
+++ b/trial/src/rig/deployment.rs
@@ -87,6 +87,7 @@
                 .map(|(name, _)| group(name))
                 .collect(),
             retries: vec![retry("reads", 3), retry("once", 3)],
+            teams: Vec::new(),
             bounds: Bounds::default(),
         }
         .sorted()
@@ -141,6 +142,7 @@
         latency_ms: None,
         repeatable,
         guard: Guard::Memory,
+        public: false,
     }
 }
 
@@ -184,6 +186,7 @@
             .map(|s| group(&format!("service-{s:03}")))
             .collect(),
         retries: vec![retry("reads", 3), retry("once", 3)],
+        teams: Vec::new(),
         bounds: Bounds::default(),
     }
     .sorted()
