Shutdown: signals are handled from the first moment of the start

A SIGTERM that arrived before the daemon had built its parts ended the process by the signal in place of a graceful shutdown, so that a supervisor that stopped a starting daemon saw it fail. The handlers are now installed before anything else; a signal received meanwhile is acted on as soon as the parts run.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -40,8 +40,8 @@
 use crate::rollout::controller::Controller;
 use crate::settings::Settings;
 use crate::shared_state::SharedState;
-use crate::shutdown::Shutdown;
 pub use crate::shutdown::{EXIT_INTERRUPTED, EXIT_STOPPED};
+use crate::shutdown::{Shutdown, Signals};
 use crate::telemetry;
 use crate::units::{Generation, Millis};
 
@@ -123,8 +123,10 @@
 ///
 /// # Errors
 ///
-/// [`crate::Error::Listen`] if an address cannot be bound.
+/// [`crate::Error::Listen`] if an address cannot be bound, [`crate::Error::Signals`] if signals cannot be
+/// handled.
 pub async fn run(settings: Settings, extension: Extension) -> Result<u8> {
+    let signals = Signals::install()?;
     let logger = telemetry::logger(settings.logs, settings.verbose);
     info!(logger, "starting"; "peer" => %settings.peer_addr, "data_centre" => %settings.data_centre);
     let Extension {
@@ -220,7 +222,7 @@
         control_plane,
         reload,
     };
-    shutdown.run().await
+    Ok(shutdown.run(signals).await)
 }
 
 /// Starts the tasks that replicate state between daemons: generations, rollouts and quarantined
--- a/src/error.rs
+++ b/src/error.rs
@@ -121,6 +121,12 @@
         /// Error of the operating system.
         source: std::io::Error,
     },
+    /// A signal handler could not be installed.
+    #[snafu(display("cannot handle signals: {source}; raise the limit of open files"))]
+    Signals {
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
     /// A server stopped with an error.
     #[snafu(display("the server on {address} stopped: {reason}; restart the daemon"))]
     Serve {
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -7,12 +7,13 @@
 use std::time::{Duration, Instant};
 
 use slog::{info, warn};
-use tokio::signal::unix::{SignalKind, signal};
+use snafu::ResultExt;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 use crate::calls::http_server::Phase;
 use crate::configuration::control_plane::ControlPlane;
-use crate::error::{Error, Result};
+use crate::error::{Result, SignalsSnafu};
 use crate::extension::Reload;
 use crate::idempotency::deduplicator::Deduplicator;
 use crate::membership::controller::Membership;
@@ -45,6 +46,33 @@
 /// Time between the last response and the end of the process.
 const RESPONSE_FLUSH_WAIT: Duration = Duration::from_millis(50);
 
+/// Signals that the process handles, each received from [`Signals::install`] on.
+#[derive(Debug)]
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    ///
+    /// This must precede the rest of the start: a signal without a handler ends the process, so that a
+    /// supervisor that stops a starting daemon would see it fail.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Signals`](crate::Error::Signals) if a handler cannot be installed.
+    pub fn install() -> Result<Self> {
+        let handler = |kind| signal(kind).context(SignalsSnafu);
+        Ok(Self {
+            terminate: handler(SignalKind::terminate())?,
+            interrupt: handler(SignalKind::interrupt())?,
+            hangup: handler(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Runs the graceful shutdown of a daemon.
 pub struct Shutdown {
     /// State shared by the daemon's controllers.
@@ -63,20 +91,14 @@
 
 impl Shutdown {
     /// Waits for a signal or an operator's request, then shuts down gracefully; returns the exit status.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Listen`] if a signal handler cannot be installed.
-    pub async fn run(mut self) -> Result<u8> {
+    pub async fn run(mut self, signals: Signals) -> u8 {
+        let Signals {
+            mut terminate,
+            mut interrupt,
+            mut hangup,
+        } = signals;
         let mut reload = self.reload.take();
         let shared = &self.shared;
-        let listening = |source| Error::Listen {
-            address: shared.settings.operator_addr,
-            source,
-        };
-        let mut terminate = signal(SignalKind::terminate()).map_err(listening)?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(listening)?;
-        let mut hangup = signal(SignalKind::hangup()).map_err(listening)?;
         let mut stages = shared.stages();
         let mut polls = tokio::time::interval(SETTINGS_POLL_PERIOD);
         polls.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -97,11 +119,11 @@
         tokio::select! {
             () = self.drain() => {
                 info!(shared.logger, "stopped");
-                Ok(EXIT_STOPPED)
+                EXIT_STOPPED
             }
             // A supervisor may send SIGTERM more than once, which must not abort calls; an interrupt
             // from a terminal may.
-            _ = interrupt.recv() => Ok(EXIT_INTERRUPTED),
+            _ = interrupt.recv() => EXIT_INTERRUPTED,
         }
     }
 
