Teams: directory of keys and teams with each configuration version

The request path needs the team of a key by the same version that routes the request. Nothing uses it yet.

--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -30,6 +30,7 @@
 use crate::quarantine::shared::Quarantine;
 use crate::rollout::shared::Rollouts;
 use crate::settings::Settings;
+use crate::teams::directory::Directory;
 use crate::telemetry::Meter;
 use crate::units::{Generation, Instance, Millis, Revision, Slots, StartTime, Version};
 
@@ -45,6 +46,8 @@
     pub document: Arc<Document>,
     /// Routing table compiled from the document.
     pub table: Table,
+    /// Teams compiled from the document, with their keys.
+    pub teams: Directory,
     /// When it was compiled for activation, in Unix microseconds.
     pub since_us: u64,
 }
@@ -58,10 +61,12 @@
             hash: document.hash(),
         };
         let table = Table::compile(&document);
+        let teams = Directory::compile(&document.teams);
         Self {
             digest,
             document,
             table,
+            teams,
             since_us: clock::unix_us(),
         }
     }
--- a/src/teams/key.rs
+++ b/src/teams/key.rs
@@ -12,6 +12,10 @@
 #[serde(transparent)]
 pub struct Key(String);
 
+/// Short hash of a key: enough to tell the keys of a team apart, too few bits to guess one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Digest(u16);
+
 /// Why a text is not a [`Key`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 #[non_exhaustive]
@@ -27,6 +31,27 @@
     pub fn expose(&self) -> &str {
         &self.0
     }
+
+    /// Digest by which operators may refer to the key.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        Digest::of(self.0.as_bytes())
+    }
+}
+
+impl Digest {
+    /// Digest of a key's text.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, reason = "16 bits are kept")]
+    pub fn of(text: &[u8]) -> Self {
+        Self(xxh3_64(text) as u16)
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "key-{:04x}", self.0)
+    }
 }
 
 impl From<String> for Key {
@@ -47,9 +72,8 @@
 }
 
 impl fmt::Display for Key {
-    /// Writes 16 bits of a hash: enough to tell the keys of a team apart, too few to guess one.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "key-{:04x}", xxh3_64(self.0.as_bytes()) & 0xffff)
+        self.digest().fmt(f)
     }
 }
 
