Calls: authenticate callers by their team's key

With teams in the configuration, a request to a route that is not public needs the key of a team; otherwise it is refused with 401, reason unauthenticated, before its body is read. Call.team holds the team for later decisions.

The ingress removes the caller's key and team header, and the sidecar writes the team's name from the metadata. The sidecar removes both headers as well where its own version has teams: an ingress that still has the version before would forward them. Without teams in the configuration, both headers pass as before.

Idempotency keys are scoped by team, so that a team does not get the response of another one that chose the same key. The line 'call refused' names the caller, and jackdaw_unauthenticated_total counts refusals by whether the key was missing or unknown.

--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -10,6 +10,7 @@
 use volo_http::body::Body;
 
 use crate::calls::dialect::Dialect;
+use crate::calls::executor::remove_team_headers;
 use crate::calls::metadata::{Metadata, write_metadata};
 use crate::calls::outcome::Reason;
 use crate::calls::route::ResolvedRoute;
@@ -21,11 +22,25 @@
 use crate::peer::Failure;
 use crate::quarantine::fingerprint::{Content, Fingerprint};
 use crate::shared_state::Snapshot;
+use crate::teams::directory::{Caller, Entry, Unauthenticated};
 use crate::units::{IdempotencyKey, Millis, Service};
 
 /// Header with the caller's idempotency key.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// A request as it arrived, beside its head and body.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival<'a> {
+    /// Identifier of the call.
+    pub id: &'a str,
+    /// Who sent it, by the configuration that also routes it.
+    pub caller: Caller<'a>,
+    /// When it arrived.
+    pub began: Instant,
+    /// Uniform in 0 to 1; chooses among the groups of a split route.
+    pub draw: f64,
+}
+
 /// A request matched to a route of the configuration that was active when it arrived.
 #[derive(Debug)]
 pub struct Call {
@@ -33,6 +48,8 @@
     pub metadata: Metadata,
     /// Route and retry rule.
     pub resolved_route: Arc<ResolvedRoute>,
+    /// Team for which the call is made; none on a public route.
+    pub team: Option<Arc<Entry>>,
     /// Upstream group that serves the call.
     pub group: Arc<Group>,
     /// Upstreams that are not tried again.
@@ -73,23 +90,26 @@
 }
 
 impl Call {
-    /// Matches a request that arrived at `began` to a route.
+    /// Matches a request to a route and its caller to a team.
     ///
-    /// A body of at most `buffer_limit` bytes is buffered. `draw` is uniform in 0 to 1 and chooses
-    /// among the groups of a split route.
+    /// A body of at most `buffer_limit` bytes is buffered.
     ///
     /// # Errors
     ///
     /// Why the request can't be served; no part of it has been forwarded.
     pub async fn prepare(
-        id: &str,
+        arrival: Arrival<'_>,
         config: &Snapshot,
         request: Request<Body>,
-        began: Instant,
         dialect: &Dialect,
         buffer_limit: usize,
-        draw: f64,
     ) -> Result<Self, Reason> {
+        let Arrival {
+            id,
+            caller,
+            began,
+            draw,
+        } = arrival;
         let (mut head, body) = request.into_parts();
         let text = |value: &HeaderValue| value.to_str().ok().map(str::to_owned);
         let host = head.headers.get(header::HOST).and_then(text);
@@ -97,6 +117,9 @@
             .table
             .find(head.method.as_str(), host.as_deref(), head.uri.path());
         let resolved_route = Arc::clone(found.ok_or(Reason::NoRoute)?);
+        let team = caller
+            .authorize(resolved_route.route.public)
+            .map_err(|Unauthenticated| Reason::Unauthenticated)?;
         let caller_timeout = head
             .headers
             .get(&dialect.timeout)
@@ -113,8 +136,7 @@
                 .unwrap_or(timeout)
                 .duration();
         let group = Arc::clone(resolved_route.group(draw));
-        // Keys are scoped by service: callers of two services may choose the same one.
-        let scoped = |key| IdempotencyKey(format!("{}/{key}", group.service));
+        let scoped = |key: String| scope(&group.service, team.as_deref(), &key);
         let key = head.headers.get(IDEMPOTENCY_KEY).and_then(text).map(scoped);
         let metadata = Metadata {
             id: id.to_owned(),
@@ -123,17 +145,25 @@
             route: resolved_route.route.name.clone(),
             caller_service: Service::default(),
             fingerprint: Fingerprint(0),
-            priority: resolved_route.route.rank(),
+            priority: config
+                .teams
+                .rank(team.as_deref(), resolved_route.route.rank()),
             sent_ms: 0,
             remaining: timeout,
             max_wait: timeout,
             repeatable: resolved_route.route.repeatable,
             key: key.filter(|_| !resolved_route.route.repeatable),
             guard: resolved_route.route.guard,
+            team: team
+                .as_ref()
+                .map_or_else(String::new, |team| team.name.clone()),
             draining: Vec::new(),
             notice: None,
         };
         stream::strip_hop_by_hop(&mut head.headers);
+        if !config.teams.is_empty() {
+            remove_team_headers(&mut head.headers, dialect);
+        }
         // The sidecar writes the identifier and the remaining time anew, from the metadata.
         for name in [&dialect.call_id, &dialect.timeout, &dialect.remaining] {
             head.headers.remove(name);
@@ -149,6 +179,7 @@
                 ..metadata
             },
             resolved_route,
+            team,
             group,
             caller_timeout,
             soft_deadline,
@@ -239,6 +270,16 @@
     }
 }
 
+/// Scopes an idempotency key by service and team, whose callers choose keys independently.
+///
+/// The length in front of the team keeps another team, or a call without one, from spelling the same.
+fn scope(service: &Service, team: Option<&Entry>, key: &str) -> IdempotencyKey {
+    IdempotencyKey(match team {
+        Some(Entry { name, .. }) => format!("{service}/{}:{name}/{key}", name.len()),
+        None => format!("{service}/{key}"),
+    })
+}
+
 impl Attempt {
     /// Forwards the request to the sidecar on another host.
     ///
--- a/src/calls/dialect.rs
+++ b/src/calls/dialect.rs
@@ -14,6 +14,10 @@
     pub timeout: HeaderName,
     /// Time left until the deadline, sent to the target, in milliseconds.
     pub remaining: HeaderName,
+    /// Key of the caller's team, received from the caller and never sent to the target.
+    pub key: HeaderName,
+    /// Name of the caller's team, sent to the target.
+    pub team: HeaderName,
     /// Set by a target that has not run the request.
     pub refused: HeaderName,
     /// Whether every response of a target repeats the call's identifier, which the caller must set.
@@ -40,6 +44,8 @@
             call_id: HeaderName::from_static("x-jackdaw-call"),
             timeout: HeaderName::from_static("x-jackdaw-timeout-ms"),
             remaining: HeaderName::from_static("x-jackdaw-remaining-ms"),
+            key: HeaderName::from_static("x-jackdaw-key"),
+            team: HeaderName::from_static("x-jackdaw-team"),
             refused: HeaderName::from_static("x-jackdaw-refused"),
             echoes_call_id: false,
             signature: None,
--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -307,6 +307,10 @@
         } = self.received;
         let left = deadline.saturating_duration_since(Instant::now());
         let dialect = &executor.shared.dialect;
+        if !executor.shared.config().teams.is_empty() {
+            // The version by which the ingress decided may not have had teams yet.
+            remove_team_headers(request.headers_mut(), dialect);
+        }
         write_target_headers(
             request.headers_mut(),
             dialect,
@@ -397,6 +401,13 @@
     if let Ok(id) = HeaderValue::from_str(&metadata.id) {
         headers.insert(&dialect.call_id, id);
     }
+    if !metadata.team.is_empty() {
+        remove_team_headers(headers, dialect);
+        // The bytes of any checked name are a header value, also beyond ASCII.
+        if let Ok(team) = HeaderValue::from_bytes(metadata.team.as_bytes()) {
+            headers.insert(&dialect.team, team);
+        }
+    }
     if let (Some(name), Some(instance)) = (&dialect.expected_instance, &target.instance)
         && let Ok(instance) = HeaderValue::from_str(instance.as_str())
     {
@@ -406,6 +417,12 @@
     }
 }
 
+/// Removes the caller's key, and a team that the caller claims to be.
+pub fn remove_team_headers(headers: &mut HeaderMap, dialect: &Dialect) {
+    headers.remove(&dialect.key);
+    headers.remove(&dialect.team);
+}
+
 /// Records the outcome of a request for the rollout of its target's revision.
 struct Recorder<'a> {
     shared: &'a SharedState,
--- a/src/calls/ingress.rs
+++ b/src/calls/ingress.rs
@@ -14,7 +14,7 @@
 use volo_http::body::Body;
 
 use crate::calls::attempt::{Reply, Sender};
-use crate::calls::call::Call;
+use crate::calls::call::{Arrival, Call};
 use crate::calls::outcome::{self, OUTCOME, REASON, Reason};
 use crate::calls::retry;
 use crate::calls::sidecar::{LOAD, Sidecar};
@@ -23,6 +23,7 @@
 use crate::membership::member::Stage;
 use crate::membership::roster::Upstream;
 use crate::shared_state::{SharedState, Snapshot};
+use crate::teams::directory::Caller;
 use crate::units::{Millis, Service, Version};
 
 /// Header with the configuration version by which a call was routed.
@@ -83,10 +84,12 @@
         let config = self.shared.config();
         let id = self.call_id(&request);
         let host = request.headers().get(header::HOST).cloned();
+        let keys = request.headers().get_all(&self.shared.dialect.key);
+        let caller = config.teams.identify(keys.iter());
         let named = id.as_deref().ok_or(Reason::Unnamed);
         let prepared = match named {
             Ok(id) => tokio::select! {
-                prepared = self.prepare(id, &config, request, began) => prepared,
+                prepared = self.prepare(id, caller, &config, request, began) => prepared,
                 () = self.shared.calls_aborted() => Err(Reason::Draining),
             },
             Err(reason) => Err(reason),
@@ -125,7 +128,7 @@
             .to_owned();
         let refused = headers.get(REASON).and_then(|v| v.to_str().ok());
         if let Some(reason) = refused {
-            self.log_refusal(&id, reason, host.as_ref(), &config, began);
+            self.log_refusal(&id, reason, host.as_ref(), caller, &config, began);
             // Closing bounds memory under refusals: refused callers return on new connections, and
             // the old ones would stay open until the idle timeout.
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -160,12 +163,13 @@
         id: &str,
         reason: &str,
         host: Option<&HeaderValue>,
+        caller: Caller<'_>,
         config: &Snapshot,
         began: Instant,
     ) {
         if self.shared.log_limiter.admit(Instant::now()) {
             info!(self.shared.logger, "call refused"; "call" => id, "reason" => reason,
-                "host" => host.and_then(|host| host.to_str().ok()),
+                "host" => host.and_then(|host| host.to_str().ok()), "caller" => %caller,
                 "version" => config.digest.version.0,
                 "watermark_ms" => self.shared.freshness.age(Instant::now()).map(|age| age.0),
                 "after_ms" => Millis::from(began.elapsed()).0);
@@ -178,6 +182,7 @@
             let (own, reported) = upstream.load();
             info!(self.shared.logger, "attempt failed"; "call" => &call.metadata.id,
                 "route" => &call.resolved_route.route.name, "upstream" => %upstream.peer,
+                "team" => call.team.as_ref().map(|team| &team.name),
                 "reason" => %reason, "fate" => %reason.outcome(), "made" => call.attempts,
                 "tried" => call.tried.len(), "left_ms" => Millis::from(call.left()).0,
                 "own" => own, "reported" => reported, "goes_on" => will_retry);
@@ -206,6 +211,7 @@
     async fn prepare(
         &self,
         id: &str,
+        caller: Caller<'_>,
         config: &Snapshot,
         mut request: Request<Body>,
         began: Instant,
@@ -223,17 +229,19 @@
             let value = HeaderValue::from_str(service).map_err(|_| Reason::Unnamed)?;
             request.headers_mut().insert(name, value);
         }
-        let draw = rand::rng().random_range(0.0..1.0);
-        let preparing = Call::prepare(
+        let arrival = Arrival {
             id,
-            config,
-            request,
+            caller,
             began,
-            dialect,
-            settings.kept_body,
-            draw,
-        );
-        let mut call = preparing.await?;
+            draw: rand::rng().random_range(0.0..1.0),
+        };
+        let preparing = Call::prepare(arrival, config, request, dialect, settings.kept_body);
+        let mut call = preparing.await.inspect_err(|reason| {
+            if *reason == Reason::Unauthenticated {
+                let key: &'static str = caller.into();
+                metrics::counter!("jackdaw_unauthenticated_total", "key" => key).increment(1);
+            }
+        })?;
         call.metadata.caller_service = settings.service.clone().unwrap_or_default();
         let (statistics, route) = (
             &self.sender.balancer.statistics,
--- a/src/calls/metadata.rs
+++ b/src/calls/metadata.rs
@@ -26,6 +26,8 @@
 const ROUTE: &str = "x-jackdaw-route";
 /// Header with the service on whose host the call began.
 const CALLER_SERVICE: &str = "x-jackdaw-from";
+/// Header with the name of the caller's team; its own because few teams send most requests.
+const TEAM: &str = "x-jackdaw-for-team";
 /// Header with the [`Notice`]; a release of the sidecar that does not know it ignores it.
 const NOTICE: &str = "x-jackdaw-notice";
 
@@ -58,6 +60,8 @@
     pub key: Option<IdempotencyKey>,
     /// How requests with the same key are kept from running twice.
     pub guard: Guard,
+    /// Name of the team for which the call is made; empty if there is none.
+    pub team: String,
     /// Sidecars that have told the ingress that they accept no more calls.
     pub draining: Vec<SocketAddr>,
     /// Last notice of the sidecar's target that the ingress has received.
@@ -72,11 +76,15 @@
         (GROUP, &mut metadata.group),
         (ROUTE, &mut metadata.route),
         (CALLER_SERVICE, &mut metadata.caller_service.0),
+        (TEAM, &mut metadata.team),
     ];
     for (header, name) in names {
         // A header that the caller sent under this name must not be taken for metadata.
         headers.remove(header);
         // A name that is not a valid header value stays in the metadata itself.
+        if name.is_empty() && header == TEAM {
+            continue;
+        }
         if let Ok(value) = HeaderValue::from_str(name) {
             headers.insert(header, value);
             name.clear();
@@ -113,6 +121,9 @@
     if let Some(service) = take(CALLER_SERVICE) {
         metadata.caller_service = Service(service);
     }
+    if let Some(team) = take(TEAM) {
+        metadata.team = team;
+    }
     // Without it the request is still complete.
     metadata.notice = take(NOTICE).and_then(|notice| notice.parse().ok());
     Ok(metadata)
--- a/src/calls/outcome.rs
+++ b/src/calls/outcome.rs
@@ -45,6 +45,8 @@
     NoTarget,
     /// The request has no call identifier, and only callers may assign them.
     Unnamed,
+    /// The route needs the key of a team, and the request has none or an unknown one.
+    Unauthenticated,
     /// The daemon has no configuration yet.
     Starting,
     /// The daemon or its target is draining.
@@ -122,6 +124,7 @@
     const fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthenticated => StatusCode::UNAUTHORIZED,
             Self::TimedOut | Self::Expired => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken | Self::CutShort | Self::KeyInDoubt => StatusCode::BAD_GATEWAY,
             Self::CallerGone | Self::Unnamed => StatusCode::BAD_REQUEST,
@@ -138,6 +141,7 @@
             | Self::CallerGone
             | Self::Unnamed
             | Self::TooLarge
+            | Self::Unauthenticated
             // The ingress sets the end of the quarantine instead.
             | Self::Quarantined => None,
             Self::LogAway | Self::NoTarget | Self::NoWitness => Some(Duration::from_secs(2)),
--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -37,6 +37,8 @@
     pub watermark_ms: Option<Millis>,
     /// Number of routes in the active configuration.
     pub routes: usize,
+    /// Number of teams in the active configuration.
+    pub teams: usize,
     /// Whether this daemon reads the log for its data centre.
     pub reads_log: bool,
     /// The co-located target.
@@ -162,6 +164,7 @@
             offered: shared.freshness.received(),
             watermark_ms: shared.freshness.age(now),
             routes: config.table.len(),
+            teams: config.teams.teams().len(),
             reads_log: reader::reader_rank(shared).is_some(),
             lease_left_ms: target
                 .as_ref()
--- a/src/teams/directory.rs
+++ b/src/teams/directory.rs
@@ -15,9 +15,11 @@
 //! # Ok::<(), jackdawpulley::teams::key::ParseKeyError>(())
 //! ```
 
+use std::fmt;
 use std::sync::Arc;
 
 use http::HeaderValue;
+use strum::IntoStaticStr;
 
 use crate::teams::key::{Digest, Key};
 use crate::teams::team::{Quota, Team};
@@ -49,7 +51,8 @@
 }
 
 /// What the key of a request says about its caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Caller<'a> {
     /// A team holds the key.
     Team(&'a Arc<Entry>),
@@ -173,6 +176,17 @@
     }
 }
 
+impl fmt::Display for Caller<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Team(team) => write!(f, "team {}", team.name),
+            Self::Unknown(digest) => write!(f, "unknown {digest}"),
+            Self::Missing => f.write_str("no key"),
+            Self::Anyone => f.write_str("anyone"),
+        }
+    }
+}
+
 impl Caller<'_> {
     /// Team for which a request to a route is made; none if the route is public.
     ///
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -140,6 +140,7 @@
         repeatable: false,
         key: None,
         guard: Guard::Memory,
+        team: String::new(),
         draining: Vec::new(),
         notice: Some(notice("a", None, 7.9)),
     };
