Teams: keys stay out of prints and errors; odd names stay in force

GET /config and 'jackdawctl show' print a digest in place of each key. Publishing such a document would replace the keys, so it is refused with 'write the key itself'; 'jackdawctl diff' compares digests. Errors of reading a document no longer quote a key of the wrong type, as serde's do. /state, the brief state and 'jackdawctl status' show the number of teams.

A name of up to 1,024 bytes, in place of 128, is kept as it is, since targets receive it. The platform's longer names, empty ones and those that no header can carry are replaced by generated names.

--- a/src/configuration/check.rs
+++ b/src/configuration/check.rs
@@ -14,6 +14,9 @@
 
 /// Longest name of a resource, in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
+/// Longest name of a team, in bytes. Targets receive the name, so it is not shortened to that of
+/// other resources when a control plane has accepted it.
+pub const MAX_TEAM_NAME_BYTES: usize = 1_024;
 /// Most resources of one kind in a document.
 pub const MAX_RESOURCES: usize = 10_000;
 /// Longest time-out of a route, in milliseconds.
@@ -33,7 +36,7 @@
     /// faults when the document is invalid.
     pub fn parse(text: &[u8]) -> Result<Self> {
         let document: Self = serde_json::from_slice(text).context(DocumentSnafu)?;
-        let faults = self::document(&document);
+        let faults = edit(&document);
         if faults.is_empty() {
             Ok(document.sorted())
         } else {
@@ -42,6 +45,25 @@
     }
 }
 
+/// Returns all faults of a document that an operator publishes.
+///
+/// Unlike an accepted version it must not contain the digests that stand for keys in a printed one:
+/// publishing them would replace the keys.
+#[must_use]
+pub fn edit(document: &Document) -> Vec<Fault> {
+    let mut faults = self::document(document);
+    let masked = document.teams.iter().flat_map(|team| {
+        let masked = team.keys.iter().filter(|key| key.is_masked());
+        masked.map(|_| Fault {
+            path: format!("teams[{:?}].keys", team.name),
+            problem: "a digest of a printed document stands for a key".to_owned(),
+            remedy: "write the key itself".to_owned(),
+        })
+    });
+    faults.extend(masked);
+    faults
+}
+
 /// Returns all faults of `document`.
 #[must_use]
 pub fn document(document: &Document) -> Vec<Fault> {
@@ -49,11 +71,17 @@
         faults: Vec::new(),
         duplicates: duplicate_routes(&document.routes),
     };
-    check.names("routes", document.routes.iter().map(|r| r.name.as_str()));
-    check.names("groups", document.groups.iter().map(|g| g.name.as_str()));
-    check.names("retries", document.retries.iter().map(|r| r.name.as_str()));
-    check.names("teams", document.teams.iter().map(|t| t.name.as_str()));
-    check.keys(&document.teams);
+    let longest = MAX_NAME_BYTES;
+    check.names("routes", document.routes.iter().map(|r| &*r.name), longest);
+    check.names("groups", document.groups.iter().map(|g| &*g.name), longest);
+    check.names(
+        "retries",
+        document.retries.iter().map(|r| &*r.name),
+        longest,
+    );
+    let longest = MAX_TEAM_NAME_BYTES;
+    check.names("teams", document.teams.iter().map(|t| &*t.name), longest);
+    check.teams(&document.teams);
     for (index, route) in document.routes.iter().enumerate() {
         check.route(index, route, document);
     }
@@ -106,13 +134,14 @@
         }
     }
 
-    fn names<'a>(&mut self, kind: &str, names: impl Iterator<Item = &'a str>) {
+    fn names<'a>(&mut self, kind: &str, names: impl Iterator<Item = &'a str>, longest: usize) {
+        let remedy = format!("use 1 to {longest} bytes");
         let mut seen: Vec<&str> = Vec::new();
         for (index, name) in names.enumerate() {
             let path = format!("{kind}[{index}].name");
-            let fits = !name.is_empty() && name.len() <= MAX_NAME_BYTES;
+            let fits = !name.is_empty() && name.len() <= longest;
             let problem = format!("the name has {} bytes", name.len());
-            self.require(fits, path.clone(), problem, "use 1 to 128 bytes");
+            self.require(fits, path.clone(), problem, &remedy);
             match seen.binary_search(&name) {
                 Ok(_) => {
                     let problem = format!("duplicate name {name:?}");
@@ -236,10 +265,19 @@
         }
     }
 
-    /// Requires that each key has text and a single holder.
-    fn keys(&mut self, teams: &[Team]) {
+    /// Requires that each name can be sent, and that each key has text and a single holder.
+    fn teams(&mut self, teams: &[Team]) {
         let mut seen: Vec<(&Key, &str)> = Vec::new();
         for (index, team) in teams.iter().enumerate() {
+            self.require(
+                team.is_name_sendable(),
+                format!("teams[{index}].name"),
+                format!(
+                    "targets cannot receive the name {:?} in a header",
+                    team.name
+                ),
+                "leave out control characters, and spaces at its ends",
+            );
             for (position, key) in team.keys.iter().enumerate() {
                 let path = format!("teams[{index}].keys[{position}]");
                 let has_text = !key.expose().is_empty();
--- a/src/configuration/document.rs
+++ b/src/configuration/document.rs
@@ -279,6 +279,15 @@
         self
     }
 
+    /// The document as it may be printed: a digest stands for each key.
+    #[must_use]
+    pub fn masked(&self) -> Self {
+        let mut document = self.clone();
+        let keys = document.teams.iter_mut().flat_map(|team| &mut team.keys);
+        keys.for_each(|key| *key = key.masked());
+        document
+    }
+
     /// Hash of the encoded content; equal documents have equal hashes on every daemon.
     #[must_use]
     pub fn hash(&self) -> u64 {
--- a/src/configuration/normalize.rs
+++ b/src/configuration/normalize.rs
@@ -22,7 +22,8 @@
 
 use crate::authority;
 use crate::configuration::check::{
-    MAX_ATTEMPTS, MAX_NAME_BYTES, MAX_TIMEOUT_MS, MIN_HEAD_BYTES, duplicate_routes,
+    MAX_ATTEMPTS, MAX_NAME_BYTES, MAX_TEAM_NAME_BYTES, MAX_TIMEOUT_MS, MIN_HEAD_BYTES,
+    duplicate_routes,
 };
 use crate::configuration::document::{Bounds, Document, Retry, Route, Share};
 use crate::configuration::fault::Fault;
@@ -159,8 +160,32 @@
     format!("{}#{:016x}", &name[..kept], xxh3_64(name.as_bytes()))
 }
 
-/// Leaves each team name and each key with its first holder, and drops empty ones.
+/// Begins like `name`, without its control characters, and ends with a hash of it.
+fn generated_name(name: &str) -> String {
+    let kept = &name[..name.floor_char_boundary(KEPT_NAME_BYTES)];
+    let kept: String = kept.trim().chars().filter(|c| !c.is_control()).collect();
+    format!("{kept}#{:016x}", xxh3_64(name.as_bytes()))
+}
+
+/// Gives each team a valid name, and leaves each name and each key with its first holder.
+///
+/// A team with an invalid name stays: without it, its callers would be refused, and in a document
+/// without any other team nobody would need a key.
 fn normalize_teams(teams: &mut Vec<Team>, faults: &mut Vec<Fault>) {
+    for team in teams.iter_mut() {
+        let fits = (1..=MAX_TEAM_NAME_BYTES).contains(&team.name.len());
+        if !fits || !team.is_name_sendable() {
+            let generated = generated_name(&team.name);
+            let path = format!("teams[{generated:?}].name");
+            let problem = format!(
+                "a name of {} bytes is empty, too long or not a header value",
+                team.name.len()
+            );
+            faults.push(fault(path, problem, "a generated name is used"));
+            team.name = generated;
+        }
+    }
+    teams.sort_by(|a, b| a.name.cmp(&b.name));
     teams.dedup_by(|later, first| {
         let repeated = later.name == first.name;
         if repeated {
@@ -174,14 +199,6 @@
         }
         repeated
     });
-    teams.retain(|team| {
-        let is_named = !team.name.is_empty();
-        if !is_named {
-            let problem = "the name is empty".into();
-            faults.push(fault("teams".into(), problem, "the team is left out"));
-        }
-        is_named
-    });
     let mut used: Vec<Key> = Vec::new();
     for team in teams {
         let name = &team.name;
--- a/src/configuration/publish.rs
+++ b/src/configuration/publish.rs
@@ -55,7 +55,7 @@
     /// or may not be accepted, and that the same edit may be published again. [`Error::MissingRecords`] means that
     /// earlier records are missing, so that there is no verdict.
     pub async fn publish(&self, proposal: Proposal, timeout: Duration) -> Result<Version> {
-        let faults = check::document(&proposal.document);
+        let faults = check::edit(&proposal.document);
         if !faults.is_empty() {
             return Err(Error::Faults { faults });
         }
--- a/src/operation/command.rs
+++ b/src/operation/command.rs
@@ -146,7 +146,8 @@
     pub async fn diff(&self, file: &str) -> Result<()> {
         let document = read_document(file)?;
         let active = self.active_config().await?;
-        let delta = Delta::between(&active.document, &document);
+        // The daemon shows digests of keys, which are compared with those of the document.
+        let delta = Delta::between(&active.document, &document.masked());
         let changes = delta.summary();
         self.print(
             &serde_json::json!({ "against": active.version, "changes": changes }),
--- a/src/operation/operator.rs
+++ b/src/operation/operator.rs
@@ -69,8 +69,8 @@
     pub version: Version,
     /// Hash of the document, in hexadecimal.
     pub hash: String,
-    /// Document in its sorted form.
-    pub document: Arc<Document>,
+    /// Document in its sorted form, with digests in place of keys.
+    pub document: Document,
 }
 
 /// Handlers of the operators' API.
@@ -163,7 +163,7 @@
         let in_force = InForce {
             version: config.digest.version,
             hash: format!("{:016x}", config.digest.hash),
-            document: Arc::clone(&config.document),
+            document: config.document.masked(),
         };
         json(StatusCode::OK, &in_force)
     }
--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -120,6 +120,9 @@
     pub version: Version,
     /// Hash of the document, in hexadecimal.
     pub hash: String,
+    /// Number of teams in the active configuration.
+    #[serde(default)]
+    pub teams: usize,
     /// When the version was activated, in Unix microseconds.
     pub since_us: u64,
     /// Data centre of the daemon.
@@ -135,6 +138,7 @@
         let config = shared.config();
         let digest = config.digest;
         Self {
+            teams: config.teams.teams().len(),
             since_us: config.since_us,
             ready: shared.stage() == Stage::Serving,
             stage: shared.stage(),
--- a/src/operation/status.rs
+++ b/src/operation/status.rs
@@ -21,6 +21,8 @@
     pub lowest: Version,
     /// Highest active version.
     pub highest: Version,
+    /// Number of teams in the highest active version.
+    pub teams: usize,
     /// Operator addresses of daemons that are behind or did not respond.
     pub laggards: Vec<SocketAddr>,
 }
@@ -38,6 +40,7 @@
                 ready: 0,
                 lowest: Version(u64::MAX),
                 highest: Version(0),
+                teams: 0,
                 laggards: Vec::new(),
             };
             summaries.insert(index, summary);
@@ -48,7 +51,10 @@
         if let Some(brief) = brief {
             summary.ready += usize::from(brief.ready);
             summary.lowest = summary.lowest.min(brief.version);
-            summary.highest = summary.highest.max(brief.version);
+            if brief.version >= summary.highest {
+                summary.highest = brief.version;
+                summary.teams = brief.teams;
+            }
         }
         if brief.as_ref().is_none_or(|brief| brief.version < expected) {
             summary.laggards.push(member.operator);
@@ -61,17 +67,18 @@
 #[must_use]
 pub fn table(summaries: &[Summary]) -> String {
     let head = format!(
-        "{:<24}{:>9}{:>7}{:>9}{:>9}{:>8}",
-        "data centre", "daemons", "ready", "lowest", "highest", "behind"
+        "{:<24}{:>9}{:>7}{:>9}{:>9}{:>7}{:>8}",
+        "data centre", "daemons", "ready", "lowest", "highest", "teams", "behind"
     );
     let rows = summaries.iter().map(|s| {
         format!(
-            "{:<24}{:>9}{:>7}{:>9}{:>9}{:>8}",
+            "{:<24}{:>9}{:>7}{:>9}{:>9}{:>7}{:>8}",
             s.data_centre.as_str(),
             s.daemons,
             s.ready,
             s.lowest.0,
             s.highest.0,
+            s.teams,
             s.laggards.len()
         )
     });
--- a/src/teams/team.rs
+++ b/src/teams/team.rs
@@ -1,8 +1,9 @@
 //! A team as the configuration describes it.
 
+use http::HeaderValue;
 use serde::{Deserialize, Serialize};
 
-use crate::teams::key::Key;
+use crate::teams::key::{self, Key};
 use crate::units::{Burst, Priority, Rate};
 
 /// Callers that share keys, a priority and a quota.
@@ -12,7 +13,7 @@
     /// Unique name, which targets receive.
     pub name: String,
     /// Keys of its callers; no other team holds one of them.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "key::deserialize_list")]
     pub keys: Vec<Key>,
     /// Priority, 0 highest, which goes before that of the route.
     #[serde(default)]
@@ -35,6 +36,14 @@
 }
 
 impl Team {
+    /// Whether targets receive the name unchanged in a header: no control characters, and no spaces
+    /// at its ends, which receivers drop.
+    #[must_use]
+    pub fn is_name_sendable(&self) -> bool {
+        let is_trimmed = self.name.trim_matches([' ', '\t']) == self.name;
+        is_trimmed && HeaderValue::from_bytes(self.name.as_bytes()).is_ok()
+    }
+
     /// The quota, unless the team is not limited.
     #[must_use]
     pub fn quota(&self) -> Option<Quota> {
