--- a/src/configuration/normalize.rs
+++ b/src/configuration/normalize.rs
@@ -22,10 +22,13 @@
 
 use crate::authority;
 use crate::configuration::check::{
-    MAX_ATTEMPTS, MAX_NAME_BYTES, MAX_TIMEOUT_MS, MIN_HEAD_BYTES, duplicate_routes,
+    MAX_ATTEMPTS, MAX_NAME_BYTES, MAX_TEAM_NAME_BYTES, MAX_TIMEOUT_MS, MIN_HEAD_BYTES,
+    duplicate_routes,
 };
 use crate::configuration::document::{Bounds, Document, Retry, Route, Share};
 use crate::configuration::fault::Fault;
+use crate::teams::key::Key;
+use crate::teams::team::Team;
 use crate::units::Millis;
 
 /// Bytes that are kept of a name that is too long; a hash of the whole name is appended.
@@ -47,6 +50,7 @@
         normalize_attempts(retry, &mut faults);
     }
     normalize_bounds(&mut document.bounds, &mut faults);
+    normalize_teams(&mut document.teams, &mut faults);
     (document.sorted(), faults)
 }
 
@@ -156,6 +160,64 @@
     format!("{}#{:016x}", &name[..kept], xxh3_64(name.as_bytes()))
 }
 
+/// Begins like `name`, without its control characters, and ends with a hash of it.
+fn generated_name(name: &str) -> String {
+    let kept = &name[..name.floor_char_boundary(KEPT_NAME_BYTES)];
+    let kept: String = kept.trim().chars().filter(|c| !c.is_control()).collect();
+    format!("{kept}#{:016x}", xxh3_64(name.as_bytes()))
+}
+
+/// Gives each team a valid name, and leaves each name and each key with its first holder.
+///
+/// A team with an invalid name stays: without it, its callers would be refused, and in a document
+/// without any other team nobody would need a key.
+fn normalize_teams(teams: &mut Vec<Team>, faults: &mut Vec<Fault>) {
+    for team in teams.iter_mut() {
+        let fits = (1..=MAX_TEAM_NAME_BYTES).contains(&team.name.len());
+        if !fits || !team.is_name_sendable() {
+            let generated = generated_name(&team.name);
+            let path = format!("teams[{generated:?}].name");
+            let problem = format!(
+                "a name of {} bytes is empty, too long or not a header value",
+                team.name.len()
+            );
+            faults.push(fault(path, problem, "a generated name is used"));
+            team.name = generated;
+        }
+    }
+    teams.sort_by(|a, b| a.name.cmp(&b.name));
+    teams.dedup_by(|later, first| {
+        let repeated = later.name == first.name;
+        if repeated {
+            let path = format!("teams[{:?}]", later.name);
+            faults.push(fault(
+                path,
+                "duplicate name".into(),
+                "their keys are joined",
+            ));
+            first.keys.append(&mut later.keys);
+        }
+        repeated
+    });
+    let mut used: Vec<Key> = Vec::new();
+    for team in teams {
+        let name = &team.name;
+        team.keys.retain(|key| {
+            let found = used.binary_search(key);
+            let is_usable = found.is_err() && !key.expose().is_empty();
+            if let Err(index) = found {
+                used.insert(index, key.clone());
+            }
+            if !is_usable {
+                let path = format!("teams[{name:?}].keys");
+                let problem = format!("{key} is empty or held already");
+                faults.push(fault(path, problem, "its first holder keeps it"));
+            }
+            is_usable
+        });
+    }
+}
+
 fn normalize_attempts(retry: &mut Retry, faults: &mut Vec<Fault>) {
     if retry.attempts > MAX_ATTEMPTS {
         let path = format!("retries[{:?}].attempts", retry.name);
