Calls: requests that follow each other on a connection start together

A request that is repeatable, has no body and is present on the connection starts at once; responses keep the order of the requests.

A reader between the socket and hyper passes on one request at a time and starts those behind it; hyper reads each again and gets the started call only if both agree. A started call's response is buffered up to 64 KiB, which frees its slot. Bounds: 16 requests and 64 KiB for each connection, 8 MiB for all. A close is put on the last response of the started calls, also in a shutdown, and a refusal closes only if nothing stands behind it. A started call keeps the configuration by which its route was found repeatable.

What kept a process to the end of its grace time: callers who had left while their first request ran. hyper does not read on once it has bytes of the next request, so their end was not noticed and the work went on.

--- a/src/calls/http_server.rs
+++ b/src/calls/http_server.rs
@@ -3,17 +3,17 @@
 //! volo-http's own accept loop stops on SIGHUP and gives up after a fixed time, so its routers are
 //! served here on hyper, connection by connection.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use metrics::counter;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -24,7 +24,9 @@
 use volo_http::server::{IntoResponse, Router};
 
 use crate::calls::callers::{self, Callers};
-use crate::calls::stream::Guarded;
+use crate::calls::pipeline::budget::Budget;
+use crate::calls::pipeline::connection::{Connection, Handler};
+use crate::calls::pipeline::reader::Reader;
 use crate::configuration::document::Bounds;
 use crate::shared_state::SharedState;
 use crate::units::Version;
@@ -83,17 +85,14 @@
 /// Serves `handler` on `listener` within the bounds of `bounds_source`.
 ///
 /// `callers` limits the number of connections.
-pub async fn serve<H, F>(
+pub async fn serve<H: Handler>(
     listener: TcpListener,
     callers: Arc<Callers>,
     phases: watch::Receiver<Phase>,
     bounds_source: BoundsSource,
-    handler: H,
-) where
-    H: Fn(Request<Body>) -> F + Send + Sync + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
-{
-    let handler = Arc::new(handler);
+    handler: Arc<H>,
+) {
+    let budget = Arc::new(Budget::default());
     let mut changes = phases.clone();
     loop {
         // Connections that the kernel has accepted are served before the listener closes, which
@@ -106,13 +105,15 @@
         match accepted {
             Ok((stream, _)) => {
                 let admitted = callers.admit().await;
-                let handler = Arc::clone(&handler);
+                let requests = admitted.requests();
+                let connection =
+                    Connection::new(Arc::clone(&handler), requests, Arc::clone(&budget));
                 let serving = serve_connection(
                     stream,
                     admitted,
                     phases.clone(),
                     bounds_source.clone(),
-                    handler,
+                    connection,
                 );
                 tokio::spawn(serving);
             }
@@ -121,35 +122,27 @@
     }
 }
 
-async fn serve_connection<H, F>(
+async fn serve_connection<H: Handler>(
     stream: TcpStream,
     mut admitted: callers::Connection,
     mut phases: watch::Receiver<Phase>,
     bounds_source: BoundsSource,
-    handler: Arc<H>,
-) where
-    H: Fn(Request<Body>) -> F + Send + Sync + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
-{
+    shared: Arc<Connection<H>>,
+) {
     let _ = stream.set_nodelay(true);
-    let requests = admitted.requests();
-    let service = service_fn(move |request: Request<Incoming>| {
-        let active = requests.begin();
-        let response = handler(request.map(Body::from_incoming));
-        async move {
-            let (parts, body) = response.await.into_parts();
-            Ok::<_, Infallible>(Response::from_parts(parts, Guarded::wrap(body, active)))
-        }
-    });
     let bounds = bounds_source.current();
+    let max_head = usize::try_from(bounds.max_head).unwrap_or(usize::MAX);
+    let reader = Reader::new(stream, Arc::clone(&shared), max_head);
+    let served = Arc::clone(&shared);
+    let service = service_fn(move |request: Request<Incoming>| Arc::clone(&served).serve(request));
     let mut builder = http1::Builder::new();
     // One timer bounds both slow heads and idle connections, so it is set to the longer bound.
     let read_timeout = bounds.head_ms.max(bounds.idle_ms).duration() + IDLE_GRACE;
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(read_timeout)
-        .max_buf_size(usize::try_from(bounds.max_head).unwrap_or(usize::MAX));
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        .max_buf_size(max_head);
+    let mut connection = pin!(builder.serve_connection(reader, service));
     // Any other error means that the caller closed the connection; its requests were dropped with
     // it.
     tokio::select! {
@@ -163,6 +156,21 @@
         () = admitted.evicted() => {}
         () = bounds_source.wait_for_larger_head(bounds.max_head) => {}
     }
+    // hyper closes after the response in progress, so calls started early are answered first. They
+    // leave the queue only while the connection is polled, in this task.
+    shared.close();
+    let taken = std::future::poll_fn(|_| {
+        if shared.is_waiting() {
+            Poll::Pending
+        } else {
+            Poll::Ready(())
+        }
+    });
+    tokio::select! {
+        biased;
+        _ = connection.as_mut() => return,
+        () = taken => {}
+    }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/src/calls/ingress.rs
+++ b/src/calls/ingress.rs
@@ -16,13 +16,14 @@
 use crate::calls::attempt::{Reply, Sender};
 use crate::calls::call::Call;
 use crate::calls::outcome::{self, OUTCOME, REASON, Reason};
+use crate::calls::pipeline::connection::{CloseIfLast, Handler};
 use crate::calls::retry;
 use crate::calls::sidecar::{LOAD, Sidecar};
 use crate::calls::stream::Guarded;
 use crate::configuration::document::Retry;
 use crate::membership::member::Stage;
 use crate::membership::roster::Upstream;
-use crate::shared_state::{SharedState, Snapshot};
+use crate::shared_state::{InFlight, SharedState, Snapshot};
 use crate::units::{Millis, Service, Version};
 
 /// Header with the configuration version by which a call was routed.
@@ -75,12 +76,32 @@
         }
     }
 
+    /// Whether a request may start before its turn on the connection: its route is known and
+    /// repeatable.
+    ///
+    /// The request keeps the configuration by which that was decided: by a later one, its route may
+    /// not be repeatable.
+    fn may_start_early(&self, request: &mut Request<Body>) -> bool {
+        if self.shared.stage() != Stage::Serving {
+            return false;
+        }
+        let config = self.shared.config();
+        let host = request.headers().get(header::HOST);
+        let host = host.and_then(|host| host.to_str().ok());
+        let (method, path) = (request.method().as_str(), request.uri().path());
+        let found = config.table.find(method, host, path);
+        let is_repeatable = found.is_some_and(|found| found.route.repeatable);
+        request.extensions_mut().insert(config);
+        is_repeatable
+    }
+
     /// Serves one request of a caller.
-    pub async fn serve(&self, request: Request<Body>) -> Response<Body> {
+    pub async fn serve(&self, mut request: Request<Body>) -> Response<Body> {
         let began = Instant::now();
         let in_flight = self.shared.track_call();
         self.await_start(&request).await;
-        let config = self.shared.config();
+        let config = request.extensions_mut().remove::<Arc<Snapshot>>();
+        let config = config.unwrap_or_else(|| self.shared.config());
         let id = self.call_id(&request);
         let host = request.headers().get(header::HOST).cloned();
         let named = id.as_deref().ok_or(Reason::Unnamed);
@@ -127,8 +148,9 @@
         if let Some(reason) = refused {
             self.log_refusal(&id, reason, host.as_ref(), &config, began);
             // Closing bounds memory under refusals: refused callers return on new connections, and
-            // the old ones would stay open until the idle timeout.
-            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+            // the old ones would stay open until the idle timeout. Requests behind this one would
+            // all have to be sent again.
+            response.extensions_mut().insert(CloseIfLast);
         }
         metrics::counter!("jackdaw_calls_total", "outcome" => outcome_label).increment(1);
         metrics::histogram!("jackdaw_call_seconds").record(began.elapsed().as_secs_f64());
@@ -380,6 +402,22 @@
     }
 }
 
+impl Handler for Ingress {
+    const READS_AHEAD: bool = true;
+
+    async fn respond(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
+        self.serve(request).await
+    }
+
+    fn admit_early(&self, request: &mut Request<Body>) -> bool {
+        self.may_start_early(request)
+    }
+
+    fn track_waiting(&self) -> Option<InFlight> {
+        Some(self.shared.track_call())
+    }
+}
+
 /// Time until `until` in whole seconds, at least one.
 fn seconds_until(until: Instant) -> HeaderValue {
     let left = until.saturating_duration_since(Instant::now());
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -6,7 +6,8 @@
 //! bounds the requests at the target, and a [`pacer`] the rate at which they start if the target
 //! names one in a [`notice`]; [`wait`] bounds how long a request may wait for that. Only the ingress
 //! may [`retry`]. The response names the [`outcome`]. Header names and conventions are those of a
-//! [`dialect`]. The number of callers' [`connections`] is limited where they are accepted.
+//! [`dialect`]. The number of callers' [`connections`] is limited where they are accepted. Requests
+//! that follow each other on a connection pass through its [`pipeline`].
 
 pub(crate) mod admission;
 pub(crate) mod attempt;
@@ -29,6 +30,7 @@
 pub mod pace;
 pub mod pacer;
 pub mod pick;
+pub mod pipeline;
 pub mod retry;
 pub mod route;
 pub(crate) mod sidecar;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -329,7 +329,7 @@
             Callers::new(MAX_LOCAL_CONNECTIONS),
             phase,
             http_server::BoundsSource::Fixed(Bounds::default()),
-            routed,
+            Arc::new(routed),
         ));
     }
     Ok(())
@@ -367,9 +367,5 @@
     };
     let callers = Callers::new(shared.settings.callers);
     let bounds = http_server::BoundsSource::Active(shared);
-    let handler = move |request| {
-        let ingress = Arc::clone(&ingress);
-        async move { ingress.serve(request).await }
-    };
-    http_server::serve(listener, callers, phase, bounds, handler).await;
+    http_server::serve(listener, callers, phase, bounds, ingress).await;
 }
