Quotas: teams are limited over all daemons

Quotas were not enforced. Each daemon now admits by itself and reports its counts to the collector of its data centre; the collectors exchange sums and return the share of a limited team's requests to admit. A daemon without a collector admits by its own part. A request beyond the quota gets 429 with the reason over-quota and a Retry-After; one that no target ran is given back. The state dump, /teams and `jackdawctl teams` show the teams; counters and log lines tell when a limit sets in and ends. Without quotas nothing is sent.

--- a/src/calls/ingress.rs
+++ b/src/calls/ingress.rs
@@ -15,13 +15,15 @@
 
 use crate::calls::attempt::{Reply, Sender};
 use crate::calls::call::{Arrival, Call};
-use crate::calls::outcome::{self, OUTCOME, REASON, Reason};
+use crate::calls::outcome::{self, OUTCOME, Outcome, REASON, Reason};
 use crate::calls::retry;
 use crate::calls::sidecar::{LOAD, Sidecar};
 use crate::calls::stream::Guarded;
 use crate::configuration::document::Retry;
 use crate::membership::member::Stage;
 use crate::membership::roster::Upstream;
+use crate::quota::Allowance;
+use crate::quota::limiter::{Admission, Refusal};
 use crate::shared_state::{SharedState, Snapshot};
 use crate::teams::directory::Caller;
 use crate::units::{Millis, Service, Version};
@@ -52,6 +54,11 @@
 #[derive(Debug, Clone, Copy)]
 struct QuarantineEnd(Instant);
 
+/// When a request of a team that exceeds its quota is next expected to be admitted; an extension of
+/// the response inside the daemon.
+#[derive(Debug, Clone, Copy)]
+struct QuotaWait(Duration);
+
 /// When a target that limits its rate next has room for a refused request; an extension of the
 /// response inside the daemon.
 #[derive(Debug, Clone, Copy)]
@@ -101,6 +108,7 @@
         };
         let quarantined = response.extensions_mut().remove::<QuarantineEnd>();
         let room_at = response.extensions_mut().remove::<RoomAt>();
+        let quota_wait = response.extensions_mut().remove::<QuotaWait>();
         let headers = response.headers_mut();
         if let Ok(id) = HeaderValue::from_str(&id) {
             headers.insert(&self.shared.dialect.call_id, id);
@@ -113,6 +121,10 @@
             let is_fractional = self.shared.dialect.fractional_retry_after;
             headers.insert(header::RETRY_AFTER, retry_after_room(at, is_fractional));
         }
+        if let Some(QuotaWait(wait)) = quota_wait {
+            let is_fractional = self.shared.dialect.fractional_retry_after;
+            headers.insert(header::RETRY_AFTER, retry_after_quota(wait, is_fractional));
+        }
         if let Some(QuarantineEnd(until)) = quarantined {
             headers.insert(header::RETRY_AFTER, seconds_until(until));
         }
@@ -263,6 +275,18 @@
             call.record_failure(Reason::Quarantined);
             return self.refuse(&call);
         }
+        let mut admission = match self.admit(&call) {
+            Ok(admission) => admission,
+            Err(Refusal { retry_after }) => {
+                call.record_failure(Reason::OverQuota);
+                let mut response = self.refuse(&call);
+                response.extensions_mut().insert(QuotaWait(retry_after));
+                return response;
+            }
+        };
+        if let Some(admission) = &mut admission {
+            admission.mark_sent();
+        }
         let answered = tokio::select! {
             answered = self.run_attempts(&mut call) => answered,
             () = self.shared.calls_aborted() => {
@@ -271,9 +295,33 @@
                 None
             }
         };
+        if let Some(admission) = admission {
+            let has_not_run = answered.is_none()
+                && call.reason.unwrap_or(Reason::NoTarget).outcome() == Outcome::NotRun;
+            if has_not_run {
+                admission.not_run();
+            } else {
+                admission.ran();
+            }
+        }
         answered.unwrap_or_else(|| self.refuse(&call))
     }
 
+    /// Decides by the quota of the call's team, if it has one.
+    fn admit(&self, call: &Call) -> Result<Option<Admission>, Refusal> {
+        let allowance = call
+            .team
+            .as_ref()
+            .and_then(|team| Allowance::of_entry(team));
+        let Some(allowance) = allowance else {
+            return Ok(None);
+        };
+        // The priorities of one team differ by their routes.
+        let priority = call.resolved_route.route.rank();
+        let quotas = &self.shared.quotas;
+        quotas.admit(allowance, priority, Instant::now()).map(Some)
+    }
+
     /// Makes attempts until one is answered or no further one is allowed.
     async fn run_attempts(&self, call: &mut Call) -> Option<Response<Body>> {
         let rule = &Arc::clone(&call.resolved_route).retry;
@@ -407,6 +455,17 @@
     HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
 }
 
+/// When a caller whose team exceeds its quota should retry: not before the wait is over.
+fn retry_after_quota(wait: Duration, is_fractional: bool) -> HeaderValue {
+    let seconds = wait.as_secs_f64();
+    let text = if is_fractional {
+        format!("{:.2}", (seconds * 100.0).ceil() / 100.0)
+    } else {
+        format!("{:.0}", seconds.ceil().max(1.0))
+    };
+    HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
+}
+
 /// When a refused caller should retry, in fractional seconds.
 ///
 /// The delay is random, so that callers refused together do not all retry at once.
--- a/src/calls/outcome.rs
+++ b/src/calls/outcome.rs
@@ -57,6 +57,8 @@
     Shed,
     /// Targets have crashed while running the same request.
     Quarantined,
+    /// The team has sent more requests than its quota allows.
+    OverQuota,
     /// The deadline passed before the request was dispatched.
     Expired,
     /// The target or its daemon could not be reached.
@@ -124,6 +126,7 @@
     const fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::Unauthenticated => StatusCode::UNAUTHORIZED,
             Self::TimedOut | Self::Expired => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken | Self::CutShort | Self::KeyInDoubt => StatusCode::BAD_GATEWAY,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -37,6 +37,7 @@
 use crate::peer::server::Server;
 use crate::quarantine::archive::Archive;
 use crate::quarantine::replicator::Replicator;
+use crate::quota;
 use crate::rollout::controller::Controller;
 use crate::settings::Settings;
 use crate::shared_state::SharedState;
@@ -223,8 +224,8 @@
     shutdown.run().await
 }
 
-/// Starts the tasks that replicate state between daemons: generations, rollouts and quarantined
-/// requests.
+/// Starts the tasks that replicate state between daemons: generations, rollouts, quotas and
+/// quarantined requests.
 fn spawn_replicators(
     shared: &Arc<SharedState>,
     membership: &Arc<Membership>,
@@ -238,6 +239,7 @@
         ));
     }
     tokio::spawn(Controller::new(shared, membership, control_plane).run());
+    tokio::spawn(quota::controller::Controller::new(shared, membership).run());
     tokio::spawn(Replicator::new(shared, membership, archive).run());
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod membership;
 pub mod operation;
 pub mod quarantine;
+pub mod quota;
 pub mod rollout;
 pub mod settings;
 pub mod shared_state;
--- a/src/membership/controller.rs
+++ b/src/membership/controller.rs
@@ -254,6 +254,11 @@
                     .rollouts
                     .add_report(datagram.from.peer, report.clone());
             }
+            Message::Quota(message) => {
+                let from = datagram.from.peer;
+                let replies = self.shared.quotas.receive(Instant::now(), from, message);
+                self.send_quota(replies).await;
+            }
             _ => {}
         }
         let effects = {
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -10,6 +10,7 @@
 use crate::configuration::freshness;
 use crate::membership::member::Member;
 use crate::quarantine::crash::Crash;
+use crate::quota;
 use crate::rollout::counters::Report;
 use crate::rollout::progress::Progress;
 use crate::units::{Generation, Revision, Service, Slots, Version};
@@ -64,6 +65,8 @@
     Rollouts(Vec<Progress>),
     /// Report on a target's responses, for the coordinator of a rollout.
     Report(Report),
+    /// Counts and limits of teams with a quota.
+    Quota(quota::messages::Message),
 }
 
 /// Request to become a member.
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -13,6 +13,7 @@
 use crate::membership::datagram::Message;
 use crate::membership::view::Send;
 use crate::quarantine::crash::Crash;
+use crate::quota;
 use crate::rollout::counters::Report;
 use crate::rollout::progress::Progress;
 use crate::wire;
@@ -50,6 +51,21 @@
         self.send(vec![send]).await;
     }
 
+    /// Sends messages of the quotas to their receivers.
+    pub async fn send_quota(&self, messages: Vec<(SocketAddr, quota::messages::Message)>) {
+        if messages.is_empty() {
+            return;
+        }
+        let sends = {
+            let mut guard = self.state();
+            self.refresh_view(&mut guard);
+            let messages = messages.into_iter();
+            let datagram = |(to, message)| guard.view.bare_datagram(to, Message::Quota(message));
+            messages.map(datagram).collect()
+        };
+        self.send(sends).await;
+    }
+
     /// Sends messages to a few members chosen at random.
     async fn send_to_random(&self, messages: Vec<Message>) {
         let sends = {
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -315,7 +315,11 @@
                 let ping = self.ping(now, subject, Some((sender, seq)));
                 effects.sends.push(ping);
             }
-            Message::Gossip | Message::Crashes(_) | Message::Rollouts(_) | Message::Report(_) => {}
+            Message::Gossip
+            | Message::Crashes(_)
+            | Message::Rollouts(_)
+            | Message::Report(_)
+            | Message::Quota(_) => {}
         }
     }
 
--- a/src/operation/command.rs
+++ b/src/operation/command.rs
@@ -17,6 +17,7 @@
 use crate::operation::operator::{InForce, Published};
 use crate::operation::state::Brief;
 use crate::operation::status::{Summary, summarise, table};
+use crate::quota::limiter::TeamState;
 use crate::rollout::progress::Progress;
 use crate::units::{EditId, Version};
 
@@ -242,6 +243,24 @@
         Ok(())
     }
 
+    /// Prints the teams with a quota.
+    ///
+    /// # Errors
+    ///
+    /// The daemon cannot be reached or refuses the request.
+    pub async fn teams(&self) -> Result<()> {
+        let teams: Vec<TeamState> = self.get(self.daemon, "/teams").await?;
+        self.print(&serde_json::json!(teams), || {
+            let lines: Vec<String> = teams.iter().map(describe_team).collect();
+            if lines.is_empty() {
+                "no team has a quota".to_owned()
+            } else {
+                lines.join("\n")
+            }
+        });
+        Ok(())
+    }
+
     /// Prints the state of a daemon.
     ///
     /// # Errors
@@ -311,6 +330,25 @@
     }
 }
 
+/// Formats a team as one line of text.
+fn describe_team(state: &TeamState) -> String {
+    let TeamState {
+        team, rate, burst, ..
+    } = state;
+    let demand = state.demand.map_or_else(String::new, |demand| {
+        format!(", {demand:.1}/s asked of all daemons")
+    });
+    let collector = state.collector.map_or_else(
+        || "no collector replies".to_owned(),
+        |collector| format!("collector {collector}"),
+    );
+    let (admitted, refused, percent) = (state.admitted, state.refused, 100.0 * state.share);
+    format!(
+        "{team}: {rate}/s and {burst}, {percent:.0} % of the requests admitted, \
+         {admitted} admitted and {refused} refused here{demand}, {collector}"
+    )
+}
+
 /// Formats a rollout as one line of text.
 fn describe_rollout(progress: &Progress) -> String {
     let Progress { order, plan, .. } = progress;
--- a/src/operation/ctl.rs
+++ b/src/operation/ctl.rs
@@ -83,6 +83,8 @@
     },
     /// Show the rollouts known to one daemon
     Rollouts,
+    /// Show the teams with a quota, as one daemon knows them
+    Teams,
     /// Dump the state of one daemon
     State {
         /// Operator address of the daemon; --daemon by default
@@ -173,6 +175,7 @@
         Verb::Diff { file } => command.diff(file).await,
         Verb::Status { watch, patience_ms } => command.status(*watch, patience_ms.duration()).await,
         Verb::Rollouts => command.rollouts().await,
+        Verb::Teams => command.teams().await,
         Verb::State { address } => command.dump(address.unwrap_or(args.daemon)).await,
         Verb::Drain { address } => command.drain(*address).await,
     }
--- a/src/operation/operator.rs
+++ b/src/operation/operator.rs
@@ -2,7 +2,7 @@
 
 use std::future::{Ready, ready};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -20,7 +20,7 @@
 use crate::error::{Error, Result};
 use crate::idempotency::deduplicator::Deduplicator;
 use crate::membership::member::Member;
-use crate::operation::state::{Brief, Dump};
+use crate::operation::state::{self, Brief, Dump};
 use crate::rollout::progress::Progress;
 use crate::shared_state::SharedState;
 use crate::units::{EditId, Version};
@@ -115,6 +115,7 @@
             .route("/state", get(self.handler(Self::state)))
             .route("/members", get(self.handler(Self::members)))
             .route("/rollouts", get(self.handler(Self::rollouts)))
+            .route("/teams", get(self.handler(Self::teams)))
             .route("/metrics", get(self.handler(Self::render)))
             .route("/drain", post(self.handler(Self::drain)))
             .route("/config", get(self.handler(Self::config)).post(publish))
@@ -158,6 +159,10 @@
         json(StatusCode::OK, &progress)
     }
 
+    fn teams(&self) -> Response {
+        json(StatusCode::OK, &state::quotas(&self.shared, Instant::now()))
+    }
+
     fn config(&self) -> Response {
         let config = self.shared.config();
         let in_force = InForce {
--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -11,6 +11,7 @@
 use crate::membership::member::{Health, Member, Stage};
 use crate::membership::roster::{Roster, Upstream};
 use crate::quarantine::crash_set::Assessments;
+use crate::quota::limiter::TeamState;
 use crate::rollout::progress::Progress;
 use crate::settings::Settings;
 use crate::shared_state::{SharedState, Target};
@@ -39,6 +40,8 @@
     pub routes: usize,
     /// Number of teams in the active configuration.
     pub teams: usize,
+    /// Teams with a quota, the first few hundred.
+    pub quotas: Vec<TeamState>,
     /// Whether this daemon reads the log for its data centre.
     pub reads_log: bool,
     /// The co-located target.
@@ -169,6 +172,7 @@
             watermark_ms: shared.freshness.age(now),
             routes: config.table.len(),
             teams: config.teams.teams().len(),
+            quotas: quotas(shared, now),
             reads_log: reader::reader_rank(shared).is_some(),
             lease_left_ms: target
                 .as_ref()
@@ -199,6 +203,15 @@
     }
 }
 
+/// State of the teams with a quota, limited to the first few hundred.
+#[must_use]
+pub fn quotas(shared: &SharedState, now: Instant) -> Vec<TeamState> {
+    let config = shared.config();
+    let mut teams = shared.quotas.states(now, config.teams.teams());
+    teams.truncate(MAX_LISTED);
+    teams
+}
+
 /// Version of an upstream's target software, as its daemon reports it.
 fn revision(roster: &Roster, upstream: &Upstream) -> Option<Revision> {
     let offer = roster.member(upstream.peer)?.offer.as_ref()?;
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -28,6 +28,7 @@
 use crate::quarantine::detector::lock_running;
 use crate::quarantine::running::Running;
 use crate::quarantine::shared::Quarantine;
+use crate::quota;
 use crate::rollout::shared::Rollouts;
 use crate::settings::Settings;
 use crate::teams::directory::Directory;
@@ -143,6 +144,8 @@
     pub running: Mutex<Running>,
     /// Requests quarantined because they crash targets.
     pub quarantine: Quarantine,
+    /// Quotas of teams.
+    pub quotas: Arc<quota::limiter::Limiter>,
     /// Rollouts of new revisions.
     pub rollouts: Rollouts,
     stage: AtomicU8,
@@ -166,6 +169,7 @@
         Self {
             drain_ms: AtomicU64::new(settings.drain_ms.0),
             quarantine: Quarantine::new(settings.quarantine_ms.duration()),
+            quotas: Arc::new(quota::limiter::Limiter::new(settings.identity())),
             rollouts: Rollouts::default(),
             settings,
             logger,
