Calls: idempotency keys of calls without a team are scoped, too

A caller without a team could choose a key that spells the scope of a team, and get the response to that team's request on a public route of the same service. With teams in the configuration every key now has the length and name of its team in front, an empty one where there is none. The test fails without the scope, and with the scope only for teams.

--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -22,7 +22,7 @@
 use crate::peer::Failure;
 use crate::quarantine::fingerprint::{Content, Fingerprint};
 use crate::shared_state::Snapshot;
-use crate::teams::directory::{Caller, Entry, Unauthenticated};
+use crate::teams::directory::{Caller, Directory, Entry, Unauthenticated};
 use crate::units::{IdempotencyKey, Millis, Service};
 
 /// Header with the caller's idempotency key.
@@ -136,7 +136,7 @@
                 .unwrap_or(timeout)
                 .duration();
         let group = Arc::clone(resolved_route.group(draw));
-        let scoped = |key: String| scope(&group.service, team.as_deref(), &key);
+        let scoped = |key: String| scope(&group.service, &config.teams, team.as_deref(), &key);
         let key = head.headers.get(IDEMPOTENCY_KEY).and_then(text).map(scoped);
         let metadata = Metadata {
             id: id.to_owned(),
@@ -270,14 +270,15 @@
     }
 }
 
-/// Scopes an idempotency key by service and team, whose callers choose keys independently.
-///
-/// The length in front of the team keeps another team, or a call without one, from spelling the same.
-fn scope(service: &Service, team: Option<&Entry>, key: &str) -> IdempotencyKey {
-    IdempotencyKey(match team {
-        Some(Entry { name, .. }) => format!("{service}/{}:{name}/{key}", name.len()),
-        None => format!("{service}/{key}"),
-    })
+/// Scopes an idempotency key by service and, with `teams`, by team: callers of two services or teams
+/// may choose the same one.
+fn scope(service: &Service, teams: &Directory, team: Option<&Entry>, key: &str) -> IdempotencyKey {
+    if teams.is_empty() {
+        return IdempotencyKey(format!("{service}/{key}"));
+    }
+    // The length keeps a key that contains a name from being taken for that team's.
+    let name = team.map_or("", |team| &team.name);
+    IdempotencyKey(format!("{service}/{}:{name}/{key}", name.len()))
 }
 
 impl Attempt {
