--- a/trial/tests/operators.rs
+++ b/trial/tests/operators.rs
@@ -9,6 +9,8 @@
 use common::{document, fleet, places};
 use jackdaw_trial::rig::fleet::{Fleet, wait_until};
 use jackdaw_trial::stand_in::log::{Faults, Mode};
+use jackdawpulley::teams::key::Key;
+use jackdawpulley::teams::team::Team;
 use serde_json::Value;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -83,6 +85,46 @@
     assert_eq!(fleet.run_ctl(0, &["nonsense"]).await.0, Some(2));
 }
 
+/// Guards against a command that prints a key, and a printed document that is published.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_printed_as_digests() {
+    let mut fleet = fleet(&[]).await;
+    fleet.add_hosts(&places(1, 1)).await;
+    let mut document = document(1);
+    document.teams = vec![Team {
+        name: "north".to_owned(),
+        keys: vec![Key::from("a-secret-key".to_owned())],
+        ..Team::default()
+    }];
+    let text = serde_json::to_string(&document).expect("a document is JSON");
+    let first = write(&fleet, "first.json", &text);
+    let changed = write(
+        &fleet,
+        "changed.json",
+        &text.replace("secret", "new-secret"),
+    );
+    assert_eq!(fleet.run_ctl(0, &["apply", &first]).await.0, Some(0));
+    let (_, shown) = fleet.run_ctl(0, &["show"]).await;
+    assert!(shown.contains("hidden key-"), "{shown}");
+    let printed = write(
+        &fleet,
+        "printed.json",
+        &parse_json(&shown)["document"].to_string(),
+    );
+    let (status, refused) = fleet.run_ctl(0, &["apply", &printed]).await;
+    assert_eq!(status, Some(4), "{refused}");
+    for (file, changes) in [(&first, 0), (&changed, 1)] {
+        let (_, out) = fleet.run_ctl(0, &["diff", file]).await;
+        let found = parse_json(&out)["changes"].as_array().map(Vec::len);
+        assert_eq!(found, Some(changes), "{out}");
+    }
+    let (_, state) = fleet.run_ctl(0, &["state"]).await;
+    assert_eq!(parse_json(&state)["teams"], 1);
+    let (_, summaries) = fleet.run_ctl(0, &["status"]).await;
+    assert_eq!(parse_json(&summaries)[0]["teams"], 1, "{summaries}");
+    assert!(!format!("{shown}{refused}{state}{summaries}").contains("secret"));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn commands_report_daemon_stage() {
     let mut fleet = fleet(&["--log-patience-ms", "60000"]).await;
