Calls: the team travels in its header alone

An empty name in the encoded metadata cost a byte per relayed call also without teams. The header now carries the bytes of any name, also beyond ASCII, as the header to the target does.

--- a/src/calls/metadata.rs
+++ b/src/calls/metadata.rs
@@ -61,6 +61,7 @@
     /// How requests with the same key are kept from running twice.
     pub guard: Guard,
     /// Name of the team for which the call is made; empty if there is none.
+    #[serde(skip)]
     pub team: String,
     /// Sidecars that have told the ingress that they accept no more calls.
     pub draining: Vec<SocketAddr>,
@@ -76,20 +77,22 @@
         (GROUP, &mut metadata.group),
         (ROUTE, &mut metadata.route),
         (CALLER_SERVICE, &mut metadata.caller_service.0),
-        (TEAM, &mut metadata.team),
     ];
     for (header, name) in names {
         // A header that the caller sent under this name must not be taken for metadata.
         headers.remove(header);
         // A name that is not a valid header value stays in the metadata itself.
-        if name.is_empty() && header == TEAM {
-            continue;
-        }
         if let Ok(value) = HeaderValue::from_str(name) {
             headers.insert(header, value);
             name.clear();
         }
     }
+    headers.remove(TEAM);
+    // The bytes of any checked name are a header value, also beyond ASCII.
+    let team = HeaderValue::from_bytes(metadata.team.as_bytes());
+    if let Some(team) = team.ok().filter(|team| !team.is_empty()) {
+        headers.insert(TEAM, team);
+    }
     headers.remove(NOTICE);
     let notice = metadata.notice.map(|notice| notice.to_string());
     if let Some(Ok(value)) = notice.map(HeaderValue::try_from) {
@@ -104,6 +107,7 @@
 ///
 /// [`Error::Frame`](crate::Error::Frame) when it does not decode.
 pub fn read_metadata(headers: &mut HeaderMap) -> Result<Metadata> {
+    let team = headers.remove(TEAM);
     let mut take = |name| {
         let value: Option<HeaderValue> = headers.remove(name);
         value.and_then(|value| value.to_str().ok().map(str::to_owned))
@@ -121,9 +125,8 @@
     if let Some(service) = take(CALLER_SERVICE) {
         metadata.caller_service = Service(service);
     }
-    if let Some(team) = take(TEAM) {
-        metadata.team = team;
-    }
+    let team = team.and_then(|team| String::from_utf8(team.as_bytes().to_vec()).ok());
+    metadata.team = team.unwrap_or_default();
     // Without it the request is still complete.
     metadata.notice = take(NOTICE).and_then(|notice| notice.parse().ok());
     Ok(metadata)
