Retries: the last retry is left to the most urgent routes, whatever the team

With teams the queue's priority is the team's first, so that the last retry of a budget was left to urgent routes of the teams of priority 0 alone, and to nobody where there is no such team. The route's own priority decides again, as before teams. Found by reading; no test plays a budget's last retry with teams.

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -77,7 +77,7 @@
         fixed
             || self
                 .budget(call)
-                .withdraw_for(rule.budget, call.metadata.priority)
+                .withdraw_for(rule.budget, call.resolved_route.route.rank())
     }
 
     /// Makes an attempt, and for a repeatable call a second one elsewhere if the first is late.
