--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -37,6 +37,8 @@
     pub watermark_ms: Option<Millis>,
     /// Number of routes in the active configuration.
     pub routes: usize,
+    /// Number of teams in the active configuration.
+    pub teams: usize,
     /// Whether this daemon reads the log for its data centre.
     pub reads_log: bool,
     /// The co-located target.
@@ -118,6 +120,9 @@
     pub version: Version,
     /// Hash of the document, in hexadecimal.
     pub hash: String,
+    /// Number of teams in the active configuration.
+    #[serde(default)]
+    pub teams: usize,
     /// When the version was activated, in Unix microseconds.
     pub since_us: u64,
     /// Data centre of the daemon.
@@ -133,6 +138,7 @@
         let config = shared.config();
         let digest = config.digest;
         Self {
+            teams: config.teams.teams().len(),
             since_us: config.since_us,
             ready: shared.stage() == Stage::Serving,
             stage: shared.stage(),
@@ -162,6 +168,7 @@
             offered: shared.freshness.received(),
             watermark_ms: shared.freshness.age(now),
             routes: config.table.len(),
+            teams: config.teams.teams().len(),
             reads_log: reader::reader_rank(shared).is_some(),
             lease_left_ms: target
                 .as_ref()
