Calls: routes are limited while the calls of their runs are refused

Runs whose nested call is refused occupy slots and are wasted. The daemon beside a target is the ingress of the calls that the target makes, so it sees how they end and how the runs end meanwhile. A route whose runs fail while nested calls are refused gets a limit on its requests in flight, which is halved by a wasted run and increased otherwise (calls/dependency.rs, wired by calls/dependents.rs). While nested calls are slow, a dependent route gets three quarters of the slots. Calls of started runs go before new work of the same priority in each queue. No route is refused for this more often than a less urgent one at the same sidecar.

--- a/src/calls/admission.rs
+++ b/src/calls/admission.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::{Notify, oneshot};
 
-use crate::calls::limit::{Decision, Limit, Ticket};
+use crate::calls::limit::{Decision, Limit, Rank, Ticket};
 use crate::calls::outcome::Reason;
 use crate::calls::pacer::{Bucket, Fairness};
 use crate::units::{Priority, Rate};
@@ -19,6 +19,8 @@
 pub struct Options {
     /// Priority of the request.
     pub priority: Priority,
+    /// Whether only targets call its route, so that a started run waits for it.
+    pub nested: bool,
     /// Longest expected wait. If a longer one is expected, the request is refused at once, while
     /// there is still time to try another target.
     pub max_wait: Duration,
@@ -113,12 +115,12 @@
         }
     }
 
-    /// Expected wait of a new request of `priority` for a slot and a token.
-    fn expected_wait(&self, priority: Priority, now: Instant) -> Duration {
-        let ahead = self.limit.ahead(priority);
+    /// Expected wait of a new request of `rank` for a slot and a token.
+    fn expected_wait(&self, rank: Rank, now: Instant) -> Duration {
+        let ahead = self.limit.ahead(rank);
         let pacer = self.pacer.as_ref();
         let token_wait = pacer.map(|pacer| pacer.bucket.delay(now, ahead));
-        let slot_wait = self.limit.expected_wait(priority);
+        let slot_wait = self.limit.expected_wait(rank);
         slot_wait.max(token_wait.unwrap_or_default())
     }
 
@@ -161,14 +163,17 @@
             let mut state = self.state();
             state.resize((slots, queue), now);
             state.refresh_allowance(now);
-            let priority = state.effective_priority(options.priority);
-            if state.expected_wait(priority, now) > options.max_wait {
+            let rank = Rank {
+                priority: state.effective_priority(options.priority),
+                is_new: !options.nested,
+            };
+            if state.expected_wait(rank, now) > options.max_wait {
                 state.record_refusal(options.priority);
                 return Err(Reason::Overloaded);
             }
             state.last_ticket += 1;
             let ticket = state.last_ticket;
-            match state.limit.acquire(ticket, priority) {
+            match state.limit.acquire(ticket, rank) {
                 Decision::Run => {
                     state.record_start(now);
                     state.record_admission(options.priority);
--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -11,6 +11,8 @@
 use volo_http::body::Body;
 
 use crate::calls::admission::{Options, Permit, Queue};
+use crate::calls::dependency::RunEnd;
+use crate::calls::dependents::{Admission, Dependents};
 use crate::calls::dialect::Dialect;
 use crate::calls::dispatch::Dispatcher;
 use crate::calls::metadata::Metadata;
@@ -49,6 +51,8 @@
     metadata: Metadata,
     request: Request<Body>,
     deadline: Instant,
+    /// Whether only targets call its route.
+    nested: bool,
     in_flight: InFlight,
 }
 
@@ -57,6 +61,7 @@
 pub struct Admitted {
     received: Received,
     permit: Permit,
+    admission: Admission,
     target: Arc<Target>,
     waited: Duration,
 }
@@ -75,6 +80,7 @@
     crash_detector: Detector,
     queue: Arc<Queue>,
     throttle: Throttle,
+    dependents: Arc<Dependents>,
     /// Bodies that are being received, and those waiting for that.
     body_queue: Arc<Queue>,
 }
@@ -88,6 +94,7 @@
         Self {
             crash_detector: Detector::new(Arc::clone(&shared)),
             throttle: Throttle::new(Arc::clone(&shared), Arc::clone(&queue)),
+            dependents: Arc::new(Dependents::new(Arc::clone(&shared))),
             shared,
             dispatcher,
             queue,
@@ -115,6 +122,12 @@
         self.throttle.limit()
     }
 
+    /// Admission of routes whose runs make nested calls.
+    #[must_use]
+    pub const fn dependents(&self) -> &Arc<Dependents> {
+        &self.dependents
+    }
+
     /// Admits and runs a request.
     ///
     /// # Errors
@@ -178,13 +191,19 @@
 }
 
 impl Received {
-    /// A request received just now.
+    /// A request received just now; `nested` if only targets call its route.
     #[must_use]
-    pub fn new(metadata: Metadata, request: Request<Body>, in_flight: InFlight) -> Self {
+    pub fn new(
+        metadata: Metadata,
+        request: Request<Body>,
+        nested: bool,
+        in_flight: InFlight,
+    ) -> Self {
         Self {
             deadline: Instant::now() + metadata.remaining.duration(),
             metadata,
             request,
+            nested,
             in_flight,
         }
     }
@@ -227,10 +246,12 @@
         }
         let mut options = Options {
             priority: self.metadata.priority,
+            nested: self.nested,
             max_wait: self.metadata.max_wait.duration(),
             timeout: left / QUEUE_WAIT_DIVISOR,
         };
         let (slots, queue) = executor.queue_limits(&self.metadata);
+        let admission = executor.dependents.admit(&self.metadata, slots)?;
         let mut waited = Duration::ZERO;
         if let Some(continue_signal) = self.request.extensions_mut().remove::<Continue>() {
             waited = self
@@ -242,7 +263,8 @@
             options.timeout = left / QUEUE_WAIT_DIVISOR;
         }
         let began = Instant::now();
-        let permit = executor.queue.acquire(slots, queue, options).await?;
+        let permit = executor.queue.acquire(slots, queue, options).await;
+        let permit = permit.inspect_err(|_| admission.record_refusal())?;
         // If the daemon was suspended while the request waited, the caller may have timed out and
         // been told so, or the target may have left. Hence deadline and target are checked again
         // with the slot held, right before the request is dispatched.
@@ -254,6 +276,7 @@
         Ok(Admitted {
             received: self,
             permit,
+            admission,
             target,
             waited: waited + began.elapsed(),
         })
@@ -304,6 +327,7 @@
             mut request,
             deadline,
             in_flight,
+            ..
         } = self.received;
         let left = deadline.saturating_duration_since(Instant::now());
         let dialect = &executor.shared.dialect;
@@ -350,6 +374,9 @@
         });
         run.finish(completion(&result));
         recorder.finish(&result);
+        if let Some(end) = run_end(&result) {
+            self.admission.end_run(began, end);
+        }
         let mut response =
             result.inspect_err(|reason| executor.handle_failure(*reason, &self.target))?;
         let headers = response.headers_mut();
@@ -367,7 +394,7 @@
         let (parts, body) = response.into_parts();
         Ok(Response::from_parts(
             parts,
-            Guarded::wrap(body, (self.permit, in_flight)),
+            Guarded::wrap(body, (self.permit, self.admission, in_flight)),
         ))
     }
 }
@@ -384,6 +411,16 @@
     }
 }
 
+/// How a run ended; `None` if the target did not run the request, or lost its connection.
+fn run_end(result: &Result<Response<Body>, Reason>) -> Option<RunEnd> {
+    match result {
+        Ok(response) if response.status().is_server_error() => Some(RunEnd::Failed),
+        Ok(_) => Some(RunEnd::Succeeded),
+        Err(Reason::TimedOut) => Some(RunEnd::Failed),
+        Err(_) => None,
+    }
+}
+
 /// Writes the headers that the target needs.
 fn write_target_headers(
     headers: &mut HeaderMap,
--- a/src/calls/ingress.rs
+++ b/src/calls/ingress.rs
@@ -17,7 +17,7 @@
 use crate::calls::call::Call;
 use crate::calls::outcome::{self, OUTCOME, REASON, Reason};
 use crate::calls::retry;
-use crate::calls::sidecar::{LOAD, Sidecar};
+use crate::calls::sidecar::{LOAD, Load, Sidecar};
 use crate::calls::stream::Guarded;
 use crate::configuration::document::Retry;
 use crate::membership::member::Stage;
@@ -61,6 +61,7 @@
 pub struct Ingress {
     shared: Arc<SharedState>,
     calls: AtomicU64,
+    sidecar: Arc<Sidecar>,
     sender: Sender,
 }
 
@@ -69,7 +70,8 @@
     #[must_use]
     pub fn new(shared: Arc<SharedState>, sidecar: Arc<Sidecar>) -> Self {
         Self {
-            sender: Sender::new(Arc::clone(&shared), sidecar),
+            sender: Sender::new(Arc::clone(&shared), Arc::clone(&sidecar)),
+            sidecar,
             shared,
             calls: AtomicU64::new(0),
         }
@@ -255,6 +257,10 @@
             call.record_failure(Reason::Quarantined);
             return self.refuse(&call);
         }
+        // Only targets call nested routes, and the target beside this daemon calls through it.
+        let route = &call.resolved_route.route.name;
+        let is_nested = self.sender.balancer.statistics.is_nested(route);
+        let nested_call = is_nested.then(|| self.sidecar.dependents().begin_call());
         let answered = tokio::select! {
             answered = self.run_attempts(&mut call) => answered,
             () = self.shared.calls_aborted() => {
@@ -263,6 +269,13 @@
                 None
             }
         };
+        if let Some(nested_call) = nested_call {
+            let load = answered
+                .as_ref()
+                .map(|answer| Load::from_headers(answer.headers()));
+            let waited = load.map(|load| load.unwrap_or_default().waited.duration());
+            nested_call.finish(waited.ok_or(call.reason.unwrap_or(Reason::NoTarget)));
+        }
         answered.unwrap_or_else(|| self.refuse(&call))
     }
 
--- a/src/calls/limit.rs
+++ b/src/calls/limit.rs
@@ -24,6 +24,25 @@
 /// Number of a request at its sidecar, in order of arrival.
 pub type Ticket = u64;
 
+/// Place of a request in the order of the queue, the lowest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Priority of the request.
+    pub priority: Priority,
+    /// Whether the request is new work. A call made by a run that has started goes before new work
+    /// of the same priority, since its refusal would waste that run.
+    pub is_new: bool,
+}
+
+impl<P: Into<Priority>> From<P> for Rank {
+    fn from(priority: P) -> Self {
+        Self {
+            priority: priority.into(),
+            is_new: true,
+        }
+    }
+}
+
 /// Decision on a request that asks for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
@@ -31,7 +50,7 @@
     Run,
     /// The request waits.
     Wait {
-        /// Request of lower priority that lost its place in the full queue and is shed.
+        /// Request of lower rank that lost its place in the full queue and is shed.
         shed: Option<Ticket>,
     },
     /// The request is shed.
@@ -46,8 +65,8 @@
     running: u32,
     /// Requests that may start now; `None` if their rate is not limited.
     allowance: Option<u32>,
-    /// Sorted by priority, then by ticket: the first is the next to run.
-    waiting: Vec<(Priority, Ticket)>,
+    /// Sorted by rank, then by ticket: the first is the next to run.
+    waiting: Vec<(Rank, Ticket)>,
     /// Moving average of the time for which a slot is held; 0 before the first sample.
     mean_hold_s: f64,
 }
@@ -91,20 +110,20 @@
     }
 
     /// Requests a slot.
-    pub fn acquire(&mut self, ticket: Ticket, priority: impl Into<Priority>) -> Decision {
-        let priority = priority.into();
+    pub fn acquire(&mut self, ticket: Ticket, rank: impl Into<Rank>) -> Decision {
+        let rank = rank.into();
         if self.may_start() && self.waiting.is_empty() {
             self.start();
             return Decision::Run;
         }
         if self.waiting.len() < self.queue as usize {
-            self.insert(priority, ticket);
+            self.insert(rank, ticket);
             return Decision::Wait { shed: None };
         }
         match self.waiting.last() {
-            Some(&(lowest, lowest_ticket)) if priority < lowest => {
+            Some(&(lowest, lowest_ticket)) if rank < lowest => {
                 self.waiting.pop();
-                self.insert(priority, ticket);
+                self.insert(rank, ticket);
                 Decision::Wait {
                     shed: Some(lowest_ticket),
                 }
@@ -113,14 +132,14 @@
         }
     }
 
-    /// Number of slot releases after which a new request of `priority` would run; 0 while a slot
+    /// Number of slot releases after which a new request of `rank` would run; 0 while a slot
     /// is free.
     #[must_use]
-    pub fn position(&self, priority: impl Into<Priority>) -> usize {
+    pub fn position(&self, rank: impl Into<Rank>) -> usize {
         if self.has_free_slot() {
             return 0;
         }
-        1 + self.ahead(priority)
+        1 + self.ahead(rank)
     }
 
     /// Number of waiting requests that start before this one; `None` if it does not wait.
@@ -136,18 +155,17 @@
         self.running < self.slots
     }
 
-    /// Number of waiting requests that start before a new one of `priority`.
+    /// Number of waiting requests that start before a new one of `rank`.
     #[must_use]
-    pub fn ahead(&self, priority: impl Into<Priority>) -> usize {
-        let priority = priority.into();
-        self.waiting
-            .partition_point(|&(other, _)| other <= priority)
+    pub fn ahead(&self, rank: impl Into<Rank>) -> usize {
+        let rank = rank.into();
+        self.waiting.partition_point(|&(other, _)| other <= rank)
     }
 
-    /// Expected wait of a new request of `priority`.
+    /// Expected wait of a new request of `rank`.
     #[must_use]
-    pub fn expected_wait(&self, priority: impl Into<Priority>) -> Duration {
-        let position = u32::try_from(self.position(priority)).unwrap_or(u32::MAX);
+    pub fn expected_wait(&self, rank: impl Into<Rank>) -> Duration {
+        let position = u32::try_from(self.position(rank)).unwrap_or(u32::MAX);
         let slots = f64::from(self.slots.max(1));
         let seconds = f64::from(position) * self.mean_hold_s / slots;
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
@@ -195,10 +213,10 @@
         self.allowance = self.allowance.map(|allowance| allowance.saturating_sub(1));
     }
 
-    fn insert(&mut self, priority: Priority, ticket: Ticket) {
+    fn insert(&mut self, rank: Rank, ticket: Ticket) {
         let index = self
             .waiting
-            .partition_point(|&waiting| waiting < (priority, ticket));
-        self.waiting.insert(index, (priority, ticket));
+            .partition_point(|&waiting| waiting < (rank, ticket));
+        self.waiting.insert(index, (rank, ticket));
     }
 }
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -4,7 +4,8 @@
 //! [`pick`]s an upstream by its [`latency`] and [`pace`], and forwards the request with its
 //! [`metadata`] to the sidecar, the daemon beside the target. The sidecar's concurrency [`limit`]
 //! bounds the requests at the target, and a [`pacer`] the rate at which they start if the target
-//! names one in a [`notice`]; [`wait`] bounds how long a request may wait for that. Only the ingress
+//! names one in a [`notice`]; a [`dependency`] control refuses requests whose nested calls would be
+//! refused; [`wait`] bounds how long a request may wait for that. Only the ingress
 //! may [`retry`]. The response names the [`outcome`]. Header names and conventions are those of a
 //! [`dialect`]. The number of callers' [`connections`] is limited where they are accepted.
 
@@ -14,6 +15,8 @@
 pub(crate) mod call;
 pub(crate) mod callers;
 pub mod connections;
+pub mod dependency;
+pub(crate) mod dependents;
 pub mod dialect;
 pub(crate) mod dispatch;
 pub(crate) mod executor;
--- a/src/calls/sidecar.rs
+++ b/src/calls/sidecar.rs
@@ -13,6 +13,7 @@
 use slog::info;
 use volo_http::body::Body;
 
+use crate::calls::dependents::Dependents;
 use crate::calls::executor::{Executor, QueueTime, Received};
 use crate::calls::metadata::Metadata;
 use crate::calls::nesting::Detector;
@@ -111,11 +112,17 @@
         self.executor.rate_limit()
     }
 
+    /// Admission of routes whose runs make nested calls.
+    #[must_use]
+    pub fn dependents(&self) -> &Arc<Dependents> {
+        self.executor.dependents()
+    }
+
     /// Runs a request; the response carries the reason if it could not be run.
     pub async fn run(&self, metadata: Metadata, request: Request<Body>) -> Response<Body> {
         let (id, key) = (metadata.id.clone(), metadata.key.clone());
         let nested = self.record_origin(&metadata);
-        let received = Received::new(metadata, request, self.shared.track_call());
+        let received = Received::new(metadata, request, nested, self.shared.track_call());
         let result = match key {
             Some(key) => {
                 self.deduplicator
--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::calls::dependency::Limited;
 use crate::calls::sidecar::Sidecar;
 use crate::configuration::reader;
 use crate::idempotency::deduplicator::Deduplicator;
@@ -43,6 +44,8 @@
     pub target: Option<Target>,
     /// Requests per second that the target accepts, if it names a limit.
     pub target_limit: Option<Rate>,
+    /// Routes that are limited because their nested calls are refused.
+    pub dependents: Vec<Limited>,
     /// Time until the target's lease expires.
     pub lease_left_ms: Option<Millis>,
     /// Number of calls in flight in this daemon.
@@ -168,6 +171,7 @@
                 .map(|target| time_left(target.lease_until).into()),
             target: target.as_deref().cloned(),
             target_limit: sidecar.rate_limit(),
+            dependents: sidecar.dependents().limited(),
             in_flight: shared.in_flight(),
             running,
             waiting,
--- a/trial/src/load/mod.rs
+++ b/trial/src/load/mod.rs
@@ -6,6 +6,7 @@
 //! second and is deterministic.
 
 pub mod kind;
+pub mod nested;
 pub mod plot;
 pub mod simulation;
 pub mod statistics;
--- a/trial/src/main.rs
+++ b/trial/src/main.rs
@@ -33,6 +33,8 @@
     Overhead(overhead::Args),
     /// Simulation of overload under each policy, in virtual time
     Load(load::Args),
+    /// Simulation of nested calls that are refused, under each control
+    Nested(load::nested::Args),
     /// CPU time and memory for a large view and document
     Scale(scale::Args),
     /// Run the stand-in for the platform's log
@@ -112,6 +114,12 @@
             ExitCode::SUCCESS
         }
         Verb::Load(args) => compare(&args),
+        Verb::Nested(args) => {
+            for report in load::nested::compare(&args) {
+                print(&report);
+            }
+            ExitCode::SUCCESS
+        }
         Verb::Scale(args) => {
             print(&scale::run(&args));
             ExitCode::SUCCESS
