Teams of one rank share a target's queue fairly

Cause: waiting requests were ordered by rank and arrival, so that a team that sends ten times its usual took the queue from the others. Change: the start tag of Fair goes between rank and ticket in Limit; the expected wait and the request that a full queue sheds follow the same order, and a request that is shed or cancelled is taken back from its team's tag. Admission passes the team of the metadata with the rate of its quota from the sidecar's own version; teams without a quota weigh like the mean of the quotas. Requests without teams get no tag. The module admission is public so that a test checks that it passes the team on.

--- a/src/calls/admission.rs
+++ b/src/calls/admission.rs
@@ -9,9 +9,10 @@
 
 use tokio::sync::{Notify, oneshot};
 
-use crate::calls::limit::{Decision, Limit, Rank, Ticket};
+use crate::calls::limit::{self, Decision, Limit, Rank, Ticket};
 use crate::calls::outcome::Reason;
 use crate::calls::pacer::{Bucket, Fairness};
+use crate::teams::fair::Share;
 use crate::units::{Priority, Rate};
 
 /// Terms on which a request queues for a slot.
@@ -21,6 +22,8 @@
     pub priority: Priority,
     /// Whether only targets call its route, so that a started run waits for it.
     pub nested: bool,
+    /// Team of the request, with which the others of its priority share the target.
+    pub share: Share,
     /// Longest expected wait. If a longer one is expected, the request is refused at once, while
     /// there is still time to try another target.
     pub max_wait: Duration,
@@ -115,12 +118,12 @@
         }
     }
 
-    /// Expected wait of a new request of `rank` for a slot and a token.
-    fn expected_wait(&self, rank: Rank, now: Instant) -> Duration {
-        let ahead = self.limit.ahead(rank);
+    /// Expected wait of a new request for a slot and a token.
+    fn expected_wait(&self, request: limit::Request, now: Instant) -> Duration {
+        let ahead = self.limit.ahead(request);
         let pacer = self.pacer.as_ref();
         let token_wait = pacer.map(|pacer| pacer.bucket.delay(now, ahead));
-        let slot_wait = self.limit.expected_wait(rank);
+        let slot_wait = self.limit.expected_wait(request);
         slot_wait.max(token_wait.unwrap_or_default())
     }
 
@@ -151,7 +154,7 @@
     /// # Errors
     ///
     /// [`Reason::Overloaded`] if the queue is full, the expected wait is too long, no slot or token
-    /// became free in time, or a request of higher priority took the place.
+    /// became free in time, or a request that goes before it took the place.
     pub async fn acquire(
         self: &Arc<Self>,
         slots: u32,
@@ -167,13 +170,15 @@
                 priority: state.effective_priority(options.priority),
                 is_new: !options.nested,
             };
-            if state.expected_wait(rank, now) > options.max_wait {
+            let share = options.share;
+            let request = limit::Request { rank, share };
+            if state.expected_wait(request, now) > options.max_wait {
                 state.record_refusal(options.priority);
                 return Err(Reason::Overloaded);
             }
             state.last_ticket += 1;
             let ticket = state.last_ticket;
-            match state.limit.acquire(ticket, rank) {
+            match state.limit.acquire(ticket, request) {
                 Decision::Run => {
                     state.record_start(now);
                     state.record_admission(options.priority);
--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -247,6 +247,7 @@
         let mut options = Options {
             priority: self.metadata.priority,
             nested: self.nested,
+            share: executor.shared.config().teams.share(&self.metadata.team),
             max_wait: self.metadata.max_wait.duration(),
             timeout: left / QUEUE_WAIT_DIVISOR,
         };
--- a/src/calls/limit.rs
+++ b/src/calls/limit.rs
@@ -1,7 +1,9 @@
 //! Concurrency limit of a sidecar: a number of slots and a short queue ordered by priority.
 //!
 //! A [`Limit`] decides which request runs, waits or is shed. It is a state machine without I/O:
-//! requests are ticket numbers, and the admission queue wakes those that it returns.
+//! requests are ticket numbers, and the admission queue wakes those that it returns. Teams whose
+//! requests have the same rank share the target by start-time fair queueing ([`Fair`]); requests
+//! without teams are served in order of arrival.
 //!
 //! ```
 //! use jackdawpulley::configuration::document::Class;
@@ -16,10 +18,14 @@
 
 use std::time::Duration;
 
+use crate::teams::fair::{Fair, Share, Tag};
 use crate::units::Priority;
 
 /// Weight of one request in the moving average of the hold time: averages about thirty requests.
 const HOLD_WEIGHT: f64 = 0.03;
+/// Number of ranks from which on the shares of ranks in which nothing waits are dropped. Bounds the
+/// memory; there are about ten ranks in use.
+const MAX_IDLE_RANKS: usize = 16;
 
 /// Number of a request at its sidecar, in order of arrival.
 pub type Ticket = u64;
@@ -43,6 +49,24 @@
     }
 }
 
+/// What decides the place of a request in the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Request {
+    /// Goes before the share of the team.
+    pub rank: Rank,
+    /// Team of the request.
+    pub share: Share,
+}
+
+impl<R: Into<Rank>> From<R> for Request {
+    fn from(rank: R) -> Self {
+        Self {
+            rank: rank.into(),
+            share: Share::default(),
+        }
+    }
+}
+
 /// Decision on a request that asks for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
@@ -50,13 +74,31 @@
     Run,
     /// The request waits.
     Wait {
-        /// Request of lower rank that lost its place in the full queue and is shed.
+        /// Last request of the order, which lost its place in the full queue and is shed: of lower
+        /// rank, or the newest of a team that is further ahead of its share.
         shed: Option<Ticket>,
     },
     /// The request is shed.
     Shed,
 }
 
+/// A request in the queue.
+#[derive(Debug, Clone, Copy)]
+struct Waiter {
+    rank: Rank,
+    /// Start tag within the rank.
+    tag: Tag,
+    ticket: Ticket,
+    /// `None` if the request has no tag of its own, since no team had a request in its rank.
+    share: Option<Share>,
+}
+
+impl Waiter {
+    const fn order(&self) -> (Rank, Tag, Ticket) {
+        (self.rank, self.tag, self.ticket)
+    }
+}
+
 /// Concurrency limit with a priority queue.
 #[derive(Debug)]
 pub struct Limit {
@@ -65,8 +107,10 @@
     running: u32,
     /// Requests that may start now; `None` if their rate is not limited.
     allowance: Option<u32>,
-    /// Sorted by rank, then by ticket: the first is the next to run.
-    waiting: Vec<(Rank, Ticket)>,
+    /// Sorted by rank, then by start tag, then by ticket: the first is the next to run.
+    waiting: Vec<Waiter>,
+    /// Sorted by rank; only ranks in which a request of a team has waited since a slot was last free.
+    shares: Vec<(Rank, Fair)>,
     /// Moving average of the time for which a slot is held; 0 before the first sample.
     mean_hold_s: f64,
 }
@@ -81,6 +125,7 @@
             running: 0,
             allowance: None,
             waiting: Vec::new(),
+            shares: Vec::new(),
             mean_hold_s: 0.0,
         }
     }
@@ -110,43 +155,43 @@
     }
 
     /// Requests a slot.
-    pub fn acquire(&mut self, ticket: Ticket, rank: impl Into<Rank>) -> Decision {
-        let rank = rank.into();
+    pub fn acquire(&mut self, ticket: Ticket, request: impl Into<Request>) -> Decision {
+        let request = request.into();
         if self.may_start() && self.waiting.is_empty() {
             self.start();
             return Decision::Run;
         }
         if self.waiting.len() < self.queue as usize {
-            self.insert(rank, ticket);
+            self.insert(request, ticket);
             return Decision::Wait { shed: None };
         }
-        match self.waiting.last() {
-            Some(&(lowest, lowest_ticket)) if rank < lowest => {
-                self.waiting.pop();
-                self.insert(rank, ticket);
+        let place = (request.rank, self.tag(request));
+        match self.waiting.last().copied() {
+            Some(last) if place < (last.rank, last.tag) => {
+                self.remove(self.waiting.len() - 1);
+                self.insert(request, ticket);
                 Decision::Wait {
-                    shed: Some(lowest_ticket),
+                    shed: Some(last.ticket),
                 }
             }
             _ => Decision::Shed,
         }
     }
 
-    /// Number of slot releases after which a new request of `rank` would run; 0 while a slot
-    /// is free.
+    /// Number of slot releases after which a new request would run; 0 while a slot is free.
     #[must_use]
-    pub fn position(&self, rank: impl Into<Rank>) -> usize {
+    pub fn position(&self, request: impl Into<Request>) -> usize {
         if self.has_free_slot() {
             return 0;
         }
-        1 + self.ahead(rank)
+        1 + self.ahead(request)
     }
 
     /// Number of waiting requests that start before this one; `None` if it does not wait.
     #[must_use]
     pub fn ahead_of(&self, ticket: Ticket) -> Option<usize> {
         let mut waiting = self.waiting.iter();
-        waiting.position(|&(_, other)| other == ticket)
+        waiting.position(|waiter| waiter.ticket == ticket)
     }
 
     /// Whether a slot is free.
@@ -155,17 +200,25 @@
         self.running < self.slots
     }
 
-    /// Number of waiting requests that start before a new one of `rank`.
+    /// Number of waiting requests that start before a new one.
+    #[must_use]
+    pub fn ahead(&self, request: impl Into<Request>) -> usize {
+        let request = request.into();
+        let place = (request.rank, self.tag(request));
+        self.waiting
+            .partition_point(|waiter| (waiter.rank, waiter.tag) <= place)
+    }
+
+    /// Number of finish tags that are kept for teams.
     #[must_use]
-    pub fn ahead(&self, rank: impl Into<Rank>) -> usize {
-        let rank = rank.into();
-        self.waiting.partition_point(|&(other, _)| other <= rank)
+    pub fn tags(&self) -> usize {
+        self.shares.iter().map(|(_, fair)| fair.teams()).sum()
     }
 
-    /// Expected wait of a new request of `rank`.
+    /// Expected wait of a new request.
     #[must_use]
-    pub fn expected_wait(&self, rank: impl Into<Rank>) -> Duration {
-        let position = u32::try_from(self.position(rank)).unwrap_or(u32::MAX);
+    pub fn expected_wait(&self, request: impl Into<Request>) -> Duration {
+        let position = u32::try_from(self.position(request)).unwrap_or(u32::MAX);
         let slots = f64::from(self.slots.max(1));
         let seconds = f64::from(position) * self.mean_hold_s / slots;
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
@@ -182,11 +235,8 @@
 
     /// Removes a waiting request; `false` if it no longer waits.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        let index = self
-            .waiting
-            .iter()
-            .position(|&(_, waiting)| waiting == ticket);
-        index.map(|index| self.waiting.remove(index)).is_some()
+        let index = self.ahead_of(ticket);
+        index.map(|index| self.remove(index)).is_some()
     }
 
     /// Releases a slot and returns the ticket that runs next, if any.
@@ -197,11 +247,19 @@
 
     /// Starts the first waiting request if it may start, and returns its ticket.
     pub fn promote(&mut self) -> Option<Ticket> {
+        if self.waiting.is_empty() && self.has_free_slot() {
+            // Everyone has been served, so no team is ahead of another any more.
+            self.shares.clear();
+        }
         if !self.may_start() || self.waiting.is_empty() {
             return None;
         }
         self.start();
-        Some(self.waiting.remove(0).1)
+        let first = self.waiting.remove(0);
+        if let Ok(index) = self.find_shares(first.rank) {
+            self.shares[index].1.start(first.tag);
+        }
+        Some(first.ticket)
     }
 
     fn may_start(&self) -> bool {
@@ -213,10 +271,65 @@
         self.allowance = self.allowance.map(|allowance| allowance.saturating_sub(1));
     }
 
-    fn insert(&mut self, rank: Rank, ticket: Ticket) {
+    fn find_shares(&self, rank: Rank) -> Result<usize, usize> {
+        self.shares.binary_search_by_key(&rank, |entry| entry.0)
+    }
+
+    /// Start tag of a new request within its rank.
+    fn tag(&self, request: Request) -> Tag {
+        let index = self.find_shares(request.rank);
+        index.map_or_else(
+            |_| Tag::default(),
+            |index| self.shares[index].1.next(request.share.flow),
+        )
+    }
+
+    /// The shares of a rank; `None` if no team has a request there, nor has this one a team.
+    fn shares_mut(&mut self, Request { rank, share }: Request) -> Option<&mut Fair> {
+        let index = match self.find_shares(rank) {
+            Ok(index) => index,
+            Err(_) if !share.has_team() => return None,
+            Err(_) => {
+                if self.shares.len() >= MAX_IDLE_RANKS {
+                    let waiting = &self.waiting;
+                    let is_waiting = |rank| waiting.binary_search_by_key(&rank, |w| w.rank).is_ok();
+                    self.shares.retain(|entry| is_waiting(entry.0));
+                }
+                let index = self.shares.partition_point(|entry| entry.0 < rank);
+                self.shares.insert(index, (rank, Fair::default()));
+                index
+            }
+        };
+        Some(&mut self.shares[index].1)
+    }
+
+    fn insert(&mut self, request: Request, ticket: Ticket) {
+        let tag = self.shares_mut(request).map(|fair| fair.add(request.share));
+        let waiter = Waiter {
+            rank: request.rank,
+            tag: tag.unwrap_or_default(),
+            ticket,
+            share: tag.map(|_| request.share),
+        };
         let index = self
             .waiting
-            .partition_point(|&waiting| waiting < (rank, ticket));
-        self.waiting.insert(index, (rank, ticket));
+            .partition_point(|other| other.order() < waiter.order());
+        self.waiting.insert(index, waiter);
+    }
+
+    /// Removes a request that has not started, and moves later ones of its team into its place.
+    fn remove(&mut self, index: usize) {
+        let removed = self.waiting.remove(index);
+        let (Some(share), Ok(shares)) = (removed.share, self.find_shares(removed.rank)) else {
+            return;
+        };
+        self.shares[shares].1.remove(share);
+        let later = self.waiting[index..].iter_mut();
+        let of_team = later.filter(|waiter| {
+            waiter.rank == removed.rank
+                && waiter.share.is_some_and(|other| other.flow == share.flow)
+        });
+        of_team.for_each(|waiter| waiter.tag = waiter.tag.minus(share.cost));
+        self.waiting.sort_unstable_by_key(Waiter::order);
     }
 }
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -10,7 +10,7 @@
 //! [`dialect`]. The number of callers' [`connections`] is limited where they are accepted. Requests
 //! that follow each other on a connection pass through its [`pipeline`].
 
-pub(crate) mod admission;
+pub mod admission;
 pub(crate) mod attempt;
 pub(crate) mod balancer;
 pub(crate) mod call;
--- a/src/teams/directory.rs
+++ b/src/teams/directory.rs
@@ -21,9 +21,10 @@
 use http::HeaderValue;
 use strum::IntoStaticStr;
 
+use crate::teams::fair::Share;
 use crate::teams::key::{Digest, Key};
 use crate::teams::team::{Quota, Team};
-use crate::units::Priority;
+use crate::units::{Priority, Rate};
 
 /// Number of route priorities within one team priority.
 const ROUTE_PRIORITIES: u8 = 16;
@@ -37,6 +38,8 @@
     keys: Vec<(Key, usize)>,
     /// Largest priority number of any team.
     lowest: Priority,
+    /// Mean rate of the quotas; `None` without any.
+    mean_rate: Option<Rate>,
 }
 
 /// A team as requests refer to it.
@@ -86,6 +89,7 @@
         let lowest = teams.iter().map(|team| team.priority).max();
         Self {
             lowest: lowest.unwrap_or_default(),
+            mean_rate: mean_rate(&teams),
             teams,
             keys,
         }
@@ -112,6 +116,15 @@
         self.teams.get(found.ok()?)
     }
 
+    /// Share of a team in the queue of a target, by the rate of its quota.
+    ///
+    /// A team without a quota, and requests without a team, weigh like the mean of the quotas.
+    #[must_use]
+    pub fn share(&self, name: &str) -> Share {
+        let quota = self.team(name).and_then(|team| team.quota);
+        Share::new(name, quota.map(|quota| quota.rate).or(self.mean_rate))
+    }
+
     /// Finds the team that holds a key; allocates nothing.
     #[must_use]
     pub fn find(&self, key: &[u8]) -> Option<&Arc<Entry>> {
@@ -166,6 +179,15 @@
     }
 }
 
+fn mean_rate(teams: &[Arc<Entry>]) -> Option<Rate> {
+    let quotas = teams.iter().filter_map(|team| team.quota);
+    let (sum, count) = quotas.fold((0.0, 0.0), |(sum, count), quota| {
+        (sum + quota.rate.per_second(), count + 1.0)
+    });
+    // Without quotas the quotient is not a number, and not a rate.
+    Rate::new(sum / count)
+}
+
 impl Entry {
     fn of(team: &Team) -> Self {
         Self {
