--- a/src/calls/admission.rs
+++ b/src/calls/admission.rs
@@ -9,9 +9,10 @@
 
 use tokio::sync::{Notify, oneshot};
 
-use crate::calls::limit::{Decision, Limit, Ticket};
+use crate::calls::limit::{self, Decision, Limit, Rank, Ticket};
 use crate::calls::outcome::Reason;
 use crate::calls::pacer::{Bucket, Fairness};
+use crate::teams::fair::Share;
 use crate::units::{Priority, Rate};
 
 /// Terms on which a request queues for a slot.
@@ -19,6 +20,10 @@
 pub struct Options {
     /// Priority of the request.
     pub priority: Priority,
+    /// Whether only targets call its route, so that a started run waits for it.
+    pub nested: bool,
+    /// Team of the request, with which the others of its priority share the target.
+    pub share: Share,
     /// Longest expected wait. If a longer one is expected, the request is refused at once, while
     /// there is still time to try another target.
     pub max_wait: Duration,
@@ -113,12 +118,12 @@
         }
     }
 
-    /// Expected wait of a new request of `priority` for a slot and a token.
-    fn expected_wait(&self, priority: Priority, now: Instant) -> Duration {
-        let ahead = self.limit.ahead(priority);
+    /// Expected wait of a new request for a slot and a token.
+    fn expected_wait(&self, request: limit::Request, now: Instant) -> Duration {
+        let ahead = self.limit.ahead(request);
         let pacer = self.pacer.as_ref();
         let token_wait = pacer.map(|pacer| pacer.bucket.delay(now, ahead));
-        let slot_wait = self.limit.expected_wait(priority);
+        let slot_wait = self.limit.expected_wait(request);
         slot_wait.max(token_wait.unwrap_or_default())
     }
 
@@ -149,7 +154,7 @@
     /// # Errors
     ///
     /// [`Reason::Overloaded`] if the queue is full, the expected wait is too long, no slot or token
-    /// became free in time, or a request of higher priority took the place.
+    /// became free in time, or a request that goes before it took the place.
     pub async fn acquire(
         self: &Arc<Self>,
         slots: u32,
@@ -161,14 +166,19 @@
             let mut state = self.state();
             state.resize((slots, queue), now);
             state.refresh_allowance(now);
-            let priority = state.effective_priority(options.priority);
-            if state.expected_wait(priority, now) > options.max_wait {
+            let rank = Rank {
+                priority: state.effective_priority(options.priority),
+                is_new: !options.nested,
+            };
+            let share = options.share;
+            let request = limit::Request { rank, share };
+            if state.expected_wait(request, now) > options.max_wait {
                 state.record_refusal(options.priority);
                 return Err(Reason::Overloaded);
             }
             state.last_ticket += 1;
             let ticket = state.last_ticket;
-            match state.limit.acquire(ticket, priority) {
+            match state.limit.acquire(ticket, request) {
                 Decision::Run => {
                     state.record_start(now);
                     state.record_admission(options.priority);
--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -49,6 +49,8 @@
     metadata: Metadata,
     request: Request<Body>,
     deadline: Instant,
+    /// Whether only targets call its route.
+    nested: bool,
     in_flight: InFlight,
 }
 
@@ -178,13 +180,19 @@
 }
 
 impl Received {
-    /// A request received just now.
+    /// A request received just now; `nested` if only targets call its route.
     #[must_use]
-    pub fn new(metadata: Metadata, request: Request<Body>, in_flight: InFlight) -> Self {
+    pub fn new(
+        metadata: Metadata,
+        request: Request<Body>,
+        nested: bool,
+        in_flight: InFlight,
+    ) -> Self {
         Self {
             deadline: Instant::now() + metadata.remaining.duration(),
             metadata,
             request,
+            nested,
             in_flight,
         }
     }
@@ -227,6 +235,8 @@
         }
         let mut options = Options {
             priority: self.metadata.priority,
+            nested: self.nested,
+            share: executor.shared.config().teams.share(&self.metadata.team),
             max_wait: self.metadata.max_wait.duration(),
             timeout: left / QUEUE_WAIT_DIVISOR,
         };
@@ -304,6 +314,7 @@
             mut request,
             deadline,
             in_flight,
+            ..
         } = self.received;
         let left = deadline.saturating_duration_since(Instant::now());
         let dialect = &executor.shared.dialect;
--- a/src/calls/sidecar.rs
+++ b/src/calls/sidecar.rs
@@ -115,7 +115,7 @@
     pub async fn run(&self, metadata: Metadata, request: Request<Body>) -> Response<Body> {
         let (id, key) = (metadata.id.clone(), metadata.key.clone());
         let nested = self.record_origin(&metadata);
-        let received = Received::new(metadata, request, self.shared.track_call());
+        let received = Received::new(metadata, request, nested, self.shared.track_call());
         let result = match key {
             Some(key) => {
                 self.deduplicator
