Quotas: tokens are split when members fall silent

At a partition both sides used the same full bucket: a side kept all its tokens up to its part of the burst, although the other had been spending from the same ones. Each side now keeps the part of the tokens at hand that corresponds to its members, and takes the rest back if they return within 2 s.

--- a/src/quota/bucket.rs
+++ b/src/quota/bucket.rs
@@ -9,8 +9,8 @@
 const HORIZON_S: f64 = 0.3;
 /// Time constant of the average demand.
 const DEMAND_TIME_S: f64 = 0.5;
-/// Time constant with which the tokens shrink to the part of the members that are known.
-const SHRINK_TIME_S: f64 = 0.4;
+/// Time for which the tokens of members that fell silent are kept: a few lost datagrams must not cost tokens.
+const KEEP_RESERVED: Duration = Duration::from_secs(2);
 /// Width of a slot in which recent demand is counted.
 const SLOT: Duration = Duration::from_millis(50);
 /// Number of slots: two report intervals.
@@ -34,6 +34,11 @@
     tokens: f64,
     average: f64,
     updated: Instant,
+    /// Share of the fleet whose consumption was last known.
+    in_touch: f64,
+    /// Tokens left to the members that fell silent, and since when.
+    reserved: f64,
+    reserved_at: Instant,
     /// Requests that arrived, the current slot first.
     recent: [f64; SLOTS],
     slot_began: Instant,
@@ -48,6 +53,9 @@
             tokens: 0.0,
             average: 0.0,
             updated: now,
+            in_touch: 1.0,
+            reserved: 0.0,
+            reserved_at: now,
             recent: [0.0; SLOTS],
             slot_began: now,
         }
@@ -59,10 +67,9 @@
         let seconds = now.saturating_duration_since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
         let rate = self.allowance.rate.per_second();
-        let filled = (self.tokens + rate * in_touch * seconds).min(self.capacity());
-        // Not at once: a few lost datagrams must not cost tokens.
-        let excess = (filled - self.capacity() * in_touch).max(0.0);
-        self.tokens = filled - excess * (1.0 - (-seconds / SHRINK_TIME_S).exp());
+        self.split(now, in_touch);
+        let filled = self.tokens + rate * in_touch * seconds;
+        self.tokens = filled.min(self.capacity() * in_touch);
         self.average *= (-seconds / DEMAND_TIME_S).exp();
         let mut steps = 0;
         while now >= self.slot_began + SLOT {
@@ -76,6 +83,25 @@
         }
     }
 
+    /// Leaves their part of the tokens to members that fall silent, and takes it back if they return soon.
+    fn split(&mut self, now: Instant, in_touch: f64) {
+        let before = std::mem::replace(&mut self.in_touch, in_touch);
+        if in_touch < before && self.tokens > 0.0 {
+            let left = self.tokens * (1.0 - in_touch / before);
+            self.tokens -= left;
+            self.reserved += left;
+            self.reserved_at = now;
+        }
+        if now >= self.reserved_at + KEEP_RESERVED {
+            self.reserved = 0.0;
+        }
+        if in_touch > before {
+            let regained = self.reserved * (in_touch - before) / (1.0 - before);
+            self.tokens += regained;
+            self.reserved -= regained;
+        }
+    }
+
     /// Records requests that arrived and those of them that were admitted.
     pub fn record(&mut self, asked: f64, admitted: f64) {
         self.average = (self.average + asked / DEMAND_TIME_S).max(0.0);
