--- a/src/calls/limit.rs
+++ b/src/calls/limit.rs
@@ -24,7 +24,7 @@
 /// Weight of one request in the moving average of the hold time: averages about thirty requests.
 const HOLD_WEIGHT: f64 = 0.03;
 /// Number of ranks from which on the shares of ranks in which nothing waits are dropped. Bounds the
-/// memory; there are about ten ranks in use.
+/// memory; two priorities of teams, three of routes, and calls of started runs or new work are twelve.
 const MAX_IDLE_RANKS: usize = 16;
 
 /// Number of a request at its sidecar, in order of arrival.
