Quotas: a collector that stops as planned is replaced while it still replies

Members that are starting or stopping are now the last candidates, so that the next in rank takes over as soon as the stop is announced, seconds before the end. stopping_collector_is_replaced fails without the change.

--- a/src/quota/fleet.rs
+++ b/src/quota/fleet.rs
@@ -5,7 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::membership::member::{Health, Member};
+use crate::membership::member::{Health, Member, Stage};
 use crate::membership::roster::Roster;
 use crate::units::DataCentre;
 
@@ -23,7 +23,8 @@
 pub struct Site {
     /// Name of the data centre.
     pub data_centre: DataCentre,
-    /// Members that are not gone, in rendezvous order: the first is the collector.
+    /// Members that are not gone, in rendezvous order: the first is the collector. Those that are
+    /// starting or stopping come last.
     pub candidates: Vec<SocketAddr>,
     /// Number of members that may be running, including gone ones that did not leave as planned.
     pub size: usize,
@@ -45,6 +46,7 @@
     /// The fleet that consists of `members`, each of them listed once.
     pub fn new<'a>(local: &DataCentre, members: impl Iterator<Item = &'a Member>) -> Self {
         let mut sites: Vec<Site> = Vec::new();
+        let mut ranked: Vec<Vec<(bool, Reverse<u64>, SocketAddr)>> = Vec::new();
         for member in members {
             let found = sites.binary_search_by(|site| site.data_centre.cmp(&member.data_centre));
             let index = found.unwrap_or_else(|index| {
@@ -55,16 +57,20 @@
                     size: 0,
                 };
                 sites.insert(index, site);
+                ranked.insert(index, Vec::new());
                 index
             });
             sites[index].size += 1;
             if member.health.is_live() {
-                sites[index].candidates.push(member.peer);
+                let rank = xxh3_64(member.peer.to_string().as_bytes());
+                ranked[index].push((member.stage != Stage::Serving, Reverse(rank), member.peer));
             }
         }
-        for site in &mut sites {
-            site.candidates
-                .sort_by_cached_key(|peer| Reverse(xxh3_64(peer.to_string().as_bytes())));
+        for (site, mut ranked) in sites.iter_mut().zip(ranked) {
+            // A collector that stops as planned is replaced while it still replies. Without that,
+            // its data centre has no collector until the silence is noticed.
+            ranked.sort_unstable();
+            site.candidates = ranked.into_iter().map(|(_, _, peer)| peer).collect();
         }
         Self {
             local: local.clone(),
--- a/tests/team_quota.rs
+++ b/tests/team_quota.rs
@@ -642,3 +642,24 @@
 fn the_quota_holds_through_faults() {
     check(600, true, true, over_quota);
 }
+
+/// Guards against a data centre without a collector after the planned stop of its collector.
+#[test]
+fn stopping_collector_is_replaced() {
+    let mut members: Vec<Member> = (0..3).map(|index| member(index, Health::Alive)).collect();
+    for member in &mut members {
+        member.data_centre = members_data_centre();
+    }
+    let candidates = |members: &[Member]| {
+        let fleet = Fleet::new(&members_data_centre(), members.iter());
+        fleet.candidates().to_vec()
+    };
+    let before = candidates(&members);
+    let first = members.iter_mut().find(|member| member.peer == before[0]);
+    first.expect("it is a member").stage = Stage::Leaving;
+    assert_eq!(candidates(&members), [before[1], before[2], before[0]]);
+}
+
+fn members_data_centre() -> DataCentre {
+    DataCentre::from("here")
+}
