--- a/src/quota/collector.rs
+++ b/src/quota/collector.rs
@@ -14,9 +14,8 @@
 use crate::quota::fleet::{Fleet, Site};
 use crate::quota::messages::{Counts, Limit, Message, Reply, Report, Sums, pages};
 use crate::quota::reporter::MAX_CANDIDATES;
-use crate::quota::{
-    Allowance, IDLE_INTERVAL, MIN_INTERVAL, REPORT_INTERVAL, SILENCE_GRACE, TeamHash,
-};
+use crate::quota::sender::{Delta, Sender};
+use crate::quota::{Allowance, MIN_INTERVAL, REPORT_INTERVAL, SILENCE_GRACE, TeamHash};
 
 /// Time without any report after which a daemon no longer acts as a collector.
 const RETIRE_AFTER: Duration = Duration::from_secs(3);
@@ -35,8 +34,6 @@
 /// Requests of a team since the last sums that cause early sums, if they are also twice as many as in the interval
 /// before.
 const SURGE: i64 = 8;
-/// Time constant of the rates by which the consumption of an overdue sender is assumed.
-const RATE_TIME_S: f64 = 0.5;
 /// Factor by which a share has to change for it to be sent to all daemons at once.
 const PUSH_FACTOR: f64 = 0.8;
 
@@ -64,52 +61,6 @@
     in_touch: f64,
 }
 
-/// A daemon or another collector that counts are received from.
-#[derive(Debug)]
-struct Sender {
-    peer: SocketAddr,
-    /// Session of a daemon or epoch of a collector.
-    session: u64,
-    heard: Instant,
-    /// Time after `heard` by which the next message is due.
-    next: Duration,
-    /// Time beyond `next` after which the sender is silent.
-    grace: Duration,
-    /// Members that report to this collector.
-    reporting: usize,
-    /// When the first message after a silence arrived.
-    joined: Instant,
-    /// Whether its counts began long before they were first received, and so belong to an earlier time.
-    is_old: bool,
-    /// When the consumption was last assumed, while a message is overdue.
-    assumed_until: Option<Instant>,
-    /// Sorted by team.
-    accounts: Vec<Account>,
-}
-
-/// Counts of one team at a sender.
-#[derive(Debug)]
-struct Account {
-    /// Number of the last message with the team.
-    seq: u64,
-    counts: Counts,
-    /// Requests per second that arrived and were admitted before the last message.
-    rates: (f64, f64),
-    /// Consumption that was assumed since the last message.
-    assumed: (f64, f64),
-}
-
-/// Consumption of a team at a sender since the last message or assumption.
-#[derive(Debug, Clone, Copy)]
-struct Delta {
-    team: TeamHash,
-    /// Requests that arrived and that were admitted, as the sender counts them.
-    counts: (i64, i64),
-    /// Both without what had been assumed.
-    asked: f64,
-    admitted: f64,
-}
-
 #[derive(Debug)]
 struct Team {
     bucket: Bucket,
@@ -546,125 +497,10 @@
     }
 }
 
-impl Sender {
-    const fn new(now: Instant, peer: SocketAddr) -> Self {
-        Self {
-            peer,
-            session: 0,
-            heard: now,
-            joined: now,
-            is_old: false,
-            next: IDLE_INTERVAL,
-            grace: SILENCE_GRACE,
-            reporting: 0,
-            assumed_until: None,
-            accounts: Vec::new(),
-        }
-    }
-
-    fn resume(&mut self, session: u64, next: Duration) {
-        if self.session != session {
-            self.session = session;
-            self.accounts.clear();
-        }
-        self.next = next;
-        self.assumed_until = None;
-    }
-
-    fn is_fresh(&self, now: Instant) -> bool {
-        now < self.heard + self.next + self.grace
-    }
-
-    /// Merges received counts and returns what is new.
-    fn merge(&mut self, now: Instant, seq: u64, received: &[Counts]) -> Vec<Delta> {
-        let elapsed = now.saturating_duration_since(self.heard).as_secs_f64();
-        self.heard = now;
-        let decay = (-elapsed / RATE_TIME_S).exp();
-        for account in &mut self.accounts {
-            account.rates = (account.rates.0 * decay, account.rates.1 * decay);
-        }
-        let mut deltas = Vec::new();
-        for counts in received {
-            let index = self.find(counts.team).unwrap_or_else(|index| {
-                self.accounts.insert(index, Account::new(counts.team));
-                index
-            });
-            let account = &mut self.accounts[index];
-            if account.seq >= seq {
-                continue;
-            }
-            account.seq = seq;
-            let known = std::mem::replace(&mut account.counts, *counts);
-            let delta = (
-                to_f64(counts.asked - known.asked),
-                to_f64(counts.admitted - known.admitted),
-            );
-            account.rates.0 += delta.0 / RATE_TIME_S;
-            account.rates.1 += delta.1 / RATE_TIME_S;
-            let assumed = std::mem::take(&mut account.assumed);
-            deltas.push(Delta {
-                team: counts.team,
-                counts: (counts.asked - known.asked, counts.admitted - known.admitted),
-                asked: delta.0 - assumed.0,
-                admitted: delta.1 - assumed.1,
-            });
-        }
-        deltas
-    }
-
-    /// What the sender of an overdue message is assumed to have consumed since the last call.
-    fn assume(&mut self, now: Instant) -> Vec<Delta> {
-        if now < self.heard + self.next + MIN_INTERVAL || !self.is_fresh(now) {
-            return Vec::new();
-        }
-        let since = self.assumed_until.replace(now).unwrap_or(self.heard);
-        let seconds = now.saturating_duration_since(since).as_secs_f64();
-        let accounts = self.accounts.iter_mut();
-        let used = accounts.filter(|account| account.rates.0 > 0.0);
-        let deltas = used.map(|account| {
-            let asked = account.rates.0 * seconds;
-            let admitted = account.rates.1 * seconds;
-            account.assumed.0 += asked;
-            account.assumed.1 += admitted;
-            Delta {
-                team: account.counts.team,
-                counts: (0, 0),
-                asked,
-                admitted,
-            }
-        });
-        deltas.collect()
-    }
-
-    fn find(&self, team: TeamHash) -> Result<usize, usize> {
-        self.accounts
-            .binary_search_by_key(&team, |account| account.counts.team)
-    }
-}
-
-impl Account {
-    fn new(team: TeamHash) -> Self {
-        Self {
-            seq: 0,
-            counts: Counts {
-                team,
-                ..Counts::default()
-            },
-            rates: (0.0, 0.0),
-            assumed: (0.0, 0.0),
-        }
-    }
-}
-
 fn is_due(last: Option<Instant>, now: Instant, interval: Duration) -> bool {
     last.is_none_or(|last| now >= last + interval)
 }
 
-#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
-const fn to_f64(count: i64) -> f64 {
-    count as f64
-}
-
 #[expect(clippy::cast_precision_loss, reason = "numbers of members are small")]
 fn ratio(part: usize, whole: usize) -> f64 {
     part as f64 / whole.max(1) as f64
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -14,6 +14,7 @@
 pub mod reporter;
 
 pub(crate) mod controller;
+mod sender;
 
 use std::fmt;
 use std::time::Duration;
