--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,8 @@
 //! [`delta`](configuration::delta)s. Daemons find each other by the [`membership`] protocol, a
 //! [`view`](membership::view) of [`member`](membership::member)s, without a static list.
 //!
-//! A caller sends its request to any daemon, the *ingress*. It [`route`](calls::route)s the request,
+//! A caller sends its request to any daemon, the *ingress*. It identifies the caller's team by its key
+//! if there are [`teams`], admits the request by the team's [`quota`], [`route`](calls::route)s it,
 //! [`pick`](calls::pick)s an upstream and forwards the request to the daemon beside that target, the
 //! *sidecar*, which [`limit`](calls::limit)s concurrency, enforces idempotency [`keys`](idempotency::keys)
 //! and dispatches the request. Only the ingress may [`retry`](calls::retry). The response tells the caller
