Model of the fleet: views of all daemons in one process

Cause: nothing above 301 hosts had been run, and how long news of members takes was known only from a loopback trial of 100 daemons.

`jackdaw-trial fleet` runs the product's own views on a virtual clock and a seeded network: joint announcements, crashes of a seventh, kills of 55 in 100 that come back. A joining daemon no longer sends on the entries of the view that it is given (`View::adopt`): it repeated the whole fleet for minutes.

--- a/src/membership/controller.rs
+++ b/src/membership/controller.rs
@@ -197,9 +197,7 @@
         let now = Instant::now();
         let mut guard = self.state();
         guard.stable_revisions.adopt(stable_revisions);
-        for member in members {
-            guard.view.merge(now, member);
-        }
+        guard.view.adopt(now, members);
         self.rebuild_roster(&mut guard);
     }
 
--- a/src/membership/entries.rs
+++ b/src/membership/entries.rs
@@ -72,9 +72,9 @@
         peers
     }
 
-    /// Merges an entry; returns whether it replaced an older one or was new.
-    pub fn merge(&mut self, now: Instant, member: &Member) -> bool {
-        let transmits_left = self.transmit_limit();
+    /// Merges an entry, and sends it on if `is_sent_on`; returns whether it replaced an older one or was new.
+    pub fn merge(&mut self, now: Instant, member: &Member, is_sent_on: bool) -> bool {
+        let transmits_left = if is_sent_on { self.transmit_limit() } else { 0 };
         match self.find(member.peer) {
             Ok(index) => {
                 let entry = &mut self.all[index];
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -189,7 +189,23 @@
         if member.peer == self.me.peer {
             return self.refute(member);
         }
-        self.entries.merge(now, member)
+        self.entries.merge(now, member, true)
+    }
+
+    /// Merges the view of a peer; returns whether it changed the own one.
+    ///
+    /// What a peer has spread already is not sent on. Otherwise a daemon that joins would repeat the entries
+    /// of the whole fleet, for minutes, and delay what is new.
+    pub fn adopt(&mut self, now: Instant, members: &[Member]) -> bool {
+        let mut changed = false;
+        for member in members {
+            changed |= if member.peer == self.me.peer {
+                self.refute(member)
+            } else {
+                self.entries.merge(now, member, false)
+            };
+        }
+        changed
     }
 
     /// Notifies a few members of each other data centre of the own daemon's active configuration; those with
--- a/trial/src/main.rs
+++ b/trial/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use jackdaw_trial::calls::{self, options};
-use jackdaw_trial::measure::{converge, overhead, scale};
+use jackdaw_trial::measure::{converge, fleet, overhead, scale};
 use jackdaw_trial::stand_in::{log, target};
 use jackdaw_trial::{load, path};
 use strum::VariantArray;
@@ -35,6 +35,8 @@
     Load(load::Args),
     /// CPU time and memory for a large view and document
     Scale(scale::Args),
+    /// Time until all daemons of a fleet know a change of its members, in virtual time
+    Fleet(fleet::Args),
     /// Run the stand-in for the platform's log
     Log(log::Args),
     /// Run a stand-in target
@@ -116,6 +118,7 @@
             print(&scale::run(&args));
             ExitCode::SUCCESS
         }
+        Verb::Fleet(args) => measure_fleet(&args),
         Verb::Log(args) => {
             log::run(args).await;
             ExitCode::SUCCESS
@@ -137,10 +140,24 @@
     for report in &reports {
         print(report);
     }
-    let drawn = args
-        .plot
-        .as_ref()
-        .map(|path| load::plot::draw(path, &reports));
+    let path = args.plot.as_ref();
+    finish_plot(path.map(|path| load::plot::draw(path, &reports)))
+}
+
+/// Measures each size of the fleet; prints a line of JSON for each, and draws a plot if requested.
+fn measure_fleet(args: &fleet::Args) -> ExitCode {
+    let sizes = args.daemons.iter();
+    let measure = |daemons: &usize| {
+        let report = fleet::run(args, *daemons);
+        print(&report);
+        report
+    };
+    let reports: Vec<fleet::Report> = sizes.map(measure).collect();
+    let path = args.plot.as_ref();
+    finish_plot(path.map(|path| fleet::plot::draw(path, &reports)))
+}
+
+fn finish_plot(drawn: Option<Result<(), String>>) -> ExitCode {
     if let Some(Err(problem)) = drawn {
         eprintln!("{problem}; choose a file that can be written");
         return ExitCode::FAILURE;
