Members: missing entries are requested

Cause: each datagram carries 12 changes, each daemon sends every change 3 log2 n times, and most receivers know them already. 1,000 joint announcements are 2,000 changes; 24 a second and daemon take minutes.

Change: while a daemon learns of changes it sends a Bloom filter of the recent ones that it knows to a random member, which responds with those that are not in it, compressed and within a byte allowance (`membership::anti_entropy`). Requests become rare when they bring nothing. Updates that are received again are sent fewer times. The messages are new variants at the end of the enum: an older daemon drops them.

Trials on the way: a random part of the filter while nothing is learnt left pairs that did not know for 56 s, so that requests then cover all parts.

--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -8,6 +8,7 @@
 
 use crate::configuration::exchange::Digest;
 use crate::configuration::freshness;
+use crate::membership::anti_entropy::{Filter, Page};
 use crate::membership::member::Member;
 use crate::quarantine::crash::Crash;
 use crate::quota;
@@ -67,6 +68,10 @@
     Report(Report),
     /// Counts and limits of teams with a quota.
     Quota(quota::messages::Message),
+    /// Requests the entries that are not in the filter.
+    Missing(Filter),
+    /// Response to [`Message::Missing`].
+    Entries(Page),
 }
 
 /// Request to become a member.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -4,6 +4,7 @@
 //! itself to the daemon on its host.
 
 pub mod announce;
+pub mod anti_entropy;
 pub mod datagram;
 pub mod entries;
 pub mod member;
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -12,12 +12,13 @@
 
 use rand::RngExt;
 use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 
 use crate::configuration::exchange::Digest;
 use crate::configuration::freshness::Report;
+use crate::membership::anti_entropy::{Allowance, Due, Filter, Page, Schedule};
 use crate::membership::datagram::{Datagram, Message};
-use crate::membership::entries::{Entries, Entry};
+use crate::membership::entries::{Entries, Entry, Origin};
 use crate::membership::member::{Health, Member, Offer, Stage};
 use crate::membership::rounds::Rounds;
 use crate::membership::timing::Timing;
@@ -35,6 +36,9 @@
 const REMOTE_FANOUT: usize = 2;
 /// Members that a daemon queries at a time when it does not know the newest version.
 const QUERY_FANOUT: usize = 3;
+/// Share of the requests for missing entries that go to another data centre, as one in so many: traffic
+/// between data centres is expensive.
+const REMOTE_REQUEST_INTERVAL: u32 = 4;
 /// Periods between two probes of gone members, on average.
 const REVISIT_PERIODS: u64 = 5;
 
@@ -82,6 +86,8 @@
     entries: Entries,
     pending: Vec<Pending>,
     rounds: Rounds,
+    requests: Schedule,
+    responses: Allowance,
     seq: u64,
     next_probe: Option<Instant>,
     last_tick: Option<Instant>,
@@ -101,6 +107,8 @@
             entries: Entries::default(),
             pending: Vec::new(),
             rounds: Rounds::default(),
+            requests: Schedule::default(),
+            responses: Allowance::default(),
             seq: 0,
             next_probe: None,
             last_tick: None,
@@ -186,10 +194,7 @@
 
     /// Merges an entry; returns whether it changed the view.
     pub fn merge(&mut self, now: Instant, member: &Member) -> bool {
-        if member.peer == self.me.peer {
-            return self.refute(member);
-        }
-        self.entries.merge(now, member, true)
+        self.merge_from(now, member, Origin::Update)
     }
 
     /// Merges the view of a peer; returns whether it changed the own one.
@@ -199,11 +204,18 @@
     pub fn adopt(&mut self, now: Instant, members: &[Member]) -> bool {
         let mut changed = false;
         for member in members {
-            changed |= if member.peer == self.me.peer {
-                self.refute(member)
-            } else {
-                self.entries.merge(now, member, false)
-            };
+            changed |= self.merge_from(now, member, Origin::View);
+        }
+        changed
+    }
+
+    fn merge_from(&mut self, now: Instant, member: &Member, origin: Origin) -> bool {
+        if member.peer == self.me.peer {
+            return self.refute(member);
+        }
+        let changed = self.entries.merge(now, member, origin);
+        if changed && origin != Origin::View {
+            self.requests.record_news();
         }
         changed
     }
@@ -290,9 +302,64 @@
             self.next_probe = Some(now + self.timing.probe_period);
             self.probe_next(now, rng, &mut effects);
         }
+        if let Some(due) = self.requests.take_due(now) {
+            effects.sends.extend(self.request_entries(now, due, rng));
+        }
         effects
     }
 
+    /// Requests the entries that the own daemon lacks from a random member.
+    fn request_entries(&self, now: Instant, due: Due, rng: &mut SmallRng) -> Vec<Send> {
+        let is_remote = rng.random_ratio(1, REMOTE_REQUEST_INTERVAL);
+        let peers = |is_remote: bool| -> Vec<SocketAddr> {
+            let local = &self.me.data_centre;
+            let members = self.live();
+            let members = members.filter(|member| (member.data_centre != *local) == is_remote);
+            members.map(|member| member.peer).collect()
+        };
+        let peer = peers(is_remote).choose(rng).copied();
+        let Some(peer) = peer.or_else(|| peers(!is_remote).choose(rng).copied()) else {
+            return Vec::new();
+        };
+        let salt = rng.random();
+        let mut filters = self.entries.filters(now, &self.me, due != Due::All, salt);
+        if due == Due::Part {
+            let part = rng.random_range(0..filters.len());
+            filters = vec![filters.swap_remove(part)];
+        }
+        let filters = filters.into_iter();
+        filters
+            .map(|filter| self.bare_datagram(peer, Message::Missing(filter)))
+            .collect()
+    }
+
+    /// Responds with the entries that the sender of a filter lacks, as far as the allowance goes.
+    fn respond_entries(&mut self, now: Instant, to: SocketAddr, filter: &Filter) -> Vec<Send> {
+        if !filter.is_valid() {
+            metrics::counter!("jackdaw_bad_datagrams_total").increment(1);
+            return Vec::new();
+        }
+        let missing = self.entries.missing(now, filter, to);
+        let pages = self.responses.take(now, Page::divide(&missing));
+        let pages = pages.into_iter();
+        pages
+            .map(|page| self.bare_datagram(to, Message::Entries(page)))
+            .collect()
+    }
+
+    /// Merges the entries of a response; returns whether any changed the view.
+    fn merge_page(&mut self, now: Instant, page: &Page) -> bool {
+        let Ok(members) = page.members() else {
+            metrics::counter!("jackdaw_bad_datagrams_total").increment(1);
+            return false;
+        };
+        let mut changed = false;
+        for member in &members {
+            changed |= self.merge_from(now, member, Origin::Response);
+        }
+        changed
+    }
+
     /// Handles a datagram.
     pub fn receive(&mut self, now: Instant, datagram: &Datagram) -> Effects {
         let mut effects = Effects {
@@ -322,6 +389,11 @@
         effects: &mut Effects,
     ) {
         match *message {
+            Message::Missing(ref filter) => {
+                let responses = self.respond_entries(now, sender, filter);
+                effects.sends.extend(responses);
+            }
+            Message::Entries(ref page) => effects.changed |= self.merge_page(now, page),
             Message::Ping { seq } => {
                 let pong = self.datagram(sender, Message::Pong { seq });
                 effects.sends.push(pong);
@@ -371,7 +443,8 @@
                     .entries
                     .sample_live(INDIRECT_PROBERS, Some(probe.subject), rng)
                 {
-                    let request = self.datagram(prober, relay.clone());
+                    // Without updates: when many members fail together, each daemon sends several of these.
+                    let request = self.bare_datagram(prober, relay.clone());
                     effects.sends.push(request);
                 }
             }
