Members: revisits of departed members do not grow with the fleet

Cause: every daemon probed one recently departed member in each period, so the last of many that come back answered up to one probe a second of each daemon of the fleet: 92 pongs and 55 KB in a second at 1,000.

Change: all daemons together send a departed member eight probes a period. A refuted suspicion is answered with the own entry to three members at once.

--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -39,6 +39,9 @@
 /// Share of the requests for missing entries that go to another data centre, as one in so many: traffic
 /// between data centres is expensive.
 const REMOTE_REQUEST_INTERVAL: u32 = 4;
+/// Probes that a departed member gets in a period from all daemons together. If each daemon sent one, those
+/// that restart in a large fleet would have to answer thousands.
+const REVISITS_PER_PERIOD: u32 = 8;
 /// Periods between two probes of gone members, on average.
 const REVISIT_PERIODS: u64 = 5;
 
@@ -88,6 +91,8 @@
     rounds: Rounds,
     requests: Schedule,
     responses: Allowance,
+    /// Whether the own entry was refuted since the last tick.
+    refuted: bool,
     seq: u64,
     next_probe: Option<Instant>,
     last_tick: Option<Instant>,
@@ -109,6 +114,7 @@
             rounds: Rounds::default(),
             requests: Schedule::default(),
             responses: Allowance::default(),
+            refuted: false,
             seq: 0,
             next_probe: None,
             last_tick: None,
@@ -173,6 +179,11 @@
         self.me.stage = stage;
         self.me.offer = offer;
         self.bump_incarnation(self.me.incarnation);
+        self.spread_own_entry(rng)
+    }
+
+    /// Sends the own entry to a few members.
+    fn spread_own_entry(&mut self, rng: &mut SmallRng) -> Vec<Send> {
         let receivers = self.entries.sample_live(INDIRECT_PROBERS, None, rng);
         receivers
             .into_iter()
@@ -302,6 +313,10 @@
             self.next_probe = Some(now + self.timing.probe_period);
             self.probe_next(now, rng, &mut effects);
         }
+        if std::mem::take(&mut self.refuted) {
+            // A suspicion spreads at the same time, and ends after a few seconds.
+            effects.sends.extend(self.spread_own_entry(rng));
+        }
         if let Some(due) = self.requests.take_due(now) {
             effects.sends.extend(self.request_entries(now, due, rng));
         }
@@ -473,8 +488,12 @@
             !entry.member.health.is_live() && (revisit || recent)
         });
         let departed: Vec<SocketAddr> = departed.map(|e| e.member.peer).collect();
-        if !departed.is_empty() {
-            let peer = departed[rng.random_range(0..departed.len())];
+        let senders = u32::try_from(self.entries.live().count() + 1).unwrap_or(u32::MAX);
+        let probes = u32::try_from(departed.len()).unwrap_or(u32::MAX);
+        let probes = probes.saturating_mul(REVISITS_PER_PERIOD).min(senders);
+        if let Some(&peer) = departed.choose(rng)
+            && rng.random_ratio(probes, senders)
+        {
             let revisit = self.datagram(peer, Message::Ping { seq: 0 });
             effects.sends.push(revisit);
         }
@@ -542,6 +561,7 @@
             return false;
         }
         self.bump_incarnation(member.incarnation.max(self.me.incarnation));
+        self.refuted = true;
         true
     }
 
--- a/tests/membership_view.rs
+++ b/tests/membership_view.rs
@@ -349,7 +349,10 @@
             let answer = View::new(at(index.expect("known")), Timing::default())
                 .receive(now, &send.datagram)
                 .sends;
-            view.receive(now, &answer[0].datagram);
+            // Requests for missing entries are counted as well, and have no response here.
+            if let Some(answer) = answer.first() {
+                view.receive(now, &answer.datagram);
+            }
         }
     }
     let remote_count: usize = probed[4..].iter().sum();
@@ -360,6 +363,35 @@
     assert!(probed[1..].iter().all(|count| *count > 0), "{probed:?}");
 }
 
+/// Guards against a member that restarts in a large fleet and is probed by all daemons in each period, and
+/// against one that is found late.
+#[test]
+fn revisits_do_not_grow() {
+    const PERIODS: u32 = 20;
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(8);
+    let departed = Member {
+        health: Health::Left,
+        ..member(0, 1)
+    };
+    for daemons in [100, 200] {
+        let members: Vec<Member> = (1..=daemons).map(|index| member(index, 1)).collect();
+        let mut revisits = 0;
+        for me in &members {
+            let mut view = View::new(me.clone(), Timing::default());
+            view.adopt(now, &members);
+            view.merge(now, &departed);
+            for period in 1..=PERIODS {
+                let effects = view.tick(now + Timing::default().probe_period * period, &mut rng);
+                let to_departed = effects.sends.iter().filter(|send| send.to == departed.peer);
+                revisits += u32::try_from(to_departed.count()).expect("few");
+            }
+        }
+        let mean = revisits / PERIODS;
+        assert!((4..=12).contains(&mean), "{mean} a period of {daemons}");
+    }
+}
+
 /// Guards against a daemon that never notices that a member is gone, since it is the only one in its data centre
 /// and probes no remote members.
 #[test]
