Start: listed daemons read the configuration, the others wait for them

Cause: the pause before the first read grew with the listed daemons, of which a fleet of any size has a few more than 16, so that nearly every daemon of a joint start read the configuration itself: two calls to the store a start.

Change: a daemon that is listed reads at once. Any other one reads only if its peers have not sent a version within a second, after a pause that grows with the members it knows.

--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -35,8 +35,11 @@
 /// Pauses after failed calls to the control plane: a daemon that has dropped off the list during an outage is
 /// listed again within two seconds.
 const RETRY_BACKOFF: Backoff = Backoff::new(ROUND_PAUSE, Duration::from_secs(2));
-/// Time between two first reads of the configuration over all known daemons, when they start at once: one that
-/// has read it propagates it to the others in less time than all of them would take to read.
+/// Time in which a daemon that starts expects its peers to send the configuration: several probe periods of a
+/// few of them. Listed daemons read it at once.
+const PEER_GRACE: Duration = Duration::from_secs(1);
+/// Time between two first reads of the configuration over all known daemons, when they start at once and nobody
+/// sends it: one that has read it propagates it to the others in less time than all of them would take to read.
 const READ_SPACING: Duration = Duration::from_millis(10);
 /// Time that a read waits for the first version while there is none.
 const FIRST_VERSION_WAIT: Millis = Millis(1_500);
@@ -134,7 +137,7 @@
         let (sender, mut listed) = mpsc::channel(1);
         tokio::spawn(Arc::clone(self).discover(registration.clone(), sender));
         let mut pauses = RETRY_BACKOFF;
-        let mut reading = self.read_after(ROUND_PAUSE);
+        let mut reading = self.read_in_place_of_peers();
         let mut read = false;
         while self.shared.stage() == Stage::Starting {
             let late = tokio::time::Instant::now() >= deadline;
@@ -155,16 +158,17 @@
             tokio::select! {
                 result = &mut reading => {
                     read = result.is_ok();
-                    let pause = if read {
-                        read_delay(self.shared.roster().members.len())
+                    reading = if read {
+                        self.read_in_place_of_peers()
                     } else {
-                        pauses.next_delay()
+                        self.read_after(pauses.next_delay())
                     };
-                    reading = self.read_after(pause);
                 }
                 Some(peers) = listed.recv() => {
                     list_received = true;
-                    reading = self.read_after(read_delay(peers.len()));
+                    if self.is_listed(&peers) {
+                        reading = self.read_after(Duration::ZERO);
+                    }
                     candidates = peers;
                 }
                 (peer, response) = requests.next() => {
@@ -234,6 +238,25 @@
         })
     }
 
+    /// Reads the newest version unless peers send it first.
+    ///
+    /// The pause grows with the number of known daemons, so that the reads of daemons that start at once do not.
+    fn read_in_place_of_peers(self: &Arc<Self>) -> BoxFuture<'static, Result<Offset>> {
+        let joiner = Arc::clone(self);
+        Box::pin(async move {
+            tokio::time::sleep(PEER_GRACE).await;
+            let members = joiner.shared.roster().members.len();
+            let spread = READ_SPACING.saturating_mul(u32::try_from(members).unwrap_or(u32::MAX));
+            joiner.read_after(jitter(spread)).await
+        })
+    }
+
+    /// Whether this daemon is one of those that the others join through.
+    fn is_listed(&self, peers: &Peers) -> bool {
+        let me = self.shared.settings.identity();
+        self.shared.is_registered() || peers.iter().any(|(peer, _)| *peer == me)
+    }
+
     /// Sends the list of daemons to `found` as soon as the control plane returns it.
     async fn discover(self: Arc<Self>, registration: Registration, found: mpsc::Sender<Peers>) {
         let mut pauses = RETRY_BACKOFF;
@@ -375,8 +398,3 @@
         names.len()
     }
 }
-
-/// Pause before a daemon that knows `others` daemons reads the configuration, unless one of them sends it earlier.
-fn read_delay(others: usize) -> Duration {
-    jitter(READ_SPACING.saturating_mul(u32::try_from(others).unwrap_or(u32::MAX)))
-}
