Retries: a budget of a sliding window, whose reserves add up at any size

Cause: the reserve of the fleet was divided by the daemons and raised to one retry each.

Change: a daemon's retries in a window are paid by the share of its requests in that window and by its part of the reserve, which may be less than one. What a quiet period saved up expires.

fleet_keeps_to_its_reserve is stricter (no retry for each daemon beyond the reserve), at n and 2n daemons; every_window_is_paid_for and requests_pay_for_a_window are new.

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -52,13 +52,14 @@
     #[must_use]
     pub fn new(shared: Arc<SharedState>, sidecar: Arc<Sidecar>) -> Self {
         let Settings {
+            retry_window_ms,
             retry_reserve,
             shared_reserve,
             ..
         } = shared.settings;
         Self {
             balancer: Balancer::new(Arc::clone(&shared)),
-            budgets: Budgets::new(retry_reserve, shared_reserve),
+            budgets: Budgets::new(retry_window_ms.duration(), retry_reserve, shared_reserve),
             notices: Mutex::default(),
             shared,
             sidecar,
@@ -75,9 +76,11 @@
     pub fn withdraw_retry(&self, rule: &Retry, call: &Call) -> bool {
         let fixed = self.shared.settings.retries == Retries::Fixed;
         fixed
-            || self
-                .budget(call)
-                .withdraw_for(rule.budget, call.resolved_route.route.rank())
+            || self.budget(call).withdraw_for(
+                rule.budget,
+                call.resolved_route.route.rank(),
+                Instant::now(),
+            )
     }
 
     /// Makes an attempt, and for a repeatable call a second one elsewhere if the first is late.
--- a/src/calls/retry.rs
+++ b/src/calls/retry.rs
@@ -6,18 +6,21 @@
 //! they do not overload a failing group.
 //!
 //! ```
+//! use std::time::{Duration, Instant};
 //! use jackdawpulley::calls::retry::Budget;
 //! use jackdawpulley::units::Percent;
 //!
-//! let budget = Budget::default();
-//! assert!((0..10).all(|_| budget.withdraw(Percent(20))), "the reserve");
-//! assert!(!budget.withdraw(Percent(20)));
-//! budget.deposit();
+//! let (now, window) = (Instant::now(), Duration::from_secs(10));
+//! let budget = Budget::with_reserve(2, window);
+//! assert!((0..2).all(|_| budget.withdraw(Percent(20), now)), "the reserve");
+//! assert!(!budget.withdraw(Percent(20), now));
+//! (0..5).for_each(|_| budget.deposit_share(Percent(20), now));
+//! assert!(budget.withdraw(Percent(20), now));
 //! ```
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 
@@ -25,109 +28,145 @@
 use crate::configuration::document::Retry;
 use crate::units::{Percent, Priority, Service};
 
-/// Initial balance of a default budget, in retries.
-const DEFAULT_RESERVE: u32 = 10;
-/// Maximum balance of a default budget, in retries.
-const DEFAULT_MAX_BALANCE: u32 = 20;
 /// Cost of a retry; a request deposits its rule's percentage of it.
 const RETRY_COST: i64 = 100;
+/// Slots that a window is divided into.
+const SLOTS: u64 = 10;
+/// Slots that are kept: retries count for one slot longer than requests, so that no window of any start holds
+/// more retries than its requests pay for.
+const KEPT_SLOTS: usize = 11;
 
-/// Retry budget of one service, as a share of its requests.
+/// Retry budget of one service, as a share of its recent requests.
 ///
-/// In any time window, retries do not exceed the share of that window's requests plus the balance
-/// at its start. A low maximum balance keeps a quiet period from paying for a retry storm.
+/// In any window of time, retries do not exceed the share of the requests of about that window plus the
+/// reserve. The reserves of all daemons add up to that of the fleet, however many daemons there are: a part of
+/// less than one retry only makes up for a share that is too small to pay for one.
 #[derive(Debug)]
 pub struct Budget {
-    /// Balance, in units of which a retry costs 100.
-    balance: AtomicI64,
-    /// Maximum balance, in the same unit.
-    max_balance: AtomicI64,
+    /// Reserve, in units of which a retry costs 100.
+    reserve: AtomicI64,
+    slot_length: Duration,
+    origin: Instant,
+    /// Locked for a few instructions.
+    ledger: Mutex<Ledger>,
 }
 
-impl Default for Budget {
-    fn default() -> Self {
-        Self {
-            balance: AtomicI64::new(i64::from(DEFAULT_RESERVE) * RETRY_COST),
-            max_balance: AtomicI64::new(i64::from(DEFAULT_MAX_BALANCE) * RETRY_COST),
-        }
-    }
+/// Deposits and withdrawals of the recent slots of time.
+#[derive(Debug, Default)]
+struct Ledger([Slot; KEPT_SLOTS]);
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Slot {
+    /// Number of the slot, from 1 on; 0 while unused.
+    number: u64,
+    deposited: i64,
+    withdrawn: i64,
 }
 
 impl Budget {
-    /// Creates a budget with a balance of `reserve` retries, which is also its maximum.
+    /// Creates a budget that allows `reserve` retries in each window in addition to the share of its requests.
     #[must_use]
-    pub const fn with_reserve(reserve: u32) -> Self {
-        let reserve = reserve as i64 * RETRY_COST;
+    pub fn with_reserve(reserve: u32, window: Duration) -> Self {
+        let slots = u32::try_from(SLOTS).unwrap_or(u32::MAX);
         Self {
-            balance: AtomicI64::new(reserve),
-            max_balance: AtomicI64::new(reserve),
+            reserve: AtomicI64::new(i64::from(reserve) * RETRY_COST),
+            slot_length: (window / slots).max(Duration::from_millis(1)),
+            origin: Instant::now(),
+            ledger: Mutex::default(),
         }
     }
 
-    /// Limits the balance to this daemon's part of `reserve` retries shared by `daemons`.
+    /// Sets the reserve to this daemon's part of `reserve` retries shared by `daemons`.
     ///
-    /// Guards against a growing fleet: the reserves of all daemons add up to the number of retries
-    /// that may be sent at the same moment. The limit is at least one retry, or none could ever be
-    /// paid for.
+    /// Guards against a growing fleet: if each daemon had at least one retry, a fleet larger than the reserve
+    /// would exceed it.
     pub fn share_reserve(&self, reserve: u32, daemons: usize) {
         let daemons = i64::try_from(daemons.max(1)).unwrap_or(i64::MAX);
-        let max_balance = (i64::from(reserve) * RETRY_COST / daemons).max(RETRY_COST);
-        self.max_balance.store(max_balance, Ordering::Relaxed);
-        self.balance.fetch_min(max_balance, Ordering::Relaxed);
+        let part = i64::from(reserve) * RETRY_COST / daemons;
+        self.reserve.store(part, Ordering::Relaxed);
     }
 
-    /// Records a first attempt under the default share of 20 percent.
-    pub fn deposit(&self) {
-        self.deposit_share(Percent(20));
-    }
-
-    /// Records a first attempt, which pays for `share` of a retry.
-    pub fn deposit_share(&self, share: Percent) {
-        let max_balance = self.max_balance.load(Ordering::Relaxed);
-        let add = |balance: i64| Some((balance + i64::from(share.0)).min(max_balance));
-        // The closure always returns `Some`, so this cannot fail.
-        let _ = self
-            .balance
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+    /// Records a first attempt at `now`, which pays for `share` of a retry.
+    pub fn deposit_share(&self, share: Percent, now: Instant) {
+        let number = self.slot_number(now);
+        self.ledger().slot(number).deposited += i64::from(share.0);
     }
 
     /// Withdraws one retry; `false` if the balance is too low or `share` is zero.
     #[must_use]
-    pub fn withdraw(&self, share: Percent) -> bool {
-        self.withdraw_leaving(share, 0)
+    pub fn withdraw(&self, share: Percent, now: Instant) -> bool {
+        self.withdraw_leaving(share, now, 0)
     }
 
-    /// Withdraws one retry for a request of this priority. If the budget can hold more than one
-    /// retry, the last one is left to requests of the highest priority.
+    /// Withdraws one retry for a request of this priority. If the reserve is more than one retry, the last one
+    /// is left to requests of the highest priority.
     ///
     /// Guards against a failing service whose many requests of lower priority spend every retry
     /// before an urgent one fails.
     #[must_use]
-    pub fn withdraw_for(&self, share: Percent, priority: Priority) -> bool {
-        let beyond_one = self.max_balance.load(Ordering::Relaxed) - RETRY_COST;
+    pub fn withdraw_for(&self, share: Percent, priority: Priority, now: Instant) -> bool {
+        let beyond_one = self.reserve.load(Ordering::Relaxed) - RETRY_COST;
         let remaining = if priority == Priority(0) {
             0
         } else {
-            beyond_one.min(RETRY_COST)
+            beyond_one.clamp(0, RETRY_COST)
         };
-        self.withdraw_leaving(share, remaining)
+        self.withdraw_leaving(share, now, remaining)
     }
 
-    fn withdraw_leaving(&self, share: Percent, remaining: i64) -> bool {
+    fn withdraw_leaving(&self, share: Percent, now: Instant, remaining: i64) -> bool {
         if share.0 == 0 {
             return false;
         }
-        let min_balance = RETRY_COST + remaining;
-        let take = |balance: i64| (balance >= min_balance).then_some(balance - RETRY_COST);
-        self.balance
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take)
-            .is_ok()
+        let number = self.slot_number(now);
+        let reserve = self.reserve.load(Ordering::Relaxed);
+        let mut ledger = self.ledger();
+        let is_covered = ledger.balance(number) + reserve >= RETRY_COST + remaining;
+        if is_covered {
+            ledger.slot(number).withdrawn += RETRY_COST;
+        }
+        is_covered
+    }
+
+    fn slot_number(&self, now: Instant) -> u64 {
+        let elapsed = now.saturating_duration_since(self.origin);
+        let number = elapsed.as_nanos() / self.slot_length.as_nanos();
+        u64::try_from(number).unwrap_or(u64::MAX - 1) + 1
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Ledger {
+    /// Deposits less withdrawals in the window that ends with a slot.
+    fn balance(&self, number: u64) -> i64 {
+        let kept = self.0.iter().filter(|slot| slot.number + SLOTS >= number);
+        let deposits = kept.clone().filter(|slot| slot.number + SLOTS > number);
+        let deposited: i64 = deposits.map(|slot| slot.deposited).sum();
+        let withdrawn: i64 = kept.map(|slot| slot.withdrawn).sum();
+        deposited - withdrawn
+    }
+
+    /// The slot with a number, which replaces the one before it in its place.
+    fn slot(&mut self, number: u64) -> &mut Slot {
+        let place = usize::try_from(number).unwrap_or(0) % KEPT_SLOTS;
+        let slot = &mut self.0[place];
+        if slot.number < number {
+            *slot = Slot {
+                number,
+                ..Slot::default()
+            };
+        }
+        slot
     }
 }
 
 /// Retry budgets by service, so that a failing service does not spend the retries of others.
 #[derive(Debug)]
 pub struct Budgets {
+    window: Duration,
     reserve: u32,
     /// Reserve shared by all daemons, which takes the place of `reserve`; 0 for none.
     shared_reserve: u32,
@@ -136,11 +175,12 @@
 }
 
 impl Budgets {
-    /// Creates an empty set; each budget's maximum is `reserve` retries, or this daemon's part of
+    /// Creates an empty set; each budget allows `reserve` retries in a `window`, or this daemon's part of
     /// `shared_reserve` if that is not zero.
     #[must_use]
-    pub fn new(reserve: u32, shared_reserve: u32) -> Self {
+    pub fn new(window: Duration, reserve: u32, shared_reserve: u32) -> Self {
         Self {
+            window,
             reserve,
             shared_reserve,
             services: ArcSwap::default(),
@@ -165,7 +205,7 @@
         if let Ok(budget) = find(&self.services.load()) {
             return budget;
         }
-        let new = Arc::new(Budget::with_reserve(self.reserve));
+        let new = Arc::new(Budget::with_reserve(self.reserve, self.window));
         self.services.rcu(|all| {
             let mut all = Vec::clone(all);
             if let Err(index) = all.binary_search_by(|(known, _)| known.cmp(service)) {
--- a/src/membership/entries.rs
+++ b/src/membership/entries.rs
@@ -158,8 +158,7 @@
     #[must_use]
     pub fn filters(&self, now: Instant, me: &Member, is_recent: bool, salt: u64) -> Vec<Filter> {
         let entries = self.all.iter();
-        let entries =
-            entries.filter(|entry| !is_recent || entry.age(now) <= RECENT_IN_FILTER);
+        let entries = entries.filter(|entry| !is_recent || entry.age(now) <= RECENT_IN_FILTER);
         let fingerprints = entries.map(|entry| entry.fingerprint);
         let fingerprints = fingerprints.chain([anti_entropy::fingerprint(me)]);
         let fingerprints: Vec<u64> = fingerprints.collect();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -175,11 +175,13 @@
     /// How retries are limited: fixed or budget
     #[arg(long, env = "JACKDAW_RETRIES", default_value_t)]
     pub retries: Retries,
-    /// Maximum number of unused retries saved up for each service
+    /// Window of time in which the retries of a service are limited, in milliseconds
+    #[arg(long, env = "JACKDAW_RETRY_WINDOW_MS", default_value_t = Millis(10_000))]
+    pub retry_window_ms: Millis,
+    /// Number of retries of each service that are allowed in a window in addition to a share of its requests
     #[arg(long, env = "JACKDAW_RETRY_RESERVE", default_value_t = 20)]
     pub retry_reserve: u32,
-    /// Maximum number of retries that all daemons together save up for each service, in place of
-    /// --retry-reserve; 0: none
+    /// Number of such retries that all daemons together may send, in place of --retry-reserve; 0: none
     #[arg(long, env = "JACKDAW_SHARED_RESERVE", default_value_t = 0)]
     pub shared_reserve: u32,
     /// Maximum share of a service's requests that a bad revision may receive during its rollout, above 0 and
--- a/tests/call_retries.rs
+++ b/tests/call_retries.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::deterministic_config;
 use jackdawpulley::calls::outcome::{Outcome, Reason};
@@ -12,6 +12,7 @@
 use proptest::prelude::*;
 
 const LEFT: Duration = Duration::from_secs(1);
+const WINDOW: Duration = Duration::from_secs(10);
 
 fn rule() -> Retry {
     Retry {
@@ -47,26 +48,28 @@
 
 #[test]
 fn budget_is_a_share_of_requests() {
-    let budget = Budget::default();
-    while budget.withdraw(Percent(20)) {}
+    let now = Instant::now();
+    let budget = Budget::with_reserve(10, WINDOW);
+    while budget.withdraw(Percent(20), now) {}
     for _ in 0..100 {
-        budget.deposit_share(Percent(20));
+        budget.deposit_share(Percent(20), now);
     }
-    let granted = (0..100).filter(|_| budget.withdraw(Percent(20))).count();
-    assert_eq!(granted, 20);
-    assert!(!Budget::default().withdraw(Percent(0)));
+    let granted = (0..100).filter(|_| budget.withdraw(Percent(20), now));
+    assert_eq!(granted.count(), 20);
+    assert!(!Budget::with_reserve(10, WINDOW).withdraw(Percent(0), now));
 }
 
 /// Guards against urgent requests without a retry: a service refuses half of its requests, and
 /// five times as many of lower priority would take every retry as soon as it is paid for.
 #[test]
 fn urgent_requests_get_retries() {
-    let budget = Budget::with_reserve(2);
+    let now = Instant::now();
+    let budget = Budget::with_reserve(2, WINDOW);
     let (mut urgent, mut others) = (0, 0);
     for request in 0..1_000 {
-        budget.deposit_share(Percent(9));
+        budget.deposit_share(Percent(9), now);
         let priority = Priority(u8::from(request % 6 != 0));
-        let granted = u32::from(budget.withdraw_for(Percent(9), priority));
+        let granted = u32::from(budget.withdraw_for(Percent(9), priority, now));
         if priority == Priority(0) {
             urgent += granted;
         } else {
@@ -80,33 +83,81 @@
     assert!(urgent + others <= 92, "the budget is kept");
 }
 
+/// Guards against retries that a quiet period has saved up, and against a failing service without any because
+/// its requests of a moment ago are forgotten.
+#[test]
+fn requests_pay_for_a_window() {
+    let now = Instant::now();
+    let later = |share: f64| now + WINDOW.mul_f64(share);
+    let budget = Budget::with_reserve(0, WINDOW);
+    for _ in 0..100 {
+        budget.deposit_share(Percent(9), now);
+    }
+    assert!((0..4).all(|_| budget.withdraw(Percent(9), later(0.5))));
+    assert!((0..5).all(|_| budget.withdraw(Percent(9), later(0.8))));
+    assert!(
+        !budget.withdraw(Percent(9), later(0.8)),
+        "nine are paid for"
+    );
+    assert!(!budget.withdraw(Percent(9), later(1.1)), "too late");
+    assert!(!budget.withdraw(Percent(9), later(3.0)));
+}
+
 proptest! {
     #![proptest_config(deterministic_config(200))]
 
-    /// Guards against a retry storm: all daemons, forty for instance, meet a failing service at the
-    /// same moment, and together must not exceed the shared reserve plus their share of requests.
+    /// Guards against a retry storm: all daemons meet a failing service at the same moment, and together must
+    /// not exceed the shared reserve plus their share of requests, also if there are more daemons than retries.
     #[test]
     fn fleet_keeps_to_its_reserve(
         daemons in 1_usize..60,
         reserve in 10_u32..100,
         requests in 0_u32..40,
     ) {
-        let share = Percent(9);
-        let mut granted = 0_u32;
-        for _ in 0..daemons {
-            let budget = Budget::with_reserve(20);
-            budget.share_reserve(reserve, daemons);
-            while budget.withdraw(share) {
-                granted += 1;
+        for daemons in [daemons, 2 * daemons] {
+            let (now, share) = (Instant::now(), Percent(9));
+            let mut granted = 0_u32;
+            for _ in 0..daemons {
+                let budget = Budget::with_reserve(20, WINDOW);
+                budget.share_reserve(reserve, daemons);
+                while budget.withdraw(share, now) {
+                    granted += 1;
+                }
+                for _ in 0..requests {
+                    budget.deposit_share(share, now);
+                    granted += u32::from(budget.withdraw(share, now));
+                }
             }
-            for _ in 0..requests {
-                budget.deposit_share(share);
-                granted += u32::from(budget.withdraw(share));
+            let fleet = u32::try_from(daemons).expect("few");
+            let allowed = reserve + fleet * requests * 9 / 100 + 1;
+            prop_assert!(granted <= allowed, "{granted} of {allowed}");
+        }
+    }
+
+    /// Guards against more retries in a window than the requests of that window and the one before it pay for,
+    /// wherever the window begins.
+    #[test]
+    fn every_window_is_paid_for(
+        gaps_ms in prop::collection::vec(0_u64..700, 1..300),
+        reserve in 0_u32..6,
+    ) {
+        let origin = Instant::now();
+        let share = Percent(20);
+        let budget = Budget::with_reserve(reserve, WINDOW);
+        let (mut now, mut requests, mut retries) = (origin, Vec::new(), Vec::new());
+        for gap in gaps_ms {
+            now += Duration::from_millis(gap);
+            requests.push(now);
+            budget.deposit_share(share, now);
+            if budget.withdraw(share, now) {
+                retries.push(now);
             }
         }
-        let fleet = u32::try_from(daemons).expect("few");
-        let allowed = reserve.max(fleet) + fleet * requests * 9 / 100 + 1;
-        prop_assert!(granted <= allowed, "{granted} of {allowed}");
+        for end in &retries {
+            let within = |times: &[Instant]| times.iter().filter(|at| **at + WINDOW >= *end && *at <= end).count();
+            let paid = within(&requests) * 20 / 100 + usize::try_from(reserve).expect("small");
+            prop_assert!(within(&retries) <= paid, "{} of {paid}", within(&retries));
+        }
     }
 }
 
--- a/trial/src/measure/fleet/network.rs
+++ b/trial/src/measure/fleet/network.rs
@@ -320,7 +320,9 @@
         }
         self.second = self.now.as_secs();
         for daemon in &mut self.daemons {
-            self.peak_bytes = self.peak_bytes.max(std::mem::take(&mut daemon.second_bytes));
+            self.peak_bytes = self
+                .peak_bytes
+                .max(std::mem::take(&mut daemon.second_bytes));
         }
     }
 
@@ -379,7 +381,9 @@
     Offer {
         service: Service(format!("service-{:03}", index % 100)),
         slots: Slots(12),
-        start_time: u64::try_from(index).ok().map(|ms| StartTime(INCARNATION + ms)),
+        start_time: u64::try_from(index)
+            .ok()
+            .map(|ms| StartTime(INCARNATION + ms)),
         revision: None,
         open: true,
     }
