Roster: rebuilds are spaced by the size of the fleet

Cause: the roster of all members is built anew on each datagram that brings a change; with news that arrives sooner that is fifteen times a second in a joint start of 986 daemons.

Change: a first change is taken at once, later ones together after 0.2 ms a member.

--- a/src/membership/controller.rs
+++ b/src/membership/controller.rs
@@ -9,6 +9,7 @@
 use slog::{debug, info};
 use snafu::ResultExt;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::configuration::relay::Relay;
 use crate::error::{ListenSnafu, Result};
@@ -16,6 +17,7 @@
 use crate::membership::entries::Entry;
 use crate::membership::member::{Health, Member, Offer, Stage};
 use crate::membership::member_count::Throttle;
+use crate::membership::rebuild::Spacing;
 use crate::membership::roster::{Departed, Location, Roster};
 use crate::membership::timing::Timing;
 use crate::membership::view::{Effects, Send, View};
@@ -36,6 +38,8 @@
     socket: UdpSocket,
     initial_incarnation: Incarnation,
     state: Mutex<State>,
+    /// Notified when a rebuild of the roster has to wait.
+    outdated: Notify,
 }
 
 #[derive(Debug)]
@@ -46,6 +50,9 @@
     pub last_full_sync: Option<Instant>,
     /// Stable revision of each service.
     stable_revisions: Revisions,
+    rebuilds: Spacing,
+    /// Until when a rebuild of the roster waits; none if the roster is up to date.
+    rebuild_at: Option<Instant>,
 }
 
 impl Membership {
@@ -69,6 +76,8 @@
             rng,
             last_full_sync: None,
             stable_revisions: Revisions::default(),
+            rebuilds: Spacing::default(),
+            rebuild_at: None,
         });
         let membership = Self {
             shared,
@@ -76,6 +85,7 @@
             socket,
             initial_incarnation,
             state,
+            outdated: Notify::new(),
         };
         membership.rebuild_roster(&mut membership.state());
         Ok(membership)
@@ -92,6 +102,8 @@
         let voucher = Arc::clone(&self);
         tokio::spawn(async move { voucher.send_watermark().await });
         let period = self.shared.settings.probe_period_ms;
+        let builder = Arc::clone(&self);
+        tokio::spawn(async move { builder.rebuild_outdated().await });
         let mut throttle = Throttle::default();
         let mut ticks =
             tokio::time::interval(Millis((period.0 / TICKS_PER_PERIOD).max(1)).duration());
@@ -178,7 +190,7 @@
         // address and can refute it.
         let members = guard.view.members();
         if guard.view.merge(Instant::now(), &join.member) {
-            self.rebuild_roster(&mut guard);
+            self.request_rebuild(&mut guard);
         }
         Welcome {
             members,
@@ -276,10 +288,39 @@
 
     fn rebuild_if_changed(&self, state: &mut State, effects: &Effects) {
         if effects.changed {
+            self.request_rebuild(state);
+        }
+    }
+
+    /// Rebuilds the roster at once, or soon if it was rebuilt a moment ago.
+    fn request_rebuild(&self, state: &mut State) {
+        if state.rebuild_at.is_some() {
+            return;
+        }
+        let members = state.view.entries().len();
+        state.rebuild_at = state.rebuilds.request(Instant::now(), members);
+        if state.rebuild_at.is_some() {
+            self.outdated.notify_one();
+        } else {
             self.rebuild_roster(state);
         }
     }
 
+    /// Makes the rebuilds that have to wait, for as long as the daemon runs.
+    async fn rebuild_outdated(&self) {
+        loop {
+            self.outdated.notified().await;
+            let due = self.state().rebuild_at;
+            if let Some(due) = due {
+                tokio::time::sleep_until(due.into()).await;
+            }
+            let mut guard = self.state();
+            if guard.rebuild_at.is_some() {
+                self.rebuild_roster(&mut guard);
+            }
+        }
+    }
+
     async fn apply_effects(&self, effects: Effects) {
         if let Some(peer) = effects.newer_config_at {
             self.pull_from(peer);
@@ -316,6 +357,8 @@
 
     fn rebuild_roster(&self, state: &mut State) {
         let now = Instant::now();
+        state.rebuilds.record(now);
+        state.rebuild_at = None;
         let previous = self.shared.roster();
         let settings = &self.shared.settings;
         let address = settings.peer_addr.ip();
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -9,6 +9,7 @@
 pub mod entries;
 pub mod member;
 pub mod member_count;
+pub mod rebuild;
 pub mod roster;
 pub mod target;
 pub mod timing;
