Choice: a bounded number of upstreams is compared

Cause: each choice computes the cost of all upstreams of a service, with three locks each: 792 at 986 hosts, for every call.

Change: up to 64 random ones of the own data centre and 64 of the others are compared. sample_does_not_grow checks 800 and 1,600 upstreams, and that none is left out.

--- a/src/calls/balancer.rs
+++ b/src/calls/balancer.rs
@@ -132,9 +132,13 @@
             } else {
                 settings.far_ms_per_kb
             };
-            let costs =
-                all.map(|upstream| upstream.cost(&call.group, baseline, remote_ms_per_kb, now));
-            return pick::cheapest(&costs.collect::<Vec<Cost>>(), &mut rng);
+            let is_local: Vec<bool> = all.map(|upstream| upstream.local).collect();
+            let sample = pick::sample(&is_local, &mut rng);
+            let cost = |index: &usize| {
+                upstreams[*index].cost(&call.group, baseline, remote_ms_per_kb, now)
+            };
+            let costs: Vec<Cost> = sample.iter().map(cost).collect();
+            return pick::cheapest(&costs, &mut rng).map(|position| sample[position]);
         }
         let candidates = all.map(|upstream| upstream.candidate(&call.group, now));
         let candidates: Vec<Candidate> = candidates.collect();
--- a/src/calls/pick.rs
+++ b/src/calls/pick.rs
@@ -20,6 +20,7 @@
 
 use rand::RngExt;
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, VariantNames};
 
@@ -31,6 +32,10 @@
 const COST_JITTER: f64 = 0.2;
 /// Ejection time of an unavailable upstream; by its end the membership view has been updated.
 const UNAVAILABLE_TIME: Duration = Duration::from_millis(500);
+/// Upstreams of the own data centre whose costs are compared: of so many, some are fast and have free slots.
+const MAX_LOCAL_CANDIDATES: usize = 64;
+/// Upstreams of other data centres whose costs are compared.
+const MAX_REMOTE_CANDIDATES: usize = 64;
 /// Number of doublings after which ejections do not get longer.
 const MAX_DOUBLINGS: u32 = 5;
 
@@ -131,6 +136,29 @@
         .map(|(index, _)| index)
 }
 
+/// Returns the indexes of the upstreams whose costs are compared: all of a few, else a random sample of those of
+/// the own data centre and of the others.
+///
+/// The time that a choice takes must not grow with the fleet, and no upstream is left out for longer than by
+/// chance.
+#[must_use]
+pub fn sample(is_local: &[bool], rng: &mut SmallRng) -> Vec<usize> {
+    let (local, remote): (Vec<usize>, Vec<usize>) =
+        (0..is_local.len()).partition(|index| is_local[*index]);
+    let mut sample = draw(local, MAX_LOCAL_CANDIDATES, rng);
+    sample.extend(draw(remote, MAX_REMOTE_CANDIDATES, rng));
+    sample
+}
+
+/// Draws up to `count` of `indexes`.
+fn draw(mut indexes: Vec<usize>, count: usize, rng: &mut SmallRng) -> Vec<usize> {
+    if indexes.len() > count {
+        let (drawn, _) = indexes.partial_shuffle(rng, count);
+        return drawn.to_vec();
+    }
+    indexes
+}
+
 /// Cost of sending a request to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Cost {
--- a/tests/upstream_pick.rs
+++ b/tests/upstream_pick.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use common::deterministic_config;
-use jackdawpulley::calls::pick::{Candidate, Detector, Policy, choose, slow_start_share};
+use jackdawpulley::calls::pick::{Candidate, Detector, Policy, choose, sample, slow_start_share};
 use jackdawpulley::configuration::document::Ejection;
 use jackdawpulley::units::{Millis, Percent};
 use proptest::prelude::*;
@@ -117,3 +117,24 @@
         "it does not count as an ejection for failures"
     );
 }
+
+/// Guards against a choice that takes time in proportion to the fleet, and against targets that no daemon would
+/// ever choose.
+#[test]
+fn sample_does_not_grow() {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let sizes = [800, 1_600].map(|upstreams| {
+        let is_local: Vec<bool> = (0..upstreams).map(|index| index % 6 == 0).collect();
+        let mut drawn = vec![0_u32; upstreams];
+        for _ in 0..1_000 {
+            for index in sample(&is_local, &mut rng) {
+                drawn[index] += 1;
+            }
+        }
+        assert!(drawn.iter().all(|count| *count > 0), "{drawn:?}");
+        sample(&is_local, &mut rng).len()
+    });
+    assert_eq!(sizes[0], sizes[1]);
+    let few = sample(&[true, false, true], &mut rng);
+    assert_eq!(few.len(), 3, "all of a few");
+}
