Members: fewer bytes between data centres at a start

Cause: each joining daemon was sent the whole view by up to eight others, and a quarter of the requests for missing entries went to another data centre, whatever the number of local members.

Change: four welcomes; one request in up to sixteen goes to another data centre, the more the fewer local members there are. A response looks at no more entries than its allowance lets through. New counters show requests, entries learnt and pages held back.

--- a/src/membership/anti_entropy.rs
+++ b/src/membership/anti_entropy.rs
@@ -36,6 +36,8 @@
 const MAX_FILTER_BYTES: usize = 2 * MAX_FILTER_ENTRIES * BITS_PER_ENTRY / 8;
 /// Entries that are compressed together.
 const ENTRIES_PER_PAGE: usize = 48;
+/// Most entries of a response: more than the allowance ever lets through.
+pub const MAX_RESPONSE_ENTRIES: usize = 192;
 /// Largest page, in bytes; the rest of a datagram is for the sender's own entry.
 const MAX_PAGE_BYTES: usize = 1_150;
 /// Largest page when decompressed, in bytes: several times that of a full one.
--- a/src/membership/entries.rs
+++ b/src/membership/entries.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 
-use crate::membership::anti_entropy::{self, Filter};
+use crate::membership::anti_entropy::{self, Filter, MAX_RESPONSE_ENTRIES};
 use crate::membership::member::{Health, Member};
 use crate::units::{Slots, Version};
 
@@ -181,7 +181,7 @@
         };
         let mut missing: Vec<&Entry> = self.all.iter().filter(is_offered).collect();
         missing.sort_by_key(|entry| (entry.member.health.is_live(), Reverse(entry.learnt_at)));
-        let members = missing.into_iter();
+        let members = missing.into_iter().take(MAX_RESPONSE_ENTRIES);
         members.map(|entry| entry.member.clone()).collect()
     }
 
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -29,7 +29,7 @@
 
 /// Responses after which a daemon sends no more join requests, if a control plane lists daemons: when many start
 /// at once, each of them would otherwise be sent the view of every other one.
-const ENOUGH_WELCOMES: usize = 8;
+const ENOUGH_WELCOMES: usize = 4;
 /// Pause between two rounds of requests while the daemon is not ready.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 /// Pauses after failed calls to the control plane: a daemon that has dropped off the list during an outage is
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -36,9 +36,11 @@
 const REMOTE_FANOUT: usize = 2;
 /// Members that a daemon queries at a time when it does not know the newest version.
 const QUERY_FANOUT: usize = 3;
-/// Share of the requests for missing entries that go to another data centre, as one in so many: traffic
-/// between data centres is expensive.
-const REMOTE_REQUEST_INTERVAL: u32 = 4;
+/// Bounds of the share of requests for missing entries that go to another data centre, as one in so many.
+/// Traffic between data centres is expensive, and of many local members some have asked there.
+const REMOTE_REQUEST_INTERVALS: (usize, usize) = (2, 16);
+/// Local members for each such request.
+const MEMBERS_PER_REMOTE_REQUEST: usize = 4;
 /// Probes that a departed member gets in a period from all daemons together. If each daemon sent one, those
 /// that restart in a large fleet would have to answer thousands.
 const REVISITS_PER_PERIOD: u32 = 8;
@@ -325,15 +327,18 @@
 
     /// Requests the entries that the own daemon lacks from a random member.
     fn request_entries(&self, now: Instant, due: Due, rng: &mut SmallRng) -> Vec<Send> {
-        let is_remote = rng.random_ratio(1, REMOTE_REQUEST_INTERVAL);
-        let peers = |is_remote: bool| -> Vec<SocketAddr> {
-            let local = &self.me.data_centre;
-            let members = self.live();
-            let members = members.filter(|member| (member.data_centre != *local) == is_remote);
-            members.map(|member| member.peer).collect()
+        let local = &self.me.data_centre;
+        let is_local = |member: &&Member| member.data_centre == *local;
+        let (local, remote): (Vec<&Member>, Vec<&Member>) = self.live().partition(is_local);
+        let (least, most) = REMOTE_REQUEST_INTERVALS;
+        let interval = (local.len() / MEMBERS_PER_REMOTE_REQUEST).clamp(least, most);
+        let asks_remote = local.is_empty() || rng.random_range(0..interval) == 0;
+        let members = if asks_remote && !remote.is_empty() {
+            remote
+        } else {
+            local
         };
-        let peer = peers(is_remote).choose(rng).copied();
-        let Some(peer) = peer.or_else(|| peers(!is_remote).choose(rng).copied()) else {
+        let Some(peer) = members.choose(rng).map(|member| member.peer) else {
             return Vec::new();
         };
         let salt = rng.random();
@@ -342,6 +347,7 @@
             let part = rng.random_range(0..filters.len());
             filters = vec![filters.swap_remove(part)];
         }
+        metrics::counter!("jackdaw_entry_requests_total").increment(1);
         let filters = filters.into_iter();
         filters
             .map(|filter| self.bare_datagram(peer, Message::Missing(filter)))
@@ -355,7 +361,11 @@
             return Vec::new();
         }
         let missing = self.entries.missing(now, filter, to);
-        let pages = self.responses.take(now, Page::divide(&missing));
+        let pages = Page::divide(&missing);
+        let due = pages.len();
+        let pages = self.responses.take(now, pages);
+        let held_back = u64::try_from(due - pages.len()).unwrap_or(u64::MAX);
+        metrics::counter!("jackdaw_entry_pages_held_back_total").increment(held_back);
         let pages = pages.into_iter();
         pages
             .map(|page| self.bare_datagram(to, Message::Entries(page)))
@@ -368,11 +378,12 @@
             metrics::counter!("jackdaw_bad_datagrams_total").increment(1);
             return false;
         };
-        let mut changed = false;
+        let mut learnt = 0;
         for member in &members {
-            changed |= self.merge_from(now, member, Origin::Response);
+            learnt += u64::from(self.merge_from(now, member, Origin::Response));
         }
-        changed
+        metrics::counter!("jackdaw_entries_learnt_total").increment(learnt);
+        learnt > 0
     }
 
     /// Handles a datagram.
