Choice: upstreams that have responded lately are always compared

Cause: a random sample leaves out most of the targets that a daemon knows to be fast.

Change: up to 64 upstreams that have responded to this daemon within twelve seconds are compared, and 32 others of the own data centre and 32 of the others. The number is bounded as before.

--- a/src/calls/balancer.rs
+++ b/src/calls/balancer.rs
@@ -12,7 +12,7 @@
 
 use crate::calls::call::Call;
 use crate::calls::latency::Baseline;
-use crate::calls::pick::{self, Candidate, Cost};
+use crate::calls::pick::{self, Candidate, Cost, Standing};
 use crate::calls::statistics::Statistics;
 use crate::idempotency::keys;
 use crate::membership::roster::{Roster, Upstream};
@@ -132,8 +132,8 @@
             } else {
                 settings.far_ms_per_kb
             };
-            let is_local: Vec<bool> = all.map(|upstream| upstream.local).collect();
-            let sample = pick::sample(&is_local, &mut rng);
+            let standings = all.map(|upstream| upstream.standing(now));
+            let sample = pick::sample(&standings.collect::<Vec<Standing>>(), &mut rng);
             let cost = |index: &usize| {
                 upstreams[*index].cost(&call.group, baseline, remote_ms_per_kb, now)
             };
--- a/src/calls/pick.rs
+++ b/src/calls/pick.rs
@@ -32,10 +32,12 @@
 const COST_JITTER: f64 = 0.2;
 /// Ejection time of an unavailable upstream; by its end the membership view has been updated.
 const UNAVAILABLE_TIME: Duration = Duration::from_millis(500);
-/// Upstreams of the own data centre whose costs are compared: of so many, some are fast and have free slots.
-const MAX_LOCAL_CANDIDATES: usize = 64;
-/// Upstreams of other data centres whose costs are compared.
-const MAX_REMOTE_CANDIDATES: usize = 64;
+/// Upstreams whose costs are compared, of those that have responded to this daemon lately.
+const MAX_KNOWN_CANDIDATES: usize = 64;
+/// Others of the own data centre whose costs are compared: of so many, some have free slots.
+const MAX_LOCAL_CANDIDATES: usize = 32;
+/// Others of other data centres whose costs are compared.
+const MAX_REMOTE_CANDIDATES: usize = 32;
 /// Number of doublings after which ejections do not get longer.
 const MAX_DOUBLINGS: u32 = 5;
 
@@ -136,17 +138,34 @@
         .map(|(index, _)| index)
 }
 
-/// Returns the indexes of the upstreams whose costs are compared: all of a few, else a random sample of those of
-/// the own data centre and of the others.
+/// What an ingress knows of an upstream before it computes its cost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It has responded to this daemon lately.
+    Known,
+    /// It is in the own data centre.
+    Local,
+    /// It is in another data centre.
+    Remote,
+}
+
+/// Returns the indexes of the upstreams whose costs are compared: all of a few, else a random sample of each
+/// standing.
 ///
 /// The time that a choice takes must not grow with the fleet, and no upstream is left out for longer than by
-/// chance.
+/// chance. Those that are known to be fast must be among them: in a large fleet they are few.
 #[must_use]
-pub fn sample(is_local: &[bool], rng: &mut SmallRng) -> Vec<usize> {
-    let (local, remote): (Vec<usize>, Vec<usize>) =
-        (0..is_local.len()).partition(|index| is_local[*index]);
-    let mut sample = draw(local, MAX_LOCAL_CANDIDATES, rng);
-    sample.extend(draw(remote, MAX_REMOTE_CANDIDATES, rng));
+pub fn sample(standings: &[Standing], rng: &mut SmallRng) -> Vec<usize> {
+    let limits = [
+        (Standing::Known, MAX_KNOWN_CANDIDATES),
+        (Standing::Local, MAX_LOCAL_CANDIDATES),
+        (Standing::Remote, MAX_REMOTE_CANDIDATES),
+    ];
+    let mut sample = Vec::new();
+    for (standing, limit) in limits {
+        let indexes = (0..standings.len()).filter(|index| standings[*index] == standing);
+        sample.extend(draw(indexes.collect(), limit, rng));
+    }
     sample
 }
 
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -10,7 +10,7 @@
 
 use crate::calls::latency::{Baseline, Outstanding, Profile};
 use crate::calls::pace::Pace;
-use crate::calls::pick::{self, Candidate, Cost, Detector};
+use crate::calls::pick::{self, Candidate, Cost, Detector, Standing};
 use crate::configuration::document::{Ejection, Group};
 use crate::membership::member::{Health, Member};
 use crate::peer::Link;
@@ -21,6 +21,8 @@
 const BYTES_PER_KB: f64 = 1_024.0;
 /// Limit to the age of own requests, in milliseconds; longer than any time-out.
 const MAX_REQUEST_AGE_MS: u64 = 5_000;
+/// Time for which an upstream counts as known after a response: until its learnt slowdown has decayed.
+const KNOWN_FOR: Duration = Duration::from_secs(12);
 /// Size of the headers of a request and its response between two daemons, in kilobytes.
 const HEADERS_KB: f64 = 0.5;
 
@@ -83,6 +85,8 @@
     /// Sum of the times at which own outstanding requests were sent, in milliseconds since `first_seen`.
     sent_sum_ms: AtomicU64,
     reported_load: AtomicU32,
+    /// When its sidecar responded last, in milliseconds after `first_seen`; 0 if it never did.
+    responded_ms: AtomicU64,
     /// Locked for a few instructions, like the detector.
     latency: Mutex<Profile>,
     /// Locked for a few instructions, by the request path and the state dump.
@@ -233,6 +237,7 @@
             own_requests: AtomicU32::new(0),
             sent_sum_ms: AtomicU64::new(0),
             reported_load: AtomicU32::new(0),
+            responded_ms: AtomicU64::new(0),
             latency: Mutex::new(Profile::new(now)),
             detector: Mutex::default(),
             pace: Mutex::default(),
@@ -325,10 +330,28 @@
     /// Records the number of requests in flight that its sidecar reported.
     pub fn record_load(&self, now: Instant, load: u32) {
         self.reported_load.store(load, Ordering::Relaxed);
+        let age = now.saturating_duration_since(self.first_seen);
+        self.responded_ms
+            .store(Millis::from(age).0.max(1), Ordering::Relaxed);
         let own_requests = self.own_requests.load(Ordering::Relaxed);
         self.latency().record_load(now, load, own_requests);
     }
 
+    /// What is known of it at `now`.
+    #[must_use]
+    pub fn standing(&self, now: Instant) -> Standing {
+        let responded_ms = self.responded_ms.load(Ordering::Relaxed);
+        let responded = self.first_seen + Millis(responded_ms).duration();
+        let is_recent = now.saturating_duration_since(responded) < KNOWN_FOR;
+        if responded_ms > 0 && is_recent {
+            Standing::Known
+        } else if self.local {
+            Standing::Local
+        } else {
+            Standing::Remote
+        }
+    }
+
     /// Load as known to this daemon: own requests, and those that its sidecar reported.
     #[must_use]
     pub fn load(&self) -> (u32, u32) {
