Retries: nested calls get the half of the ratio that repeated requests leave

Change: the daemon that takes a nested call is the sidecar of the target that makes it. It counts the repeated requests there (a header of its own, which other releases ignore) and charges two calls for each; the rest of the ratio pays for retries of nested calls. repeated_requests_pay_for_their_calls checks the charge.

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -22,6 +22,7 @@
 use crate::membership::roster::Upstream;
 use crate::settings::{Retries, Settings};
 use crate::shared_state::SharedState;
+use crate::units::Percent;
 
 /// Divisor of the time left: after that part, a repeatable call is also sent to a second upstream.
 const HEDGE_DELAY_DIVISOR: u32 = 2;
@@ -72,6 +73,23 @@
         self.budgets.for_service(&call.metadata.service, daemons)
     }
 
+    /// Records a first attempt in the retry budget of a call's service.
+    ///
+    /// Each level of calls uses half of the ratio, since calls of a repeated request are retries of the service
+    /// beneath. A nested call gets the other half as well: this daemon is the sidecar of the target that makes
+    /// it, so that it knows the repeated requests there and charges for their calls.
+    pub fn deposit_share(&self, rule: &Retry, call: &Call) {
+        let now = Instant::now();
+        let budget = self.budget(call);
+        let route = &call.resolved_route.route.name;
+        if self.balancer.statistics.is_nested(route) {
+            budget.charge_repeats(self.sidecar.repeats(), now);
+            budget.deposit_share(Percent(rule.budget.0.saturating_mul(2)), now);
+        } else {
+            budget.deposit_share(rule.budget, now);
+        }
+    }
+
     /// Withdraws one more request from the retry budget; `false` if the budget does not allow it.
     pub fn withdraw_retry(&self, rule: &Retry, call: &Call) -> bool {
         let fixed = self.shared.settings.retries == Retries::Fixed;
--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -159,6 +159,7 @@
                 .map_or_else(String::new, |team| team.name.clone()),
             draining: Vec::new(),
             notice: None,
+            repeat: false,
         };
         stream::strip_hop_by_hop(&mut head.headers);
         if !config.teams.is_empty() {
@@ -260,6 +261,7 @@
             sent_ms: clock::boot_ms(),
             remaining,
             max_wait,
+            repeat: self.attempts > 0,
             ..self.metadata.clone()
         };
         Attempt {
--- a/src/calls/ingress.rs
+++ b/src/calls/ingress.rs
@@ -347,9 +347,7 @@
     /// Makes attempts until one is answered or no further one is allowed.
     async fn run_attempts(&self, call: &mut Call) -> Option<Response<Body>> {
         let rule = &Arc::clone(&call.resolved_route).retry;
-        self.sender
-            .budget(call)
-            .deposit_share(rule.budget, Instant::now());
+        self.sender.deposit_share(rule, call);
         let mut refusals = 0;
         let mut token_refusals = 0;
         loop {
--- a/src/calls/metadata.rs
+++ b/src/calls/metadata.rs
@@ -30,6 +30,8 @@
 const TEAM: &str = "x-jackdaw-for-team";
 /// Header with the [`Notice`]; a release of the sidecar that does not know it ignores it.
 const NOTICE: &str = "x-jackdaw-notice";
+/// Header of a repeated attempt; a release of the sidecar that does not know it ignores it.
+const REPEAT: &str = "x-jackdaw-repeat";
 
 /// What a sidecar needs to know about a call beside the HTTP request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -68,6 +70,9 @@
     /// Last notice of the sidecar's target that the ingress has received.
     #[serde(skip)]
     pub notice: Option<Notice>,
+    /// Whether an earlier attempt may have reached a target.
+    #[serde(skip)]
+    pub repeat: bool,
 }
 
 /// Writes the metadata into the headers of a call.
@@ -98,6 +103,10 @@
     if let Some(Ok(value)) = notice.map(HeaderValue::try_from) {
         headers.insert(NOTICE, value);
     }
+    headers.remove(REPEAT);
+    if metadata.repeat {
+        headers.insert(REPEAT, HeaderValue::from_static("1"));
+    }
     headers.insert(METADATA, wire::to_header(&metadata));
 }
 
@@ -129,5 +138,6 @@
     metadata.team = team.unwrap_or_default();
     // Without it the request is still complete.
     metadata.notice = take(NOTICE).and_then(|notice| notice.parse().ok());
+    metadata.repeat = take(REPEAT).is_some();
     Ok(metadata)
 }
--- a/src/calls/retry.rs
+++ b/src/calls/retry.rs
@@ -18,7 +18,7 @@
 //! assert!(budget.withdraw(Percent(20), now));
 //! ```
 
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -35,6 +35,8 @@
 /// Slots that are kept: retries count for one slot longer than requests, so that no window of any start holds
 /// more retries than its requests pay for.
 const KEPT_SLOTS: usize = 11;
+/// Nested calls that a repeated request is assumed to make, each of which counts as a retry of its service.
+const CALLS_PER_REPEAT: i64 = 2;
 
 /// Retry budget of one service, as a share of its recent requests.
 ///
@@ -47,6 +49,8 @@
     reserve: AtomicI64,
     slot_length: Duration,
     origin: Instant,
+    /// Repeated requests at the local target that have been charged for.
+    charged_repeats: AtomicU64,
     /// Locked for a few instructions.
     ledger: Mutex<Ledger>,
 }
@@ -72,6 +76,7 @@
             reserve: AtomicI64::new(i64::from(reserve) * RETRY_COST),
             slot_length: (window / slots).max(Duration::from_millis(1)),
             origin: Instant::now(),
+            charged_repeats: AtomicU64::new(0),
             ledger: Mutex::default(),
         }
     }
@@ -92,6 +97,19 @@
         self.ledger().slot(number).deposited += i64::from(share.0);
     }
 
+    /// Charges for the nested calls of repeated requests, of which `repeats` have arrived at the local target.
+    ///
+    /// What is charged may exceed the balance: those calls have been made already.
+    pub fn charge_repeats(&self, repeats: u64, now: Instant) {
+        let charged = self.charged_repeats.fetch_max(repeats, Ordering::Relaxed);
+        let new = i64::try_from(repeats.saturating_sub(charged)).unwrap_or(i64::MAX);
+        if new > 0 {
+            let number = self.slot_number(now);
+            let cost = new.saturating_mul(CALLS_PER_REPEAT * RETRY_COST);
+            self.ledger().slot(number).withdrawn += cost;
+        }
+    }
+
     /// Withdraws one retry; `false` if the balance is too low or `share` is zero.
     #[must_use]
     pub fn withdraw(&self, share: Percent, now: Instant) -> bool {
--- a/src/calls/sidecar.rs
+++ b/src/calls/sidecar.rs
@@ -6,6 +6,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
@@ -33,6 +34,8 @@
     deduplicator: Arc<Deduplicator>,
     /// Locked only briefly, and never across an await.
     nesting_detector: Mutex<Detector>,
+    /// Repeated requests so far.
+    repeats: AtomicU64,
 }
 
 /// Load that a sidecar reports with each response, written as numbers separated by commas.
@@ -96,6 +99,7 @@
             executor,
             deduplicator,
             nesting_detector: Mutex::default(),
+            repeats: AtomicU64::new(0),
         }
     }
 
@@ -105,6 +109,12 @@
         self.executor.load()
     }
 
+    /// Number of repeated requests that have arrived so far.
+    #[must_use]
+    pub fn repeats(&self) -> u64 {
+        self.repeats.load(Ordering::Relaxed)
+    }
+
     /// Limit that the target names.
     #[must_use]
     pub fn rate_limit(&self) -> Option<Rate> {
@@ -115,6 +125,9 @@
     pub async fn run(&self, metadata: Metadata, request: Request<Body>) -> Response<Body> {
         let (id, key) = (metadata.id.clone(), metadata.key.clone());
         let nested = self.record_origin(&metadata);
+        if metadata.repeat {
+            self.repeats.fetch_add(1, Ordering::Relaxed);
+        }
         let received = Received::new(metadata, request, nested, self.shared.track_call());
         let result = match key {
             Some(key) => {
--- a/src/membership/anti_entropy.rs
+++ b/src/membership/anti_entropy.rs
@@ -33,7 +33,7 @@
 /// Entries in one filter at most, so that it fits into a datagram.
 const MAX_FILTER_ENTRIES: usize = 800;
 /// Most bytes of a filter.
-const MAX_FILTER_BYTES: usize = 2 * MAX_FILTER_ENTRIES * BITS_PER_ENTRY / 8;
+const MAX_FILTER_BYTES: usize = MAX_FILTER_ENTRIES * BITS_PER_ENTRY / 8;
 /// Entries that are compressed together.
 const ENTRIES_PER_PAGE: usize = 48;
 /// Most entries of a response: more than the allowance ever lets through.
--- a/tests/call_retries.rs
+++ b/tests/call_retries.rs
@@ -103,6 +103,27 @@
     assert!(!budget.withdraw(Percent(9), later(3.0)));
 }
 
+/// Guards against a service that gets more retries than the ratio allows, since calls of repeated requests count as
+/// retries of the service beneath.
+#[test]
+fn repeated_requests_pay_for_their_calls() {
+    let now = Instant::now();
+    let budget = Budget::with_reserve(0, WINDOW);
+    for _ in 0..100 {
+        budget.deposit_share(Percent(18), now);
+    }
+    budget.charge_repeats(4, now);
+    budget.charge_repeats(4, now);
+    let granted = (0..100).filter(|_| budget.withdraw(Percent(9), now));
+    assert_eq!(granted.count(), 10, "18 less two for each of four");
+    budget.charge_repeats(54, now);
+    (0..100).for_each(|_| budget.deposit_share(Percent(18), now));
+    assert!(
+        !budget.withdraw(Percent(9), now),
+        "calls already made come first"
+    );
+}
+
 proptest! {
     #![proptest_config(deterministic_config(200))]
 
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -143,6 +143,7 @@
         team: String::new(),
         draining: Vec::new(),
         notice: Some(notice("a", None, 7.9)),
+        repeat: false,
     };
     let mut headers = HeaderMap::new();
     write_metadata(&mut headers, metadata.clone());
