--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -35,8 +35,8 @@
 /// Pauses after failed calls to the control plane: a daemon that has dropped off the list during an outage is
 /// listed again within two seconds.
 const RETRY_BACKOFF: Backoff = Backoff::new(ROUND_PAUSE, Duration::from_secs(2));
-/// Time in which a daemon that starts expects its peers to send the configuration: several probe periods of a
-/// few of them. Listed daemons read it at once.
+/// Time in which a daemon that starts expects its peers to send the configuration; a fetch from one of them takes
+/// a small part of it. Listed daemons read it at once.
 const PEER_GRACE: Duration = Duration::from_secs(1);
 /// Time between two first reads of the configuration over all known daemons, when they start at once and nobody
 /// sends it: one that has read it propagates it to the others in less time than all of them would take to read.
--- a/src/membership/rebuild.rs
+++ b/src/membership/rebuild.rs
@@ -16,8 +16,8 @@
 
 use std::time::{Duration, Instant};
 
-/// Shortest time between two rebuilds for each member: several hundred times what a rebuild takes for it, since
-/// a host may have a tenth of a core.
+/// Shortest time between two rebuilds for each member: a daemon on a tenth of a core must not spend much of it on
+/// rebuilds.
 const TIME_PER_MEMBER: Duration = Duration::from_micros(200);
 
 /// When the roster was rebuilt last.
