Start: a daemon that finds no target is not ready for as long as an earlier stop may take

What callers saw: on a host that is taken away while all hosts lose power, callers came back to the daemon that was started again, and their requests ended with it when it was killed 6 s after the order that an earlier process had received.

Cause: a platform ends the target, then stops the daemon. If a fault makes it start the daemon again before the time for the stop is up, the new process receives no signal. It was ready 0.2 s after its start, so callers were sent to it until the kill.

Change: where the fleet is running already and nothing accepts connections at the target's address, the daemon serves what it receives but is not ready, until a target announces itself, and for the drain limit at most: a stop requested before the start is over by then. A target that is unhealthy, slow or leaving is not absent. The health check moves to a file of its own.

Ways weighed: a record of the order on the platform's store: exact, but two writes for each stop, dated by a clock that may be set, and lost where the store is away. The memory of peers: lost with the power. Refusing calls: the host can serve them.

--- a/src/extension.rs
+++ b/src/extension.rs
@@ -8,7 +8,6 @@
 use crate::calls::dialect::Dialect;
 use crate::configuration::control_plane::ControlPlane;
 use crate::membership::announce::Endpoint;
-use crate::membership::member::Stage;
 use crate::settings::Settings;
 use crate::shared_state::SharedState;
 
@@ -45,10 +44,10 @@
 }
 
 impl Handles {
-    /// Whether the daemon accepts callers: a configuration is active and no shutdown has begun.
+    /// Whether callers should come to the daemon, as [`SharedState::is_ready`].
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.shared.stage() == Stage::Serving
+        self.shared.is_ready()
     }
 }
 
--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -8,17 +8,15 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
 
-use http::{Method, Request, StatusCode};
+use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
-use volo_http::body::Body;
 use volo_http::server::Router;
 use volo_http::server::route::{get, post};
 
-use crate::calls::dispatch::Dispatcher;
-use crate::calls::notice;
 use crate::clock;
 use crate::membership::controller::Membership;
+use crate::membership::health_check::{Finding, HealthCheck};
 use crate::membership::member::Stage;
 use crate::membership::target::{Process, Processes, Recency, Renewal};
 use crate::quarantine::detector::{Detector, lock_running};
@@ -34,8 +32,6 @@
 pub const MAX_REVISION_BYTES: usize = 64;
 /// Largest announcement, in bytes.
 const MAX_BODY_BYTES: usize = 4_096;
-/// Time-out of a target's health check, which does not leave the host.
-const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Slots of a target that has passed its health check but not announced itself, if no peer remembers them.
 ///
 /// This is a common size. A target queues or refuses the requests that it cannot run, which does no harm. With
@@ -103,7 +99,7 @@
 pub struct Endpoint {
     shared: Arc<SharedState>,
     membership: Arc<Membership>,
-    dispatcher: Dispatcher,
+    health_check: HealthCheck,
     crash_detector: Detector,
     /// Latest start time of targets that name no instance, in milliseconds since 1970; 0 if none was reported.
     latest_start_ms: AtomicU64,
@@ -119,9 +115,9 @@
     pub fn new(shared: Arc<SharedState>, membership: Arc<Membership>) -> Self {
         Self {
             crash_detector: Detector::new(Arc::clone(&shared)),
+            health_check: HealthCheck::new(Arc::clone(&shared)),
             shared,
             membership,
-            dispatcher: Dispatcher::new(Duration::ZERO),
             latest_start_ms: AtomicU64::new(0),
         }
     }
@@ -201,9 +197,12 @@
         // Two processes have claimed the address, and the order of their announcements proves nothing: the
         // health check tells which one is running.
         if recency == Recency::New && contested {
-            let responder = self.check_health(renewal.address, &renewal.service).await;
-            if let Some(responder) =
-                responder.filter(|responder| *responder != renewal.process.instance)
+            let finding = self
+                .health_check
+                .run(renewal.address, &renewal.service)
+                .await;
+            if let Finding::Healthy(responder) = finding
+                && responder != renewal.process.instance
             {
                 self.processes().confirm(&responder);
                 return Ok(());
@@ -254,7 +253,8 @@
         }
     }
 
-    /// Looks for the target that the settings name, if it has not announced itself yet.
+    /// Looks for the target that the settings name, if it has not announced itself yet; records its
+    /// [absence](crate::membership::absence) if nothing accepts connections at its address.
     ///
     /// After a daemon is killed and restarted beside a healthy target, the target would otherwise be idle until
     /// its next announcement, and its share of the requests would go to the others.
@@ -267,12 +267,15 @@
         if !self.processes().is_empty() {
             return;
         }
-        let Some(instance) = self.check_health(address, &service).await else {
-            return;
-        };
+        let finding = self.health_check.run(address, &service).await;
         if !self.processes().is_empty() {
             return;
         }
+        let instance = match finding {
+            Finding::Healthy(instance) => instance,
+            Finding::Absent => return self.record_absence(),
+            Finding::Unknown => return,
+        };
         self.processes().confirm(&instance);
         info!(self.shared.logger, "target found"; "instance" => %instance, "slots" => ?slots);
         self.set_target(Target {
@@ -288,28 +291,15 @@
         .await;
     }
 
-    /// Returns the instance that is healthy at `address`, if targets of the service report it.
-    async fn check_health(&self, address: SocketAddr, service: &Service) -> Option<Instance> {
-        let config = self.shared.config();
-        let mut groups = config.document.groups.iter();
-        let group = groups.find(|group| group.service == *service)?;
-        let name = self.shared.dialect.instance.as_ref()?;
-        let request = Request::builder()
-            .method(Method::GET)
-            .uri(group.health_path.as_ref()?)
-            .header(http::header::HOST, address.to_string())
-            .body(Body::empty());
-        let request = request.ok()?;
-        let asking = self.dispatcher.send(address, request, true, &|| {});
-        let (response, _lease) = tokio::time::timeout(HEALTH_CHECK_TIMEOUT, asking)
-            .await
-            .ok()?
-            .ok()?;
-        // A health check may be wrong; what a target says of its end is not.
-        let leaving = notice::says_leaving(response.headers(), &self.shared.dialect);
-        let healthy = response.status().is_success() && !leaving;
-        let instance = response.headers().get(name).filter(|_| healthy)?;
-        instance.to_str().ok().map(Instance::from)
+    /// Records that the target is absent, until a stop requested before the start would be over.
+    fn record_absence(&self) {
+        let limit = self.shared.drain_limit();
+        // An announcement that arrives meanwhile sets the target after this lock is released.
+        let processes = self.processes();
+        if processes.is_empty() {
+            info!(self.shared.logger, "target absent at the start, not ready"; "limit_ms" => limit.0);
+            self.shared.absence.begin(Instant::now(), limit.duration());
+        }
     }
 
     async fn set_target(&self, target: Target) {
--- /dev/null
+++ b/src/membership/health_check.rs
@@ -0,0 +1,84 @@
+//! Health check of the co-located target.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, Request, Response};
+use hyper::body::Incoming;
+use volo_http::body::Body;
+
+use crate::calls::dispatch::Dispatcher;
+use crate::calls::notice;
+use crate::calls::outcome::Reason;
+use crate::shared_state::SharedState;
+use crate::units::{Instance, Service};
+
+/// Time-out of a health check, which does not leave the host.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What a health check has shown.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Finding {
+    /// This instance is healthy.
+    Healthy(Instance),
+    /// Nothing accepts connections at the address.
+    Absent,
+    /// The target is not healthy, did not respond in time, or cannot be asked.
+    Unknown,
+}
+
+/// Asks the co-located target for its health and its instance.
+#[derive(Debug)]
+pub(crate) struct HealthCheck {
+    shared: Arc<SharedState>,
+    dispatcher: Dispatcher,
+}
+
+impl HealthCheck {
+    /// Creates a health check that uses no connection twice.
+    pub(crate) fn new(shared: Arc<SharedState>) -> Self {
+        Self {
+            shared,
+            dispatcher: Dispatcher::new(Duration::ZERO),
+        }
+    }
+
+    /// Asks which instance of `service` is healthy at `address`.
+    pub(crate) async fn run(&self, address: SocketAddr, service: &Service) -> Finding {
+        let Some(request) = self.request(address, service) else {
+            return Finding::Unknown;
+        };
+        let asking = self.dispatcher.send(address, request, true, &|| {});
+        match tokio::time::timeout(TIMEOUT, asking).await {
+            Ok(Ok((response, _connection))) => self
+                .healthy_instance(&response)
+                .map_or(Finding::Unknown, Finding::Healthy),
+            Ok(Err(Reason::Unreachable)) => Finding::Absent,
+            Ok(Err(_)) | Err(_) => Finding::Unknown,
+        }
+    }
+
+    /// The request, if targets of the service have a health path and report their instance.
+    fn request(&self, address: SocketAddr, service: &Service) -> Option<Request<Body>> {
+        self.shared.dialect.instance.as_ref()?;
+        let config = self.shared.config();
+        let mut groups = config.document.groups.iter();
+        let group = groups.find(|group| group.service == *service)?;
+        Request::builder()
+            .method(Method::GET)
+            .uri(group.health_path.as_ref()?)
+            .header(http::header::HOST, address.to_string())
+            .body(Body::empty())
+            .ok()
+    }
+
+    fn healthy_instance(&self, response: &Response<Incoming>) -> Option<Instance> {
+        // A health check may be wrong; what a target says of its end is not.
+        let leaving = notice::says_leaving(response.headers(), &self.shared.dialect);
+        let healthy = response.status().is_success() && !leaving;
+        let name = self.shared.dialect.instance.as_ref()?;
+        let instance = response.headers().get(name).filter(|_| healthy)?;
+        instance.to_str().ok().map(Instance::from)
+    }
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,6 +3,7 @@
 //! Daemons exchange [`member`] entries with the SWIM-like protocol of [`view`]. A [`target`] announces
 //! itself to the daemon on its host.
 
+pub mod absence;
 pub mod announce;
 pub mod anti_entropy;
 pub mod datagram;
@@ -18,6 +19,7 @@
 pub(crate) mod contacts;
 pub(crate) mod controller;
 pub(crate) mod gossip;
+pub(crate) mod health_check;
 pub(crate) mod join;
 pub(crate) mod join_client;
 pub(crate) mod refresh;
--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -46,6 +46,8 @@
     pub reads_log: bool,
     /// The co-located target.
     pub target: Option<Target>,
+    /// Time until this daemon is ready without its target, which it did not find at its start.
+    pub absence_left_ms: Option<Millis>,
     /// Requests per second that the target accepts, if it names a limit.
     pub target_limit: Option<Rate>,
     /// Time until the target's lease expires.
@@ -115,7 +117,7 @@
 /// Short state for health checks and `jackdawctl status`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Brief {
-    /// Whether the daemon is serving.
+    /// Whether callers should come to the daemon.
     pub ready: bool,
     /// Lifecycle stage.
     pub stage: Stage,
@@ -143,7 +145,7 @@
         Self {
             teams: config.teams.teams().len(),
             since_us: config.since_us,
-            ready: shared.stage() == Stage::Serving,
+            ready: shared.is_ready(),
             stage: shared.stage(),
             version: digest.version,
             hash: format!("{:016x}", digest.hash),
@@ -178,6 +180,7 @@
                 .as_ref()
                 .map(|target| time_left(target.lease_until).into()),
             target: target.as_deref().cloned(),
+            absence_left_ms: shared.absence.remaining(now).map(Millis::from),
             target_limit: sidecar.rate_limit(),
             in_flight: shared.in_flight(),
             running,
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -22,6 +22,7 @@
 use crate::configuration::document::Document;
 use crate::configuration::exchange::Digest;
 use crate::configuration::freshness::Freshness;
+use crate::membership::absence::Absence;
 use crate::membership::member::{Offer, Stage};
 use crate::membership::roster::Roster;
 use crate::membership::target::Processes;
@@ -140,6 +141,8 @@
     processes: Mutex<Processes>,
     /// Notified when a response has shown that the target is leaving.
     target_retired: Notify,
+    /// Absence of the target at the start of this daemon.
+    pub absence: Absence,
     /// Requests running at the target; the lock is held for a few instructions only.
     pub running: Mutex<Running>,
     /// Requests quarantined because they crash targets.
@@ -182,6 +185,7 @@
             target: ArcSwapOption::empty(),
             processes: Mutex::default(),
             target_retired: Notify::new(),
+            absence: Absence::default(),
             running: Mutex::default(),
             stage: AtomicU8::new(Stage::Starting as u8),
             registered: AtomicBool::new(false),
@@ -284,6 +288,9 @@
         let processes = self.processes();
         let target = target.filter(|_| !processes.is_leaving());
         let is_set = target.is_some();
+        if is_set {
+            self.absence.end();
+        }
         self.target.store(target.map(Arc::new));
         is_set
     }
@@ -373,6 +380,12 @@
         }
     }
 
+    /// Whether callers should come to this daemon: it serves, and does not wait for an absent target.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.stage() == Stage::Serving && self.absence.remaining(Instant::now()).is_none()
+    }
+
     /// Advances the lifecycle stage; an earlier stage has no effect.
     pub fn advance(&self, stage: Stage) {
         self.stage.fetch_max(stage as u8, Ordering::AcqRel);
