--- a/src/membership/health_check.rs
+++ b/src/membership/health_check.rs
@@ -22,7 +22,7 @@
 pub(crate) enum Finding {
     /// This instance is healthy.
     Healthy(Instance),
-    /// Nothing accepts connections at the address.
+    /// Nothing at the address accepts the request: connections are refused, or closed unread.
     Absent,
     /// The target is not healthy, did not respond in time, or cannot be asked.
     Unknown,
