Observability: what became of each announcement, and the target's processes in the state dump

Cause: an announcement that changes nothing was a line at debug level, a deregistration of another process none at all, and the processes that a daemon knows were in no dump, so the hypotheses on an acknowledged departure that is not kept could not be told apart. Change: ignored announcements and checks of a contested address are lines at level info, announcements are counted by verdict, and /state lists the target's processes. No decision changes.

--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -10,7 +10,7 @@
 
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
-use slog::{debug, info, warn};
+use slog::{info, warn};
 use volo_http::server::Router;
 use volo_http::server::route::{get, post};
 
@@ -174,10 +174,13 @@
             }
             (recency, contested, processes.is_leaving())
         };
+        let verdict: &str = recency.into();
+        metrics::counter!("jackdaw_target_announcements_total", "verdict" => verdict).increment(1);
         match recency {
             Recency::Stale | Recency::Ended => {
-                debug!(self.shared.logger, "late announcement ignored";
-                    "instance" => %renewal.process.instance, "sequence" => renewal.sequence);
+                info!(self.shared.logger, "announcement ignored"; "verdict" => verdict,
+                    "instance" => %renewal.process.instance, "sequence" => renewal.sequence,
+                    "leaving" => renewal.leaving);
                 return Ok(());
             }
             Recency::New => {
@@ -201,6 +204,8 @@
                 .health_check
                 .run(renewal.address, &renewal.service)
                 .await;
+            info!(self.shared.logger, "contested address checked"; "finding" => ?finding,
+                "instance" => %renewal.process.instance, "sequence" => renewal.sequence);
             if let Finding::Healthy(responder) = finding
                 && responder != renewal.process.instance
             {
@@ -250,6 +255,9 @@
         if self.processes().deregister(process) {
             self.clear_target("target deregistered", &process.instance)
                 .await;
+        } else {
+            info!(self.shared.logger, "deregistration of another process";
+                "instance" => %process.instance);
         }
     }
 
--- a/src/membership/target.rs
+++ b/src/membership/target.rs
@@ -23,17 +23,21 @@
 
 use std::net::SocketAddr;
 
+use serde::Serialize;
+use strum::{Display, IntoStaticStr};
+
 use crate::units::{Instance, Millis, Revision, Service, Slots, StartTime};
 
 /// Ended processes that are remembered.
 const MAX_ENDED: usize = 32;
 
 /// One process of a target, from its start to its end.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Process {
     /// Instance name, which the next process may reuse.
     pub instance: Instance,
     /// Start time, if known.
+    #[serde(rename = "born")]
     pub start_time: Option<StartTime>,
 }
 
@@ -79,7 +83,8 @@
 }
 
 /// How an announcement relates to the current process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Recency {
     /// First one of an unknown process, which becomes the current one.
     New,
@@ -92,7 +97,7 @@
 }
 
 /// Processes of the targets at one address.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, Serialize)]
 pub struct Processes {
     /// Current process, with the highest sequence number of its announcements.
     current: Option<(Process, u64)>,
--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -10,6 +10,7 @@
 use crate::idempotency::deduplicator::Deduplicator;
 use crate::membership::member::{Health, Member, Stage};
 use crate::membership::roster::{Roster, Upstream};
+use crate::membership::target::Processes;
 use crate::quarantine::crash_set::Assessments;
 use crate::quota::limiter::TeamState;
 use crate::rollout::progress::Progress;
@@ -46,6 +47,8 @@
     pub reads_log: bool,
     /// The co-located target.
     pub target: Option<Target>,
+    /// Processes of the target that have announced themselves.
+    pub processes: Processes,
     /// Time until this daemon is ready without its target, which it did not find at its start.
     pub absence_left_ms: Option<Millis>,
     /// Requests per second that the target accepts, if it names a limit.
@@ -180,6 +183,7 @@
                 .as_ref()
                 .map(|target| time_left(target.lease_until).into()),
             target: target.as_deref().cloned(),
+            processes: shared.processes().clone(),
             absence_left_ms: shared.absence.remaining(now).map(Millis::from),
             target_limit: sidecar.rate_limit(),
             in_flight: shared.in_flight(),
