Departures: kept for each process, whichever process is current

What callers saw: requests ran at a target over 2 s after its departure had been acknowledged, until it ended. Cause: one flag said that the current process had left. An announcement of another process cleared it; a health check that named the earlier process made that current again without it; a departure that arrived while the other was checked, or while a start had its health check, was acknowledged and changed nothing. Two ways withdrew a target and only one remembered why: a response that said so after the target had been withdrawn was not kept. On the other side the flag belonged to whoever announced itself last, so a late departure of an earlier process took the running one out, and a draining heartbeat was held to what an offer has to be. Change: Processes keeps departures by process, by name and the latest start time covered. They are looked up when a target is set, so neither an announcement nor a health check brings one back. A draining heartbeat is a departure and nothing else: it is recorded first, and never refused for what it offers.

--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -21,7 +21,7 @@
 use crate::membership::target::{Process, Processes, Recency, Renewal};
 use crate::quarantine::detector::{Detector, lock_running};
 use crate::shared_state::{SharedState, Target};
-use crate::units::{Instance, Millis, Revision, Service, Slots, StartTime, Version};
+use crate::units::{Millis, Revision, Service, Slots, StartTime, Version};
 
 /// Longest lease, in milliseconds.
 pub const MAX_LEASE_MS: u64 = 60_000;
@@ -150,6 +150,11 @@
     ///
     /// [`Rejection`] if the announcement is invalid; it then changes nothing.
     pub async fn renew_lease(&self, renewal: Renewal) -> Result<(), Rejection> {
+        if renewal.leaving {
+            // Neither the offer nor the order of announcements matters to a departure.
+            self.depart("target is leaving", &renewal.process).await;
+            return Ok(());
+        }
         let announcement = Announcement {
             service: renewal.service.clone(),
             address: renewal.address,
@@ -165,22 +170,18 @@
         if let Some(problem) = problem {
             return Err(Rejection(problem));
         }
-        let (recency, contested, leaving) = {
+        let (recency, contested) = {
             let mut processes = self.processes();
             let contested = processes.may_replace_another(&renewal.process);
             let recency = processes.observe(&renewal.process, renewal.sequence);
-            if renewal.leaving && matches!(recency, Recency::New | Recency::Current) {
-                processes.set_leaving();
-            }
-            (recency, contested, processes.is_leaving())
+            (recency, contested)
         };
         let verdict: &str = recency.into();
         metrics::counter!("jackdaw_target_announcements_total", "verdict" => verdict).increment(1);
         match recency {
             Recency::Stale | Recency::Ended => {
                 info!(self.shared.logger, "announcement ignored"; "verdict" => verdict,
-                    "instance" => %renewal.process.instance, "sequence" => renewal.sequence,
-                    "leaving" => renewal.leaving);
+                    "instance" => %renewal.process.instance, "sequence" => renewal.sequence);
                 return Ok(());
             }
             Recency::New => {
@@ -192,11 +193,6 @@
             }
             Recency::Current => {}
         }
-        if leaving {
-            self.clear_target("target is leaving", &renewal.process.instance)
-                .await;
-            return Ok(());
-        }
         // Two processes have claimed the address, and the order of their announcements proves nothing: the
         // health check tells which one is running.
         if recency == Recency::New && contested {
@@ -252,13 +248,18 @@
 
     /// Handles the end of a target process, which gets no new requests.
     pub async fn deregister(&self, process: &Process) {
-        if self.processes().deregister(process) {
-            self.clear_target("target deregistered", &process.instance)
-                .await;
-        } else {
-            info!(self.shared.logger, "deregistration of another process";
-                "instance" => %process.instance);
+        self.depart("target deregistered", process).await;
+    }
+
+    /// Records a departure. Whoever is told of it afterwards can rely on it: the process gets no new requests.
+    async fn depart(&self, event: &'static str, process: &Process) {
+        let is_repeated = self.processes().has_departed(process);
+        let is_target = self.shared.record_departure(process);
+        if is_target || !is_repeated {
+            info!(self.shared.logger, "{}", event; "instance" => %process.instance,
+                "was_target" => is_target);
         }
+        self.membership.publish_own_entry().await;
     }
 
     /// Looks for the target that the settings name, if it has not announced itself yet; records its
@@ -284,7 +285,9 @@
             Finding::Absent => return self.record_absence(),
             Finding::Unknown => return,
         };
-        self.processes().confirm(&instance);
+        if !self.processes().confirm(&instance) {
+            return;
+        }
         info!(self.shared.logger, "target found"; "instance" => %instance, "slots" => ?slots);
         self.set_target(Target {
             instance: Some(instance),
@@ -322,15 +325,6 @@
         self.membership.publish_own_entry().await;
     }
 
-    async fn clear_target(&self, event: &'static str, instance: &Instance) {
-        if self.shared.target().is_some() {
-            info!(self.shared.logger, "{}", event; "instance" => %instance);
-        }
-        lock_running(&self.shared.running).mark_draining();
-        self.shared.set_target(None);
-        self.membership.publish_own_entry().await;
-    }
-
     fn processes(&self) -> MutexGuard<'_, Processes> {
         self.shared.processes()
     }
--- a/src/membership/target.rs
+++ b/src/membership/target.rs
@@ -4,6 +4,9 @@
 //! one with a later [`StartTime`]. Announcements can be delayed by seconds, so one of an earlier process may
 //! arrive after the next process has announced itself: [`Processes`] decides which of them apply.
 //!
+//! What a process says of its own end is final for that process and binds no other: a [`Departure`] stays in force
+//! whichever process is current, and no health check ends it.
+//!
 //! Start times order only the processes of one name, so a wrong clock does no harm between names. A process
 //! whose start time is not known, such as one that has only passed its health check, is taken for the one that
 //! reports its start time under that name. An announcement without a start time, under a name that has
@@ -28,8 +31,8 @@
 
 use crate::units::{Instance, Millis, Revision, Service, Slots, StartTime};
 
-/// Ended processes that are remembered.
-const MAX_ENDED: usize = 32;
+/// Processes, and departures, that are remembered.
+const MAX_REMEMBERED: usize = 32;
 
 /// One process of a target, from its start to its end.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -92,46 +95,84 @@
     Current,
     /// Outdated by a later one of the current process, or without the start time that it has reported.
     Stale,
-    /// From a process that has ended.
+    /// From a process that has departed, or that another one has replaced.
     Ended,
 }
 
+/// Departure of a process: all processes of its name that started up to a time accept no more calls.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Departure {
+    /// Instance name.
+    pub instance: Instance,
+    /// Latest start time that the departure covers; if there is none, it covers processes that report none.
+    pub started_until: Option<StartTime>,
+}
+
+impl Departure {
+    /// Whether it covers `process`. One that does not report its start time is covered by any departure of
+    /// its name.
+    #[must_use]
+    pub fn covers(&self, process: &Process) -> bool {
+        let is_started_before = |start| self.started_until.is_some_and(|until| start <= until);
+        self.instance == process.instance && process.start_time.is_none_or(is_started_before)
+    }
+}
+
+/// A process that has announced itself or responded to a health check.
+#[derive(Debug, Clone, Serialize)]
+struct Known {
+    process: Process,
+    /// Highest sequence number of its announcements; 0 before the first.
+    sequence: u64,
+}
+
+impl Known {
+    /// Whether `process` has its name and is another, later one.
+    fn precedes(&self, process: &Process) -> bool {
+        // A process that announced itself without a start time is not the one that reports its start time.
+        let announced_without_start_time =
+            self.process.start_time.is_none() && process.start_time.is_some() && self.sequence > 0;
+        process.is_successor_of(&self.process) || announced_without_start_time
+    }
+}
+
 /// Processes of the targets at one address.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Processes {
-    /// Current process, with the highest sequence number of its announcements.
-    current: Option<(Process, u64)>,
-    /// Whether the current process has declared that it accepts no more calls.
-    leaving: bool,
-    /// Ended processes in the order of their ends, the latest of each name.
-    ended: Vec<Process>,
+    /// Instance name of the process that is believed to be at the address.
+    current: Option<Instance>,
+    /// Latest known process of each name, in the order in which they were first seen.
+    known: Vec<Known>,
+    /// Latest departure of each name, in the order of time.
+    departures: Vec<Departure>,
 }
 
 impl Processes {
     /// Records an announcement.
     pub fn observe(&mut self, process: &Process, sequence: u64) -> Recency {
-        let same = self.current.as_mut();
-        if let Some((current, last)) = same.filter(|(now, _)| now.instance == process.instance) {
-            if current.is_successor_of(process) {
+        if self.has_departed(process) {
+            return Recency::Ended;
+        }
+        let is_current = self.is_current(&process.instance);
+        if let Some(known) = self.known_mut(&process.instance)
+            && !known.precedes(process)
+        {
+            if known.process.is_successor_of(process) || !is_current {
                 return Recency::Ended;
             }
-            // A process that announced itself without a start time is not the one that reports its start time.
-            let announced_without_start_time =
-                current.start_time.is_none() && process.start_time.is_some() && *last > 0;
-            if !process.is_successor_of(current) && !announced_without_start_time {
-                if current.start_time.is_some() && process.start_time.is_none() || sequence <= *last
-                {
-                    return Recency::Stale;
-                }
-                current.start_time = process.start_time;
-                *last = sequence;
-                return Recency::Current;
+            let lacks_start_time =
+                known.process.start_time.is_some() && process.start_time.is_none();
+            if lacks_start_time || sequence <= known.sequence {
+                return Recency::Stale;
             }
-        } else if self.has_ended(process) {
-            return Recency::Ended;
+            *known = Known {
+                process: process.clone(),
+                sequence,
+            };
+            return Recency::Current;
         }
-        self.retire_current();
-        self.current = Some((process.clone(), sequence));
+        self.remember(process, sequence);
+        self.current = Some(process.instance.clone());
         Recency::New
     }
 
@@ -139,23 +180,24 @@
     /// then does not prove which one is running.
     #[must_use]
     pub fn may_replace_another(&self, process: &Process) -> bool {
-        let same_name = |ended: &Process| ended.instance == process.instance;
-        self.current.is_some() || self.ended.iter().any(same_name)
+        let is_same_name = |known: &Known| known.process.instance == process.instance;
+        let departures = &self.departures;
+        self.current.is_some()
+            || self.known.iter().any(is_same_name)
+            || departures.iter().any(|d| d.instance == process.instance)
     }
 
-    /// Records which instance has responded at the address, which is better evidence than any announcement.
+    /// Records which instance has responded at the address, which is better evidence than any announcement;
+    /// returns whether it accepts calls.
     ///
     /// After a restart of this daemon, an announcement of a dead process may arrive first. The running process
     /// would otherwise count as ended for good.
-    pub fn confirm(&mut self, instance: &Instance) {
-        let same_name = |ended: &Process| ended.instance == *instance;
-        let known = self.ended.iter().position(same_name);
-        let known = known.map(|index| self.ended.remove(index));
-        if !self.is_current(instance) {
-            self.retire_current();
-            let process = known.unwrap_or_else(|| Process::new(instance.clone(), None));
-            self.current = Some((process, 0));
+    pub fn confirm(&mut self, instance: &Instance) -> bool {
+        if self.known_mut(instance).is_none() {
+            self.remember(&Process::new(instance.clone(), None), 0);
         }
+        self.current = Some(instance.clone());
+        !self.is_leaving()
     }
 
     /// Whether no process is current.
@@ -164,77 +206,82 @@
         self.current.is_none()
     }
 
-    /// Records that the current process accepts no more calls, which is final.
-    pub const fn set_leaving(&mut self) {
-        self.leaving = true;
-    }
-
     /// Whether the current process accepts no more calls.
     #[must_use]
-    pub const fn is_leaving(&self) -> bool {
-        self.leaving
+    pub fn is_leaving(&self) -> bool {
+        let current = self.current.as_ref();
+        let current = current.and_then(|instance| self.known(instance));
+        current.is_some_and(|known| self.has_departed(&known.process))
     }
 
     /// Whether the current process has this instance name.
     #[must_use]
     pub fn is_current(&self, instance: &Instance) -> bool {
-        self.current
-            .as_ref()
-            .is_some_and(|(now, _)| now.instance == *instance)
-    }
-
-    /// Records that a process has declared its end; returns whether the current process accepts no more calls
-    /// from now on.
-    pub fn deregister(&mut self, process: &Process) -> bool {
-        let current = self.current.as_ref().map(|(now, _)| now);
-        let same = current.filter(|now| now.instance == process.instance);
-        match same {
-            // A late deregistration must not take the next process of the same name out of service.
-            Some(now) if now.is_successor_of(process) => false,
-            Some(now) if process.is_successor_of(now) => {
-                self.retire_current();
-                self.remember(process.clone());
-                true
-            }
-            Some(_) => {
-                self.set_leaving();
-                true
-            }
-            None => {
-                if !self.has_ended(process) {
-                    self.remember(process.clone());
-                }
-                false
-            }
-        }
+        self.current.as_ref() == Some(instance)
     }
 
-    /// Whether a process is known to have ended. One without a start time matches any of its name; one with a
-    /// start time may be the successor of one without.
-    fn has_ended(&self, process: &Process) -> bool {
-        let same_name = self
-            .ended
-            .iter()
-            .find(|ended| ended.instance == process.instance);
-        same_name.is_some_and(|ended| {
-            process.start_time.is_none()
-                || ended.start_time.is_some() && !process.is_successor_of(ended)
-        })
+    /// Records that a process has said at `now` that it accepts no more calls, which is final for this process
+    /// whichever is current; returns whether it is the current one.
+    pub fn depart(&mut self, process: &Process, now: StartTime) -> bool {
+        let known = self.known(&process.instance);
+        let started_until = match known {
+            _ if process.start_time.is_some() => process.start_time,
+            Some(known) if known.process.start_time.is_some() => known.process.start_time,
+            // It announces itself without a start time.
+            Some(known) if known.sequence > 0 => None,
+            // Its start time is not known.
+            _ => Some(now),
+        };
+        let was_leaving = self.is_leaving();
+        self.record_departure(Departure {
+            instance: process.instance.clone(),
+            started_until,
+        });
+        self.is_current(&process.instance) && self.is_leaving() && !was_leaving
     }
 
-    fn retire_current(&mut self) {
-        if let Some((process, _)) = self.current.take() {
-            self.remember(process);
+    /// Whether a process is known to have departed.
+    #[must_use]
+    pub fn has_departed(&self, process: &Process) -> bool {
+        self.departures.iter().any(|known| known.covers(process))
+    }
+
+    fn record_departure(&mut self, departure: Departure) {
+        let same_name = |known: &Departure| known.instance == departure.instance;
+        let earlier = self.departures.iter().position(same_name);
+        let earlier = earlier.map(|index| self.departures.remove(index));
+        let until = earlier.and_then(|earlier| earlier.started_until);
+        if self.departures.len() == MAX_REMEMBERED {
+            self.departures.remove(0);
         }
-        self.leaving = false;
+        self.departures.push(Departure {
+            started_until: departure.started_until.max(until),
+            ..departure
+        });
+    }
+
+    fn known(&self, instance: &Instance) -> Option<&Known> {
+        let mut known = self.known.iter();
+        known.find(|known| known.process.instance == *instance)
+    }
+
+    fn known_mut(&mut self, instance: &Instance) -> Option<&mut Known> {
+        let mut known = self.known.iter_mut();
+        known.find(|known| known.process.instance == *instance)
     }
 
-    fn remember(&mut self, process: Process) {
-        self.ended
-            .retain(|ended| ended.instance != process.instance);
-        if self.ended.len() == MAX_ENDED {
-            self.ended.remove(0);
+    /// Remembers the latest process of a name in place of an earlier one.
+    fn remember(&mut self, process: &Process, sequence: u64) {
+        self.known
+            .retain(|known| known.process.instance != process.instance);
+        if self.known.len() == MAX_REMEMBERED {
+            let is_other = |known: &Known| !self.is_current(&known.process.instance);
+            let oldest = self.known.iter().position(is_other);
+            self.known.remove(oldest.unwrap_or(0));
         }
-        self.ended.push(process);
+        self.known.push(Known {
+            process: process.clone(),
+            sequence,
+        });
     }
 }
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -25,7 +25,7 @@
 use crate::membership::absence::Absence;
 use crate::membership::member::{Offer, Stage};
 use crate::membership::roster::Roster;
-use crate::membership::target::Processes;
+use crate::membership::target::{Process, Processes};
 use crate::quarantine::detector::lock_running;
 use crate::quarantine::running::Running;
 use crate::quarantine::shared::Quarantine;
@@ -99,6 +99,13 @@
 }
 
 impl Target {
+    /// Its process, if it names one.
+    #[must_use]
+    pub fn process(&self) -> Option<Process> {
+        let instance = self.instance.clone()?;
+        Some(Process::new(instance, self.start_time))
+    }
+
     /// Tag of its process.
     #[must_use]
     pub fn tag(&self) -> Tag {
@@ -282,11 +289,15 @@
         self.target.load_full()
     }
 
-    /// Replaces the co-located target, unless the current process is leaving; returns whether there
-    /// is one now.
+    /// Replaces the co-located target, unless the new one has departed; returns whether there is one
+    /// now.
     pub fn set_target(&self, target: Option<Target>) -> bool {
         let processes = self.processes();
-        let target = target.filter(|_| !processes.is_leaving());
+        let has_departed = |target: &Target| {
+            let process = target.process();
+            process.is_some_and(|process| processes.has_departed(&process))
+        };
+        let target = target.filter(|target| !has_departed(target));
         let is_set = target.is_some();
         if is_set {
             self.absence.end();
@@ -295,24 +306,45 @@
         is_set
     }
 
+    /// Records that a process has said that it accepts no more calls, and removes it if it is the
+    /// co-located target; returns whether it was.
+    pub fn record_departure(&self, process: &Process) -> bool {
+        let mut processes = self.processes();
+        let is_current = processes.depart(process, StartTime(clock::unix_ms()));
+        let target = self.target().and_then(|target| target.process());
+        let is_target = target.is_some_and(|target| processes.has_departed(&target));
+        if is_current || is_target {
+            lock_running(&self.running).mark_draining();
+        }
+        if is_target {
+            self.target.store(None);
+        }
+        is_target
+    }
+
     /// Records that a target has said in a response that it is leaving, like an announcement that
     /// says so; returns `false` if it is not the current target.
     pub fn retire_target(&self, leaving: &Target) -> bool {
-        let mut processes = self.processes();
+        let is_retired = match leaving.process() {
+            Some(process) => self.record_departure(&process),
+            None => self.remove_anonymous(leaving),
+        };
+        if is_retired {
+            self.target_retired.notify_one();
+        }
+        is_retired
+    }
+
+    /// Removes a target that does not name its process, if it is the current one.
+    fn remove_anonymous(&self, leaving: &Target) -> bool {
+        let _processes = self.processes();
         let current = self.target();
         let is_current = current.is_some_and(|current| current.tag().may_be(leaving.tag()));
-        if !is_current {
-            return false;
+        if is_current {
+            lock_running(&self.running).mark_draining();
+            self.target.store(None);
         }
-        if let Some(instance) = &leaving.instance
-            && processes.is_current(instance)
-        {
-            processes.set_leaving();
-        }
-        lock_running(&self.running).mark_draining();
-        self.target.store(None);
-        self.target_retired.notify_one();
-        true
+        is_current
     }
 
     /// Waits until [`retire_target`](Self::retire_target) has retired a target.
--- a/tests/target_processes.rs
+++ b/tests/target_processes.rs
@@ -4,6 +4,9 @@
 use jackdawpulley::units::StartTime;
 use proptest::prelude::*;
 
+/// Time of departures, in Unix milliseconds; later than all start times.
+const NOW: StartTime = StartTime(1_000);
+
 fn process(start_time: u64) -> Process {
     Process::new("a", Some(StartTime(start_time)))
 }
@@ -28,7 +31,7 @@
     let mut processes = Processes::default();
     let unknown_start = Process::new("a", None);
     assert_eq!(processes.observe(&unknown_start, 7), Recency::New);
-    assert!(processes.deregister(&unknown_start));
+    assert!(processes.depart(&unknown_start, NOW));
     assert_eq!(processes.observe(&Process::new("b", None), 1), Recency::New);
     assert_eq!(processes.observe(&unknown_start, 8), Recency::Ended);
     assert!(processes.may_replace_another(&process(5)));
@@ -41,7 +44,7 @@
     let mut processes = Processes::default();
     assert_eq!(processes.observe(&process(5), 3), Recency::New);
     assert!(
-        processes.deregister(&process(6)),
+        processes.depart(&process(6), NOW),
         "the process that was current has ended as well"
     );
     assert_eq!(processes.observe(&process(6), 1), Recency::Ended);
@@ -58,7 +61,7 @@
         let (mut newest, mut ended) = (None, None);
         for (start_time, sequence, deregisters) in announcements {
             if deregisters {
-                processes.deregister(&process(start_time));
+                processes.depart(&process(start_time), NOW);
                 ended = ended.max(Some(start_time));
                 newest = newest.max(Some(start_time));
                 continue;
