Contested address: a claim does not replace a current process that works

What callers saw: nothing was served any more by a target that ran, was healthy and sent its heartbeats. Cause: a late heartbeat of an unknown process took the address at once; the health check that should have decided did not, where the target was too busy to answer it. The running process then counted as ended, and its own heartbeats were acknowledged and ignored; requests were sent with the other's name and refused with 421. Change: an announcement with a new sequence number of a process that is not the current one is a claim. Without a health check that names it, it is granted only if the current process has departed, has failed (a refused connection, a 421) or has let its lease expire. No process counts as ended because another one announced itself. Ruled out: letting the newest claim win, which costs the running target a heartbeat interval each time.

--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -170,6 +170,7 @@
         if let Some(problem) = problem {
             return Err(Rejection(problem));
         }
+        self.shared.expire_target(Instant::now());
         let (recency, contested) = {
             let mut processes = self.processes();
             let contested = processes.may_replace_another(&renewal.process);
@@ -193,21 +194,8 @@
             }
             Recency::Current => {}
         }
-        // Two processes have claimed the address, and the order of their announcements proves nothing: the
-        // health check tells which one is running.
-        if recency == Recency::New && contested {
-            let finding = self
-                .health_check
-                .run(renewal.address, &renewal.service)
-                .await;
-            info!(self.shared.logger, "contested address checked"; "finding" => ?finding,
-                "instance" => %renewal.process.instance, "sequence" => renewal.sequence);
-            if let Finding::Healthy(responder) = finding
-                && responder != renewal.process.instance
-            {
-                self.processes().confirm(&responder);
-                return Ok(());
-            }
+        if recency == Recency::New && contested && !self.holds_address(&renewal).await {
+            return Ok(());
         }
         let target = Target {
             instance: Some(renewal.process.instance),
@@ -226,6 +214,23 @@
         Ok(())
     }
 
+    /// Whether the process that claims a contested address is the one at the address.
+    ///
+    /// The order of the announcements proves nothing; the health check tells which one is running, and if it does
+    /// not, a current process that works keeps the address.
+    async fn holds_address(&self, claim: &Renewal) -> bool {
+        let finding = self.health_check.run(claim.address, &claim.service).await;
+        info!(self.shared.logger, "contested address checked"; "finding" => ?finding,
+            "instance" => %claim.process.instance, "sequence" => claim.sequence);
+        let mut processes = self.processes();
+        match &finding {
+            Finding::Healthy(responder) => _ = processes.confirm(responder),
+            Finding::Absent => processes.accept(&claim.process.instance),
+            Finding::Unknown => {}
+        }
+        processes.is_current(&claim.process.instance)
+    }
+
     /// Describes a mismatch with the configuration, with a remedy.
     ///
     /// An announcement of an unknown service is not the target's. Accepted as one of its next process, it would
--- a/src/membership/target.rs
+++ b/src/membership/target.rs
@@ -7,6 +7,10 @@
 //! What a process says of its own end is final for that process and binds no other: a [`Departure`] stays in force
 //! whichever process is current, and no health check ends it.
 //!
+//! Two processes may claim the address: the current one, and another whose announcement is either the first of a
+//! new process or a late one of an old process. A claim alone does not replace a current process that still works,
+//! since it may be wrong for as long as the target is too busy for the health check that would decide.
+//!
 //! Start times order only the processes of one name, so a wrong clock does no harm between names. A process
 //! whose start time is not known, such as one that has only passed its health check, is taken for the one that
 //! reports its start time under that name. An announcement without a start time, under a name that has
@@ -89,13 +93,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Recency {
-    /// First one of an unknown process, which becomes the current one.
+    /// Newest one of a process that was not the current one and claims the address. It becomes the current one
+    /// unless another one is believed to run there.
     New,
     /// Newest one of the current process.
     Current,
-    /// Outdated by a later one of the current process, or without the start time that it has reported.
+    /// Outdated by a later one of the process, or without the start time that it has reported.
     Stale,
-    /// From a process that has departed, or that another one has replaced.
+    /// From a process that has departed, or that its successor has replaced.
     Ended,
 }
 
@@ -141,6 +146,8 @@
 pub struct Processes {
     /// Instance name of the process that is believed to be at the address.
     current: Option<Instance>,
+    /// Whether a failure has shown since its last announcement that it may not run any more.
+    withdrawn: bool,
     /// Latest known process of each name, in the order in which they were first seen.
     known: Vec<Known>,
     /// Latest departure of each name, in the order of time.
@@ -157,7 +164,7 @@
         if let Some(known) = self.known_mut(&process.instance)
             && !known.precedes(process)
         {
-            if known.process.is_successor_of(process) || !is_current {
+            if known.process.is_successor_of(process) {
                 return Recency::Ended;
             }
             let lacks_start_time =
@@ -169,13 +176,30 @@
                 process: process.clone(),
                 sequence,
             };
-            return Recency::Current;
+            if is_current {
+                self.withdrawn = false;
+                return Recency::Current;
+            }
+        } else {
+            self.remember(process, sequence);
+        }
+        if is_current || self.withdrawn || self.current.is_none() || self.is_leaving() {
+            self.accept(&process.instance);
         }
-        self.remember(process, sequence);
-        self.current = Some(process.instance.clone());
         Recency::New
     }
 
+    /// Makes a process the current one.
+    pub fn accept(&mut self, instance: &Instance) {
+        self.current = Some(instance.clone());
+        self.withdrawn = false;
+    }
+
+    /// Records that the current process, if it is this one, may not run any more.
+    pub fn withdraw(&mut self, instance: &Instance) {
+        self.withdrawn |= self.is_current(instance);
+    }
+
     /// Whether another process was, or may have been, at the address before `process`; an announcement alone
     /// then does not prove which one is running.
     #[must_use]
@@ -196,7 +220,7 @@
         if self.known_mut(instance).is_none() {
             self.remember(&Process::new(instance.clone(), None), 0);
         }
-        self.current = Some(instance.clone());
+        self.accept(instance);
         !self.is_leaving()
     }
 
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -359,11 +359,22 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Removes the co-located target if it is still the one that failed.
+    /// Removes the co-located target if it is still the one that failed, until it announces itself
+    /// again or another process takes its place.
     pub fn remove_target(&self, failed: &Arc<Target>) {
+        let mut processes = self.processes();
         let current = self.target.load();
         if current.as_ref().is_some_and(|now| Arc::ptr_eq(now, failed)) {
-            self.target.compare_and_swap(&current, None);
+            self.target.store(None);
+            failed.instance.iter().for_each(|it| processes.withdraw(it));
+        }
+    }
+
+    /// Removes the co-located target if its lease has expired.
+    pub fn expire_target(&self, now: Instant) {
+        let target = self.target();
+        if let Some(expired) = target.filter(|target| target.lease_until <= now) {
+            self.remove_target(&expired);
         }
     }
 
