Start: an announcement alone does not speak for a target soon after a restart

What callers saw: a target leaves, its daemon is killed or stopped and started again, and a heartbeat that the target sent before its departure and that arrives late brings it back: requests run at it until it ends. Cause: departures are known to one process's memory alone, and the first announcement that the next process hears counted as one of a new process, contested by nobody. Change: a daemon that has restarted offers a target only once that has passed its health check. The check is repeated (100 ms to 1 s apart) while an announced target waits, and after 10 s, when no late announcement can arrive any more, announcements count by themselves again, so that a target whose check fails for good is not left idle. Where there is no health check, nothing changes. A first start of the whole system is exempt. Test changed: restart_brings_no_leaving_target_back waited until the late heartbeat had brought the target back, to see its requests refused by the notice of the ingress. It now asserts that the heartbeat does not bring it back at all; that no request arrives is asserted as before. Measured: both tests pass; unhealthy_target_returns and busy_target_returns pass as they did before. The three tests of a deregistration with a health check that still says 200 are red.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -175,6 +175,8 @@
     );
     let operator = operator(&shared, publisher, &sidecar, &deduplicator);
     let endpoint = Arc::new(Endpoint::new(Arc::clone(&shared), Arc::clone(&membership)));
+    let verifying = Arc::clone(&endpoint);
+    tokio::spawn(async move { verifying.verify_claims().await });
     let contacts = Contacts {
         shared: Arc::clone(&shared),
         log,
--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -14,14 +14,16 @@
 use volo_http::server::Router;
 use volo_http::server::route::{get, post};
 
+use crate::backoff::Backoff;
 use crate::clock;
 use crate::membership::controller::Membership;
-use crate::membership::health_check::{Finding, HealthCheck};
+use crate::membership::health_check::{Finding, HealthCheck, TIMEOUT};
 use crate::membership::member::Stage;
 use crate::membership::target::{Process, Processes, Recency, Renewal};
+use crate::membership::verification::Verification;
 use crate::quarantine::detector::{Detector, lock_running};
 use crate::shared_state::{SharedState, Target};
-use crate::units::{Millis, Revision, Service, Slots, StartTime, Version};
+use crate::units::{Instance, Millis, Revision, Service, Slots, StartTime, Version};
 
 /// Longest lease, in milliseconds.
 pub const MAX_LEASE_MS: u64 = 60_000;
@@ -40,6 +42,13 @@
 /// Lease of such a target: several times the usual interval between two announcements.
 const DEFAULT_LEASE: Duration = Duration::from_secs(10);
 
+/// Pauses between the health checks of a target that claims the address after a restart of the daemon. It is
+/// mostly busy with requests from before the restart, which end within a second.
+const VERIFICATION_PAUSES: Backoff =
+    Backoff::new(Duration::from_millis(100), Duration::from_secs(1));
+/// Time-out of these health checks; nothing waits for them.
+const VERIFICATION_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Announcement of a target, the body of `POST /announce`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -103,6 +112,7 @@
     crash_detector: Detector,
     /// Latest start time of targets that name no instance, in milliseconds since 1970; 0 if none was reported.
     latest_start_ms: AtomicU64,
+    verification: Verification,
 }
 
 /// Reason why an announcement was rejected, with a remedy.
@@ -119,6 +129,7 @@
             shared,
             membership,
             latest_start_ms: AtomicU64::new(0),
+            verification: Verification::new(Instant::now()),
         }
     }
 
@@ -170,12 +181,16 @@
         if let Some(problem) = problem {
             return Err(Rejection(problem));
         }
-        self.shared.expire_target(Instant::now());
-        let (recency, contested) = {
+        let now = Instant::now();
+        self.shared.expire_target(now);
+        let (recency, contested, unverified) = {
             let mut processes = self.processes();
+            if self.verification.is_over(now) {
+                processes.trust_announcements();
+            }
             let contested = processes.may_replace_another(&renewal.process);
             let recency = processes.observe(&renewal.process, renewal.sequence);
-            (recency, contested)
+            (recency, contested, processes.is_unverified())
         };
         let verdict: &str = recency.into();
         metrics::counter!("jackdaw_target_announcements_total", "verdict" => verdict).increment(1);
@@ -194,41 +209,97 @@
             }
             Recency::Current => {}
         }
-        if recency == Recency::New && contested && !self.holds_address(&renewal).await {
-            return Ok(());
-        }
+        let is_claim = recency == Recency::New;
+        let instance = renewal.process.instance;
         let target = Target {
-            instance: Some(renewal.process.instance),
+            instance: Some(instance.clone()),
             start_time: renewal.process.start_time,
             address: renewal.address,
             service: renewal.service,
             slots: renewal.slots,
             revision: renewal.revision,
-            cold_until: Instant::now() + renewal.cold.duration(),
-            lease_until: Instant::now() + renewal.lease.duration(),
+            cold_until: now + renewal.cold.duration(),
+            lease_until: now + renewal.lease.duration(),
         };
-        if recency == Recency::New && contested {
+        if is_claim
+            && (contested || unverified)
+            && !self.holds_address(&instance, &target, TIMEOUT).await
+        {
+            if unverified {
+                self.verification.add(target);
+            }
+            return Ok(());
+        }
+        if is_claim && contested {
             self.crash_detector.target_restarted(&target);
         }
         self.set_target(target).await;
         Ok(())
     }
 
-    /// Whether the process that claims a contested address is the one at the address.
+    /// Whether the process that claims the address for `target` is the one at the address.
     ///
     /// The order of the announcements proves nothing; the health check tells which one is running, and if it does
     /// not, a current process that works keeps the address.
-    async fn holds_address(&self, claim: &Renewal) -> bool {
-        let finding = self.health_check.run(claim.address, &claim.service).await;
-        info!(self.shared.logger, "contested address checked"; "finding" => ?finding,
-            "instance" => %claim.process.instance, "sequence" => claim.sequence);
+    async fn holds_address(&self, claimant: &Instance, target: &Target, timeout: Duration) -> bool {
+        let checking = self
+            .health_check
+            .run(target.address, &target.service, timeout);
+        let finding = checking.await;
+        info!(self.shared.logger, "claim of the address checked"; "finding" => ?finding,
+            "instance" => %claimant);
         let mut processes = self.processes();
         match &finding {
             Finding::Healthy(responder) => _ = processes.confirm(responder),
-            Finding::Absent => processes.accept(&claim.process.instance),
-            Finding::Unknown => {}
+            Finding::Absent if !processes.is_unverified() => processes.accept(claimant),
+            Finding::Unsupported if processes.is_empty() => processes.accept(claimant),
+            Finding::Absent | Finding::Unsupported | Finding::Unknown => {}
+        }
+        processes.is_current(claimant)
+    }
+
+    /// Repeats the health check of targets that claim the address after a restart of the daemon, until no late
+    /// announcement can arrive any more.
+    pub async fn verify_claims(&self) {
+        let end = self.verification.ends_at();
+        while tokio::time::timeout_at(end.into(), self.verification.claimed())
+            .await
+            .is_ok()
+        {
+            let mut pauses = VERIFICATION_PAUSES;
+            while let Some(target) = self.waiting_claim() {
+                tokio::time::sleep(pauses.next_delay()).await;
+                self.verify(target).await;
+            }
+        }
+    }
+
+    /// The claim that waits for a health check, unless it has been decided meanwhile.
+    fn waiting_claim(&self) -> Option<Target> {
+        let claim = self.verification.get()?;
+        let process = claim.process()?;
+        let is_waiting = {
+            let processes = self.processes();
+            processes.is_empty() && !processes.has_departed(&process)
+        };
+        if is_waiting && !self.verification.is_over(Instant::now()) {
+            return Some(claim);
+        }
+        self.verification.clear();
+        None
+    }
+
+    async fn verify(&self, target: Target) {
+        let Some(claimant) = &target.instance else {
+            return;
+        };
+        if self
+            .holds_address(claimant, &target, VERIFICATION_TIMEOUT)
+            .await
+        {
+            let latest = self.verification.take(claimant);
+            self.set_target(latest.unwrap_or(target)).await;
         }
-        processes.is_current(&claim.process.instance)
     }
 
     /// Describes a mismatch with the configuration, with a remedy.
@@ -281,20 +352,21 @@
         if !self.processes().is_empty() {
             return;
         }
-        let finding = self.health_check.run(address, &service).await;
+        let finding = self.health_check.run(address, &service, TIMEOUT).await;
         if !self.processes().is_empty() {
             return;
         }
         let instance = match finding {
             Finding::Healthy(instance) => instance,
             Finding::Absent => return self.record_absence(),
-            Finding::Unknown => return,
+            Finding::Unknown | Finding::Unsupported => return,
         };
         if !self.processes().confirm(&instance) {
             return;
         }
         info!(self.shared.logger, "target found"; "instance" => %instance, "slots" => ?slots);
-        self.set_target(Target {
+        let announced = self.verification.take(&instance);
+        let found = || Target {
             instance: Some(instance),
             start_time: None,
             address,
@@ -303,8 +375,8 @@
             revision: None,
             cold_until: Instant::now(),
             lease_until: Instant::now() + DEFAULT_LEASE,
-        })
-        .await;
+        };
+        self.set_target(announced.unwrap_or_else(found)).await;
     }
 
     /// Records that the target is absent, until a stop requested before the start would be over.
--- a/src/membership/health_check.rs
+++ b/src/membership/health_check.rs
@@ -14,8 +14,8 @@
 use crate::shared_state::SharedState;
 use crate::units::{Instance, Service};
 
-/// Time-out of a health check, which does not leave the host.
-const TIMEOUT: Duration = Duration::from_millis(400);
+/// Time-out of a health check that an announcement waits for; it does not leave the host.
+pub(crate) const TIMEOUT: Duration = Duration::from_millis(400);
 
 /// What a health check has shown.
 #[derive(Debug, PartialEq, Eq)]
@@ -24,8 +24,10 @@
     Healthy(Instance),
     /// Nothing at the address accepts the request: connections are refused, or closed unread.
     Absent,
-    /// The target is not healthy, did not respond in time, or cannot be asked.
+    /// The target is not healthy or did not respond in time, or the configuration is not known yet.
     Unknown,
+    /// Targets of the service have no health check.
+    Unsupported,
 }
 
 /// Asks the co-located target for its health and its instance.
@@ -45,12 +47,21 @@
     }
 
     /// Asks which instance of `service` is healthy at `address`.
-    pub(crate) async fn run(&self, address: SocketAddr, service: &Service) -> Finding {
+    pub(crate) async fn run(
+        &self,
+        address: SocketAddr,
+        service: &Service,
+        timeout: Duration,
+    ) -> Finding {
         let Some(request) = self.request(address, service) else {
-            return Finding::Unknown;
+            return if self.is_supported(service) {
+                Finding::Unknown
+            } else {
+                Finding::Unsupported
+            };
         };
         let asking = self.dispatcher.send(address, request, true, &|| {});
-        match tokio::time::timeout(TIMEOUT, asking).await {
+        match tokio::time::timeout(timeout, asking).await {
             Ok(Ok((response, _connection))) => self
                 .healthy_instance(&response)
                 .map_or(Finding::Unknown, Finding::Healthy),
@@ -59,6 +70,15 @@
         }
     }
 
+    /// Whether targets of the service have a health check, or may have one.
+    fn is_supported(&self, service: &Service) -> bool {
+        let config = self.shared.config();
+        let mut groups = config.document.groups.iter();
+        let group = groups.find(|group| group.service == *service);
+        self.shared.dialect.instance.is_some()
+            && group.is_none_or(|group| group.health_path.is_some())
+    }
+
     /// The request, if targets of the service have a health path and report their instance.
     fn request(&self, address: SocketAddr, service: &Service) -> Option<Request<Body>> {
         self.shared.dialect.instance.as_ref()?;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -14,6 +14,7 @@
 pub mod roster;
 pub mod target;
 pub mod timing;
+pub mod verification;
 pub mod view;
 
 pub(crate) mod contacts;
--- a/src/membership/target.rs
+++ b/src/membership/target.rs
@@ -148,6 +148,8 @@
     current: Option<Instance>,
     /// Whether a failure has shown since its last announcement that it may not run any more.
     withdrawn: bool,
+    /// Whether departures may be unknown, so that an announcement alone is no proof.
+    unverified: bool,
     /// Latest known process of each name, in the order in which they were first seen.
     known: Vec<Known>,
     /// Latest departure of each name, in the order of time.
@@ -155,6 +157,26 @@
 }
 
 impl Processes {
+    /// Creates a record for a daemon that may have had an earlier process, whose knowledge is lost.
+    #[must_use]
+    pub fn after_restart() -> Self {
+        Self {
+            unverified: true,
+            ..Self::default()
+        }
+    }
+
+    /// Whether only a health check makes a process the current one.
+    #[must_use]
+    pub const fn is_unverified(&self) -> bool {
+        self.unverified
+    }
+
+    /// Records that announcements from before a restart can no longer arrive.
+    pub const fn trust_announcements(&mut self) {
+        self.unverified = false;
+    }
+
     /// Records an announcement.
     pub fn observe(&mut self, process: &Process, sequence: u64) -> Recency {
         if self.has_departed(process) {
@@ -183,7 +205,8 @@
         } else {
             self.remember(process, sequence);
         }
-        if is_current || self.withdrawn || self.current.is_none() || self.is_leaving() {
+        let is_vacant = self.withdrawn || self.current.is_none() || self.is_leaving();
+        if !self.unverified && (is_current || is_vacant) {
             self.accept(&process.instance);
         }
         Recency::New
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -176,6 +176,11 @@
     /// Creates the state of a starting daemon, with an empty configuration.
     #[must_use]
     pub fn new(settings: Settings, dialect: Dialect, logger: Logger) -> Self {
+        let processes = if settings.first_start {
+            Processes::default()
+        } else {
+            Processes::after_restart()
+        };
         Self {
             drain_ms: AtomicU64::new(settings.drain_ms.0),
             quarantine: Quarantine::new(settings.quarantine_ms.duration()),
@@ -190,7 +195,7 @@
             config: ArcSwap::from_pointee(Snapshot::compile(Version(0), Arc::default())),
             roster: ArcSwap::default(),
             target: ArcSwapOption::empty(),
-            processes: Mutex::default(),
+            processes: Mutex::new(processes),
             target_retired: Notify::new(),
             absence: Absence::default(),
             running: Mutex::default(),
