Departures: peers remember them and return them to a daemon that restarts

What callers saw: a target deregisters, its daemon is killed or stopped and started again, and the target is used again since its health check still says 200, or is answered before the departure. Cause: as before, departures are known to one process's memory alone; a health check is the target's word on its health, not on its departure. Change: a daemon's membership entry names the latest two departures of its target's processes. A join response returns them, and they are merged before the daemon serves. The format between daemons changes, so the release rises to 7. Weighed: a record in the platform's store, which would outlast a kill of all daemons, but costs a write for each departure, up to the fleet's size within a release, and cannot be had while the store is away, where a departure has to be acknowledged too. A message of its own to a few peers: no change of the format, but those that hold it would have to notice the restart.

--- a/src/membership/controller.rs
+++ b/src/membership/controller.rs
@@ -146,6 +146,7 @@
     pub async fn publish_own_entry(&self) {
         let stage = self.shared.stage();
         let now = Instant::now();
+        let departures = self.shared.processes().shared_departures();
         let target = self
             .shared
             .target()
@@ -161,7 +162,7 @@
                 Some(target) => Some(target.offer()),
                 None => view.me().offer.clone().map(closed),
             };
-            let sends = view.update(stage, offer, rng);
+            let sends = view.update(stage, offer, departures, rng);
             if !sends.is_empty() || view.me().incarnation != self.published_incarnation(view) {
                 self.rebuild_roster(&mut guard);
             }
@@ -186,6 +187,7 @@
         let mut guard = self.state();
         let highest_version = guard.view.highest_version(join.member.peer);
         let slots = guard.view.slots(join.member.peer);
+        let departures = guard.view.departures(join.member.peer);
         // Taken before the join is merged, so that the joining daemon sees the entry that exists for its
         // address and can refute it.
         let members = guard.view.members();
@@ -197,6 +199,7 @@
             digest: self.shared.digest(),
             highest_version,
             slots,
+            departures,
             crashes: self.shared.quarantine.snapshot(),
             rollouts: self.shared.rollouts.snapshot(),
             generation: self.shared.generation(),
@@ -419,6 +422,7 @@
         health: Health::Alive,
         stage: Stage::Starting,
         offer: None,
+        departures: Vec::new(),
     }
 }
 
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -10,6 +10,7 @@
 use crate::configuration::freshness;
 use crate::membership::anti_entropy::{Filter, Page};
 use crate::membership::member::Member;
+use crate::membership::target::Departure;
 use crate::quarantine::crash::Crash;
 use crate::quota;
 use crate::rollout::counters::Report;
@@ -92,6 +93,8 @@
     pub highest_version: Version,
     /// Slots that a target offered last through the joining daemon's address.
     pub slots: Option<Slots>,
+    /// Latest departures of targets that the joining daemon's address is known to have acknowledged.
+    pub departures: Vec<Departure>,
     /// Target crashes that the responder knows.
     pub crashes: Vec<Crash>,
     /// Rollouts that the responder knows.
--- a/src/membership/entries.rs
+++ b/src/membership/entries.rs
@@ -12,6 +12,7 @@
 
 use crate::membership::anti_entropy::{self, Filter, MAX_RESPONSE_ENTRIES};
 use crate::membership::member::{Health, Member};
+use crate::membership::target::{Departure, MAX_SHARED_DEPARTURES, merge_departure};
 use crate::units::{Slots, Version};
 
 /// Times that an update is sent, as a multiple of the logarithm of the view's size.
@@ -40,6 +41,8 @@
     pub highest_version: Version,
     /// Slots that a target offered last through it, also before a restart.
     pub slots: Option<Slots>,
+    /// Latest departures of its targets, also before a restart.
+    pub departures: Vec<Departure>,
     /// When its last change was learnt; none if it was adopted with the view of a peer.
     learnt_at: Option<Instant>,
     /// Identifies the state that is known.
@@ -132,6 +135,7 @@
             since: now,
             highest_version: Version(0),
             slots,
+            departures: member.departures.clone(),
             learnt_at: (origin != Origin::View).then_some(now),
             fingerprint: anti_entropy::fingerprint(member),
             transmits_left: 0,
@@ -141,6 +145,11 @@
                 let old = &mut self.all[index];
                 entry.highest_version = old.highest_version;
                 entry.slots = slots.or(old.slots);
+                entry.departures = std::mem::take(&mut old.departures);
+                for departure in &member.departures {
+                    let departures = &mut entry.departures;
+                    merge_departure(departures, departure.clone(), MAX_SHARED_DEPARTURES);
+                }
                 entry.transmits_left = old.transmits_left;
                 *old = entry;
                 index
--- a/src/membership/join_client.rs
+++ b/src/membership/join_client.rs
@@ -112,6 +112,7 @@
             .requirement
             .add_peer(&responder, welcome.digest.version, welcome.highest_version);
         welcomes.slots = welcome.slots.or(welcomes.slots);
+        self.shared.adopt_departures(&welcome.departures);
         self.shared.record_generation(welcome.generation);
         self.shared.quarantine.merge(&welcome.crashes);
         self.shared.rollouts.merge(&welcome.rollouts);
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, VariantNames};
 
+use crate::membership::target::Departure;
 use crate::units::{DataCentre, Incarnation, Revision, Service, Slots, StartTime};
 
 /// Entry of one daemon.
@@ -26,6 +27,8 @@
     pub stage: Stage,
     /// What its target offers.
     pub offer: Option<Offer>,
+    /// Latest departures of its target's processes, returned to it when it restarts.
+    pub departures: Vec<Departure>,
 }
 
 /// What a target offers through its daemon.
--- a/src/membership/target.rs
+++ b/src/membership/target.rs
@@ -30,7 +30,7 @@
 
 use std::net::SocketAddr;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
 use crate::units::{Instance, Millis, Revision, Service, Slots, StartTime};
@@ -38,6 +38,10 @@
 /// Processes, and departures, that are remembered.
 const MAX_REMEMBERED: usize = 32;
 
+/// Departures that peers remember of one address: more than one process leaves in the time that a late announcement
+/// takes only if targets are replaced again and again.
+pub const MAX_SHARED_DEPARTURES: usize = 2;
+
 /// One process of a target, from its start to its end.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Process {
@@ -105,7 +109,7 @@
 }
 
 /// Departure of a process: all processes of its name that started up to a time accept no more calls.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Departure {
     /// Instance name.
     pub instance: Instance,
@@ -293,18 +297,16 @@
         self.departures.iter().any(|known| known.covers(process))
     }
 
-    fn record_departure(&mut self, departure: Departure) {
-        let same_name = |known: &Departure| known.instance == departure.instance;
-        let earlier = self.departures.iter().position(same_name);
-        let earlier = earlier.map(|index| self.departures.remove(index));
-        let until = earlier.and_then(|earlier| earlier.started_until);
-        if self.departures.len() == MAX_REMEMBERED {
-            self.departures.remove(0);
-        }
-        self.departures.push(Departure {
-            started_until: departure.started_until.max(until),
-            ..departure
-        });
+    /// The latest departures, for peers.
+    #[must_use]
+    pub fn shared_departures(&self) -> Vec<Departure> {
+        let surplus = self.departures.len().saturating_sub(MAX_SHARED_DEPARTURES);
+        self.departures[surplus..].to_vec()
+    }
+
+    /// Records a departure that an earlier process of this daemon acknowledged.
+    pub fn record_departure(&mut self, departure: Departure) {
+        merge_departure(&mut self.departures, departure, MAX_REMEMBERED);
     }
 
     fn known(&self, instance: &Instance) -> Option<&Known> {
@@ -332,3 +334,18 @@
         });
     }
 }
+
+/// Adds a departure, in place of an earlier one of the name; keeps the latest `limit`.
+pub fn merge_departure(departures: &mut Vec<Departure>, departure: Departure, limit: usize) {
+    let is_same_name = |known: &Departure| known.instance == departure.instance;
+    let earlier = departures.iter().position(is_same_name);
+    if let Some(index) = earlier {
+        if departures[index].started_until >= departure.started_until {
+            return;
+        }
+        departures.remove(index);
+    }
+    departures.push(departure);
+    let surplus = departures.len().saturating_sub(limit);
+    departures.drain(..surplus);
+}
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -21,6 +21,7 @@
 use crate::membership::entries::{Entries, Entry, Origin};
 use crate::membership::member::{Health, Member, Offer, Stage};
 use crate::membership::rounds::Rounds;
+use crate::membership::target::Departure;
 use crate::membership::timing::Timing;
 use crate::units::{DataCentre, Generation, Incarnation, Slots, Version};
 use crate::wire;
@@ -174,12 +175,20 @@
     }
 
     /// Changes the own entry and returns datagrams that propagate the change at once.
-    pub fn update(&mut self, stage: Stage, offer: Option<Offer>, rng: &mut SmallRng) -> Vec<Send> {
-        if self.me.stage == stage && self.me.offer == offer {
+    pub fn update(
+        &mut self,
+        stage: Stage,
+        offer: Option<Offer>,
+        departures: Vec<Departure>,
+        rng: &mut SmallRng,
+    ) -> Vec<Send> {
+        let me = &mut self.me;
+        if me.stage == stage && me.offer == offer && me.departures == departures {
             return Vec::new();
         }
-        self.me.stage = stage;
-        self.me.offer = offer;
+        me.stage = stage;
+        me.offer = offer;
+        me.departures = departures;
         self.bump_incarnation(self.me.incarnation);
         self.spread_own_entry(rng)
     }
@@ -286,6 +295,13 @@
         self.entries.get(peer).and_then(|entry| entry.slots)
     }
 
+    /// Latest departures of targets that `peer` is known to have acknowledged.
+    #[must_use]
+    pub fn departures(&self, peer: SocketAddr) -> Vec<Departure> {
+        let entry = self.entries.get(peer);
+        entry.map_or_else(Vec::new, |entry| entry.departures.clone())
+    }
+
     /// Records the configuration version that a peer has active.
     pub fn note_version(&mut self, peer: SocketAddr, version: Version) {
         self.entries.note_version(peer, version);
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -25,7 +25,7 @@
 use crate::membership::absence::Absence;
 use crate::membership::member::{Offer, Stage};
 use crate::membership::roster::Roster;
-use crate::membership::target::{Process, Processes};
+use crate::membership::target::{Departure, Process, Processes};
 use crate::quarantine::detector::lock_running;
 use crate::quarantine::running::Running;
 use crate::quarantine::shared::Quarantine;
@@ -327,6 +327,21 @@
         is_target
     }
 
+    /// Records departures that an earlier process of this daemon acknowledged, as its peers report
+    /// them.
+    pub fn adopt_departures(&self, departures: &[Departure]) {
+        let mut processes = self.processes();
+        for departure in departures {
+            processes.record_departure(departure.clone());
+        }
+        let target = self.target().and_then(|target| target.process());
+        if target.is_some_and(|target| processes.has_departed(&target)) {
+            lock_running(&self.running).mark_draining();
+            self.target.store(None);
+            self.target_retired.notify_one();
+        }
+    }
+
     /// Records that a target has said in a response that it is leaving, like an announcement that
     /// says so; returns `false` if it is not the current target.
     pub fn retire_target(&self, leaving: &Target) -> bool {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -16,7 +16,7 @@
 use crate::error::{FrameSnafu, Result};
 
 /// Release of the protocol; a message of another release is rejected.
-pub const RELEASE: u8 = 6;
+pub const RELEASE: u8 = 7;
 /// Maximum size of a message in an h2 body, in bytes.
 pub const MAX_FRAME: usize = 8 << 20;
 /// Maximum size of a datagram, in bytes.
--- a/tests/anti_entropy.rs
+++ b/tests/anti_entropy.rs
@@ -26,6 +26,7 @@
         health: Health::Alive,
         stage: Stage::Serving,
         offer: None,
+        departures: Vec::new(),
     }
 }
 
--- a/tests/membership_view.rs
+++ b/tests/membership_view.rs
@@ -10,6 +10,7 @@
 use jackdawpulley::configuration::exchange::Digest;
 use jackdawpulley::configuration::freshness::Report;
 use jackdawpulley::membership::member::{Health, Member, Stage};
+use jackdawpulley::membership::target::Departure;
 use jackdawpulley::membership::timing::Timing;
 use jackdawpulley::membership::view::{Effects, Send, View};
 use jackdawpulley::units::{DataCentre, Generation, Incarnation, Millis, Offset, Version};
@@ -33,6 +34,7 @@
         health: Health::Alive,
         stage: Stage::Serving,
         offer: None,
+        departures: Vec::new(),
     }
 }
 
@@ -432,3 +434,21 @@
     assert_eq!(receivers, [address(1)]);
     assert_eq!(sends[0].datagram.watermark, Some(watermark));
 }
+
+/// Guards against a departure that peers forget as soon as the daemon that acknowledged it has restarted.
+#[test]
+fn departures_outlive_restart() {
+    let mut view = View::new(member(0, 1), Timing::default());
+    let now = Instant::now();
+    let departure = Departure {
+        instance: "a".into(),
+        started_until: None,
+    };
+    let departing = Member {
+        departures: vec![departure.clone()],
+        ..member(1, 1)
+    };
+    view.merge(now, &departing);
+    view.merge(now, &member(1, 2));
+    assert_eq!(view.departures(address(1)), [departure]);
+}
--- a/tests/rollout_decisions.rs
+++ b/tests/rollout_decisions.rs
@@ -873,6 +873,7 @@
             revision: Some(Revision::from(revision)),
             open: true,
         }),
+        departures: Vec::new(),
     }
 }
 
--- a/tests/team_quota.rs
+++ b/tests/team_quota.rs
@@ -94,6 +94,7 @@
         health,
         stage: Stage::Serving,
         offer: None,
+        departures: Vec::new(),
     }
 }
 
--- a/trial/src/measure/fleet/network.rs
+++ b/trial/src/measure/fleet/network.rs
@@ -266,7 +266,7 @@
             Event::Announce(index) => {
                 let offer = Some(offer(index));
                 let view = &mut self.daemons[index].view;
-                let sends = view.update(Stage::Serving, offer, &mut self.rng);
+                let sends = view.update(Stage::Serving, offer, Vec::new(), &mut self.rng);
                 self.send(index, sends);
             }
             Event::Restart(index) => self.restart(index, now),
@@ -286,7 +286,12 @@
         self.daemons[seed].view.merge(now, &me);
         let mut view = View::new(me, Timing::default());
         view.adopt(now, &members);
-        let sends = view.update(Stage::Serving, Some(offer(index)), &mut self.rng);
+        let sends = view.update(
+            Stage::Serving,
+            Some(offer(index)),
+            Vec::new(),
+            &mut self.rng,
+        );
         self.daemons[index].view = view;
         self.daemons[index].is_up = true;
         self.send(index, sends);
@@ -374,6 +379,7 @@
         health: Health::Alive,
         stage: Stage::Starting,
         offer: None,
+        departures: Vec::new(),
     }
 }
 
--- a/trial/src/measure/scale.rs
+++ b/trial/src/measure/scale.rs
@@ -139,6 +139,7 @@
             revision: None,
             open: true,
         }),
+        departures: Vec::new(),
     }
 }
 
