Dispatch: a request is checked again when it has its connection

Change: the callback before each write may refuse; the target has to be the one admitted for, and the deadline must not have passed. The executor is public, for the test.

--- a/src/calls/dispatch.rs
+++ b/src/calls/dispatch.rs
@@ -82,25 +82,26 @@
 
     /// Sends a request and waits for the head of the response.
     ///
-    /// Calls `on_connection` each time the request is about to be written to a connection.
+    /// Calls `on_connection` each time the request is about to be written to a connection; if that
+    /// returns an error, the request is not written.
     ///
     /// [Release](Connection::release) the connection once the whole response has been received and
     /// belongs to the request. Dropping it closes the connection, so the target can stop working.
     ///
     /// # Errors
     ///
-    /// [`Reason::Unreachable`] if the target has provably received nothing, otherwise
-    /// [`Reason::Broken`].
+    /// The error of `on_connection`; [`Reason::Unreachable`] if the target has provably received
+    /// nothing, otherwise [`Reason::Broken`].
     pub async fn send(
         &self,
         target: SocketAddr,
         request: Request<Body>,
         repeatable: bool,
-        on_connection: &(dyn Fn() + Sync),
+        on_connection: &(dyn Fn() -> Result<(), Reason> + Sync),
     ) -> Result<(Response<Incoming>, Connection), Reason> {
         let mut request = origin_form(request);
         while let Some(mut sender) = self.take_idle(target, repeatable) {
-            on_connection();
+            on_connection()?;
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, self.connection(target, sender))),
                 // The request is returned only if none of it was written.
@@ -111,7 +112,7 @@
             }
         }
         let mut sender = self.connect(target).await?;
-        on_connection();
+        on_connection()?;
         match sender.send_request(request).await {
             Ok(response) => Ok((response, self.connection(target, sender))),
             Err(error) if is_provably_unsent(&error) => Err(Reason::Unreachable),
--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -144,6 +144,17 @@
         }
     }
 
+    /// Whether a request that was admitted for `target` may be written to it now: the target may have
+    /// departed, or the deadline passed, while the request waited for its connection.
+    fn check_dispatch(&self, target: &Arc<Target>, deadline: Instant) -> Result<(), Reason> {
+        if Instant::now() >= deadline {
+            return Err(Reason::Expired);
+        }
+        let current = self.shared.target().ok_or(Reason::NoTarget)?;
+        let is_same = Arc::ptr_eq(&current, target) || current.tag().may_be(target.tag());
+        is_same.then_some(()).ok_or(Reason::NoTarget)
+    }
+
     /// Withdraws a target that is unreachable or has been replaced at its address, until one
     /// announces itself again, and checks for a crash if a connection to it failed.
     ///
@@ -340,7 +351,11 @@
         let mut recorder = Recorder::begin(&executor.shared, &metadata.route, deadline);
         let mut notice = None;
         let exchange = async {
-            let on_connection = || run.mark_connected();
+            let on_connection = || {
+                executor.check_dispatch(&self.target, deadline)?;
+                run.mark_connected();
+                Ok(())
+            };
             let sending = executor.dispatcher.send(
                 self.target.address,
                 request,
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -17,7 +17,7 @@
 pub mod connections;
 pub mod dialect;
 pub(crate) mod dispatch;
-pub(crate) mod executor;
+pub mod executor;
 pub(crate) mod http_server;
 pub(crate) mod ingress;
 pub mod latency;
--- a/src/membership/health_check.rs
+++ b/src/membership/health_check.rs
@@ -60,7 +60,7 @@
                 Finding::Unsupported
             };
         };
-        let asking = self.dispatcher.send(address, request, true, &|| {});
+        let asking = self.dispatcher.send(address, request, true, &|| Ok(()));
         match tokio::time::timeout(timeout, asking).await {
             Ok(Ok((response, _connection))) => self
                 .healthy_instance(&response)
--- a/tests/target_departures.rs
+++ b/tests/target_departures.rs
@@ -4,12 +4,21 @@
 use std::time::{Duration, Instant};
 
 use clap::Parser as _;
+use http::Request;
 use jackdawpulley::calls::dialect::Dialect;
+use jackdawpulley::calls::executor::{Executor, Received};
+use jackdawpulley::calls::metadata::Metadata;
+use jackdawpulley::calls::outcome::Reason;
+use jackdawpulley::configuration::document::Guard;
 use jackdawpulley::membership::target::{Process, Recency};
+use jackdawpulley::quarantine::fingerprint::Fingerprint;
 use jackdawpulley::settings::Settings;
 use jackdawpulley::shared_state::{SharedState, Target};
-use jackdawpulley::units::{Service, Slots};
+use jackdawpulley::units::{Millis, Priority, Service, Slots};
 use slog::{Discard, Logger, o};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use volo_http::body::Body;
 
 fn shared_state() -> SharedState {
     let flags = [
@@ -50,3 +59,53 @@
     shared.retire_target(&offered);
     assert!(!shared.set_target(Some(target(&process))));
 }
+
+fn metadata() -> Metadata {
+    Metadata {
+        id: "id".into(),
+        service: Service::from("shelf"),
+        group: "shelf".into(),
+        route: "all".into(),
+        caller_service: Service::default(),
+        fingerprint: Fingerprint(1),
+        priority: Priority(0),
+        sent_ms: 0,
+        remaining: Millis(5_000),
+        max_wait: Millis(1_000),
+        repeatable: true,
+        key: None,
+        guard: Guard::Memory,
+        team: String::new(),
+        draining: Vec::new(),
+        notice: None,
+        repeat: false,
+    }
+}
+
+/// Guards against a request that is admitted before a departure and written to the target after it.
+#[tokio::test]
+async fn admitted_request_is_not_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let shared = Arc::new(shared_state());
+    let process = Process::new("a", None);
+    let address = listener.local_addr().expect("bound");
+    let offered = Target {
+        address,
+        ..target(&process)
+    };
+    assert!(shared.set_target(Some(offered)));
+    let executor = Executor::new(Arc::clone(&shared));
+    let request = Request::new(Body::empty());
+    let received = Received::new(metadata(), request, false, shared.track_call());
+    let admitted = received.admit(&executor).await.expect("it has slots");
+    assert!(shared.record_departure(&process));
+    let result = admitted.dispatch(&executor).await;
+    assert_eq!(result.map(|_| ()), Err(Reason::NoTarget));
+    let (mut stream, _) = listener.accept().await.expect("it connected");
+    let mut byte = [0];
+    assert_eq!(
+        stream.read(&mut byte).await.ok(),
+        Some(0),
+        "nothing was sent"
+    );
+}
