Product interface: a process that has left is not taken back by a late announcement

What callers saw: a target sends POST /leave, or x-jackdaw-leaving in a response, and its next announcement, already under way, brings it back: 38 requests ran in 4 s. An announcement with an earlier born than the latest one replaced the target, too. Change: born alone tells the processes of a target that names no instance, so the departures kept by process cover them; a process that has left, or is not the latest, gets 409. A departure with a born in the future is refused (422): it would cover every later process of the name.

--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -3,8 +3,9 @@
 //! `POST /announce` with an [`Announcement`] starts or renews a lease; `POST /leave` ends it. The lease is a
 //! hint about liveness: when it expires, the target gets no new requests, and those in flight are left alone.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{self, AtomicU64};
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -92,17 +93,17 @@
         if self.cold_ms.0 > MAX_LEASE_MS {
             return Some("cold_ms must be at most 60000; give the time that remains");
         }
-        let latest = StartTime(clock::unix_ms() + MAX_CLOCK_SKEW_MS);
-        if self
-            .start_time
-            .is_some_and(|start_time| start_time > latest)
-        {
-            return Some("born is in the future; give the start time of the process");
-        }
-        None
+        start_problem(self.start_time)
     }
 }
 
+/// Describes what is wrong with a start time, with a remedy.
+fn start_problem(start_time: Option<StartTime>) -> Option<&'static str> {
+    let latest = StartTime(clock::unix_ms() + MAX_CLOCK_SKEW_MS);
+    let is_future = start_time.is_some_and(|start_time| start_time > latest);
+    is_future.then_some("born is in the future; give the start time of the process")
+}
+
 /// HTTP endpoint for the co-located target.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -163,8 +164,7 @@
     pub async fn renew_lease(&self, renewal: Renewal) -> Result<(), Rejection> {
         if renewal.leaving {
             // Neither the offer nor the order of announcements matters to a departure.
-            self.depart("target is leaving", &renewal.process).await;
-            return Ok(());
+            return self.depart("target is leaving", &renewal.process).await;
         }
         let announcement = Announcement {
             service: renewal.service.clone(),
@@ -323,12 +323,19 @@
     }
 
     /// Handles the end of a target process, which gets no new requests.
-    pub async fn deregister(&self, process: &Process) {
-        self.depart("target deregistered", process).await;
+    ///
+    /// # Errors
+    ///
+    /// [`Rejection`] if the start time of the process is invalid; the process then remains.
+    pub async fn deregister(&self, process: &Process) -> Result<(), Rejection> {
+        self.depart("target deregistered", process).await
     }
 
     /// Records a departure. Whoever is told of it afterwards can rely on it: the process gets no new requests.
-    async fn depart(&self, event: &'static str, process: &Process) {
+    async fn depart(&self, event: &'static str, process: &Process) -> Result<(), Rejection> {
+        if let Some(problem) = start_problem(process.start_time) {
+            return Err(Rejection(problem));
+        }
         let is_repeated = self.processes().has_departed(process);
         let is_target = self.shared.record_departure(process);
         if is_target || !is_repeated {
@@ -336,6 +343,7 @@
                 "was_target" => is_target);
         }
         self.membership.publish_own_entry().await;
+        Ok(())
     }
 
     /// Looks for the target that the settings name, if it has not announced itself yet; records its
@@ -445,27 +453,58 @@
         if !known {
             info!(self.shared.logger, "target announced"; "service" => %target.service);
         }
-        if self.replaces_earlier(target.start_time) {
-            self.crash_detector.target_restarted(&target);
+        let process = target.process();
+        if process.is_some_and(|process| self.processes().has_departed(&process)) {
+            return (
+                StatusCode::CONFLICT,
+                "the process has left; announce the next one with its own born".to_owned(),
+            );
+        }
+        match self.record_start(target.start_time) {
+            Ordering::Greater => self.crash_detector.target_restarted(&target),
+            Ordering::Equal => {}
+            Ordering::Less => {
+                return (
+                    StatusCode::CONFLICT,
+                    "a process with a later born has announced itself".to_owned(),
+                );
+            }
         }
         self.set_target(target).await;
         (StatusCode::OK, "announced".to_owned())
     }
 
-    /// Records a start time; returns whether the latest one before was known and earlier.
-    fn replaces_earlier(&self, start_time: Option<StartTime>) -> bool {
+    /// Records a start time, and compares it with the latest one before. One that is not reported, or the first
+    /// one, counts as equal.
+    fn record_start(&self, start_time: Option<StartTime>) -> Ordering {
         let Some(StartTime(start_ms)) = start_time else {
-            return false;
+            return Ordering::Equal;
         };
-        let previous_ms = self.latest_start_ms.fetch_max(start_ms, Ordering::AcqRel);
-        previous_ms != 0 && previous_ms < start_ms
+        match self
+            .latest_start_ms
+            .fetch_max(start_ms, atomic::Ordering::AcqRel)
+        {
+            0 => Ordering::Equal,
+            previous_ms => start_ms.cmp(&previous_ms),
+        }
     }
 
     async fn leave(&self) -> (StatusCode, String) {
-        info!(self.shared.logger, "target left");
-        lock_running(&self.shared.running).mark_draining();
-        self.shared.set_target(None);
-        self.membership.publish_own_entry().await;
-        (StatusCode::OK, "left".to_owned())
+        let process = match self.shared.target() {
+            Some(target) => target.process(),
+            None => Some(Process::unnamed(None)),
+        };
+        let Some(process) = process else {
+            // Nothing tells the process from the next one.
+            info!(self.shared.logger, "target left");
+            lock_running(&self.shared.running).mark_draining();
+            self.shared.set_target(None);
+            self.membership.publish_own_entry().await;
+            return (StatusCode::OK, "left".to_owned());
+        };
+        match self.depart("target left", &process).await {
+            Ok(()) => (StatusCode::OK, "left".to_owned()),
+            Err(Rejection(problem)) => (StatusCode::UNPROCESSABLE_ENTITY, problem.to_owned()),
+        }
     }
 }
--- a/src/membership/target.rs
+++ b/src/membership/target.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Creates a process of a target that does not name its instance.
+    #[must_use]
+    pub fn unnamed(start_time: Option<StartTime>) -> Self {
+        Self::new(Instance::default(), start_time)
+    }
+
     /// Whether it has the name of `other` and started later.
     #[must_use]
     pub fn is_successor_of(&self, other: &Self) -> bool {
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -99,11 +99,14 @@
 }
 
 impl Target {
-    /// Its process, if it names one.
+    /// Its process, if it can be told from others; the start time alone is enough.
     #[must_use]
     pub fn process(&self) -> Option<Process> {
-        let instance = self.instance.clone()?;
-        Some(Process::new(instance, self.start_time))
+        let start_time = self.start_time;
+        match &self.instance {
+            Some(instance) => Some(Process::new(instance.clone(), start_time)),
+            None => start_time.map(|_| Process::unnamed(start_time)),
+        }
     }
 
     /// Tag of its process.
@@ -355,7 +358,7 @@
         is_retired
     }
 
-    /// Removes a target that does not name its process, if it is the current one.
+    /// Removes a target whose process cannot be told from others, if it is the current one.
     fn remove_anonymous(&self, leaving: &Target) -> bool {
         let _processes = self.processes();
         let current = self.target();
--- a/trial/tests/calls.rs
+++ b/trial/tests/calls.rs
@@ -324,6 +324,30 @@
     assert!(ended);
 }
 
+/// Guards against a target that has left and is taken back by its next announcement, which was under way.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_announcement_returns_no_target() {
+    let fleet = hosts(2, &[0, 1], document(1)).await;
+    wait_for_upstreams(&fleet, 1, 2).await;
+    let leaving = SocketAddr::new(fleet.hosts[0].ip, 7_003);
+    // The target goes on to announce itself.
+    let left = jackdaw_trial::rig::session::send_once(leaving, Method::POST, "/leave", "").await;
+    assert!(left.is_ok_and(|response| response.status.is_success()));
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(4) {
+        let id = format!("{:?}", began.elapsed());
+        let response = call(fleet.hosts[1].call_address(), Method::POST, "/grants", &id).await;
+        let response = response.expect("a complete response");
+        assert_eq!(response.header(OUTCOME), "answered");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let runs = fleet.runs();
+    let late = runs
+        .iter()
+        .filter(|run| run.target == fleet.hosts[0].target_address());
+    assert_eq!(late.count(), 0);
+}
+
 /// Guards against forwarding requests to a target after it has sent `/leave` to its sidecar.
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_target_gets_no_requests() {
