Contested address: a confirmed process that is not offered yields to the next claim

Cause: a health check may name a process that has not announced itself, which is then believed to be at the address and is not offered; no request fails at it, so nothing ever withdrew it, and the next process of the address was kept out for as long as its health check failed. While a claim waited after a restart, a departed process counted as one that holds the address, too. Change: without an offered target a claim is granted. Both places ask the same question, is_vacant.

--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -252,7 +252,7 @@
         match &finding {
             Finding::Healthy(responder) => _ = processes.confirm(responder),
             Finding::Absent if !processes.is_unverified() => processes.accept(claimant),
-            Finding::Unsupported if processes.is_empty() => processes.accept(claimant),
+            Finding::Unsupported if processes.is_vacant() => processes.accept(claimant),
             Finding::Absent | Finding::Unsupported | Finding::Unknown => {}
         }
         processes.is_current(claimant)
@@ -280,7 +280,7 @@
         let process = claim.process()?;
         let is_waiting = {
             let processes = self.processes();
-            processes.is_empty() && !processes.has_departed(&process)
+            processes.is_vacant() && !processes.has_departed(&process)
         };
         if is_waiting && !self.verification.is_over(Instant::now()) {
             return Some(claim);
--- a/src/membership/target.rs
+++ b/src/membership/target.rs
@@ -215,8 +215,7 @@
         } else {
             self.remember(process, sequence);
         }
-        let is_vacant = self.withdrawn || self.current.is_none() || self.is_leaving();
-        if !self.unverified && (is_current || is_vacant) {
+        if !self.unverified && (is_current || self.is_vacant()) {
             self.accept(&process.instance);
         }
         Recency::New
@@ -233,6 +232,11 @@
         self.withdrawn |= self.is_current(instance);
     }
 
+    /// Records that the current process is not offered, so that no failure will show whether it runs.
+    pub const fn withdraw_current(&mut self) {
+        self.withdrawn = true;
+    }
+
     /// Whether another process was, or may have been, at the address before `process`; an announcement alone
     /// then does not prove which one is running.
     #[must_use]
@@ -257,6 +261,12 @@
         !self.is_leaving()
     }
 
+    /// Whether no process is believed to accept calls at the address.
+    #[must_use]
+    pub fn is_vacant(&self) -> bool {
+        self.withdrawn || self.current.is_none() || self.is_leaving()
+    }
+
     /// Whether no process is current.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -393,11 +393,13 @@
         }
     }
 
-    /// Removes the co-located target if its lease has expired.
+    /// Removes the co-located target if its lease has expired, and withdraws its process if there is
+    /// no target.
     pub fn expire_target(&self, now: Instant) {
-        let target = self.target();
-        if let Some(expired) = target.filter(|target| target.lease_until <= now) {
-            self.remove_target(&expired);
+        match self.target() {
+            Some(target) if target.lease_until > now => {}
+            Some(expired) => self.remove_target(&expired),
+            None => self.processes().withdraw_current(),
         }
     }
 
