--- a/tests/target_departures.rs
+++ b/tests/target_departures.rs
@@ -166,6 +166,7 @@
 }
 
 /// A host with its daemon, and the messages between them.
+#[expect(clippy::struct_excessive_bools, reason = "independent states")]
 #[derive(Debug)]
 struct Host {
     processes: Processes,
@@ -231,7 +232,7 @@
         is_healthy.then(|| self.running.instance.clone())
     }
 
-    fn deliver(&mut self, message: &Announcement, finding: Option<Instance>) {
+    fn deliver(&mut self, message: &Announcement, finding: Option<&Instance>) {
         if message.leaving {
             self.processes.depart(&message.process, NOW);
             self.is_acknowledged |= message.process == self.running;
@@ -247,7 +248,7 @@
             Recency::Current => {}
             Recency::New => {
                 if is_contested || self.processes.is_unverified() {
-                    self.confirm(finding.as_ref());
+                    self.confirm(finding);
                 }
                 if !self.processes.is_current(&message.process.instance) {
                     return;
@@ -278,9 +279,9 @@
         let known = self.processes.shared_departures();
         self.processes = Processes::after_restart();
         if self.peers_remember {
-            known
-                .into_iter()
-                .for_each(|departure| self.processes.record_departure(departure));
+            for departure in known {
+                self.processes.record_departure(departure);
+            }
         }
         self.offered = None;
         self.checks.clear();
@@ -298,7 +299,7 @@
             Step::Deliver(index) if *index < self.messages.len() => {
                 let message = self.messages[*index].clone();
                 let finding = self.health().filter(|_| index % 2 == 0);
-                self.deliver(&message, finding);
+                self.deliver(&message, finding.as_ref());
             }
             Step::Respond if self.has_left => {
                 self.processes.depart(&self.running.clone(), NOW);
