Announcements: smaller steps, and a departure by /leave covers no process that has not announced itself

Cause: POST /leave names no process. Where no target was known it was taken for all processes started until then, so that one that was delayed until the next process ran would have kept that out until its restart (read, not run). Change: it is about the current target, or else the latest process that has announced itself, or nothing. renew_lease is split into observing, handling a claim and checking the address.

--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -144,8 +144,8 @@
         }
     }
 
-    /// Whether a request that was admitted for `target` may be written to it now: the target may have
-    /// departed, or the deadline passed, while the request waited for its connection.
+    /// Refuses a request that was admitted for `target` if the target has departed, or the deadline
+    /// has passed, while the request waited for its connection.
     fn check_dispatch(&self, target: &Arc<Target>, deadline: Instant) -> Result<(), Reason> {
         if Instant::now() >= deadline {
             return Err(Reason::Expired);
--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -24,7 +24,7 @@
 use crate::membership::verification::Verification;
 use crate::quarantine::detector::{Detector, lock_running};
 use crate::shared_state::{SharedState, Target};
-use crate::units::{Instance, Millis, Revision, Service, Slots, StartTime, Version};
+use crate::units::{Millis, Revision, Service, Slots, StartTime, Version};
 
 /// Longest lease, in milliseconds.
 pub const MAX_LEASE_MS: u64 = 60_000;
@@ -182,15 +182,27 @@
             return Err(Rejection(problem));
         }
         let now = Instant::now();
+        let contested = self.processes().may_replace_another(&renewal.process);
+        match self.observe(&renewal, now) {
+            Recency::Stale | Recency::Ended => {}
+            Recency::Current => self.set_target(Target::announced(renewal, now)).await,
+            Recency::New => {
+                self.handle_claim(Target::announced(renewal, now), contested)
+                    .await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Records an announcement in the processes of the address, and logs it unless it is a mere renewal.
+    fn observe(&self, renewal: &Renewal, now: Instant) -> Recency {
         self.shared.expire_target(now);
-        let (recency, contested, unverified) = {
+        let recency = {
             let mut processes = self.processes();
             if self.verification.is_over(now) {
                 processes.trust_announcements();
             }
-            let contested = processes.may_replace_another(&renewal.process);
-            let recency = processes.observe(&renewal.process, renewal.sequence);
-            (recency, contested, processes.is_unverified())
+            processes.observe(&renewal.process, renewal.sequence)
         };
         let verdict: &str = recency.into();
         metrics::counter!("jackdaw_target_announcements_total", "verdict" => verdict).increment(1);
@@ -198,7 +210,6 @@
             Recency::Stale | Recency::Ended => {
                 info!(self.shared.logger, "announcement ignored"; "verdict" => verdict,
                     "instance" => %renewal.process.instance, "sequence" => renewal.sequence);
-                return Ok(());
             }
             Recency::New => {
                 info!(self.shared.logger, "target announced"; "service" => %renewal.service,
@@ -209,39 +220,34 @@
             }
             Recency::Current => {}
         }
-        let is_claim = recency == Recency::New;
-        let instance = renewal.process.instance;
-        let target = Target {
-            instance: Some(instance.clone()),
-            start_time: renewal.process.start_time,
-            address: renewal.address,
-            service: renewal.service,
-            slots: renewal.slots,
-            revision: renewal.revision,
-            cold_until: now + renewal.cold.duration(),
-            lease_until: now + renewal.lease.duration(),
-        };
-        if is_claim
-            && (contested || unverified)
-            && !self.holds_address(&instance, &target, TIMEOUT).await
-        {
+        recency
+    }
+
+    /// Handles an announcement of a process that was not the current one; it is `contested` if another process may
+    /// be at the address.
+    async fn handle_claim(&self, target: Target, contested: bool) {
+        let unverified = self.processes().is_unverified();
+        let needs_check = contested || unverified;
+        if needs_check && !self.holds_address(&target, TIMEOUT).await {
             if unverified {
                 self.verification.add(target);
             }
-            return Ok(());
+            return;
         }
-        if is_claim && contested {
+        if contested {
             self.crash_detector.target_restarted(&target);
         }
         self.set_target(target).await;
-        Ok(())
     }
 
-    /// Whether the process that claims the address for `target` is the one at the address.
+    /// Whether the process of `target`, which claims the address, is the one at the address.
     ///
     /// The order of the announcements proves nothing; the health check tells which one is running, and if it does
     /// not, a current process that works keeps the address.
-    async fn holds_address(&self, claimant: &Instance, target: &Target, timeout: Duration) -> bool {
+    async fn holds_address(&self, target: &Target, timeout: Duration) -> bool {
+        let Some(claimant) = &target.instance else {
+            return false;
+        };
         let checking = self
             .health_check
             .run(target.address, &target.service, timeout);
@@ -269,7 +275,9 @@
             let mut pauses = VERIFICATION_PAUSES;
             while let Some(target) = self.waiting_claim() {
                 tokio::time::sleep(pauses.next_delay()).await;
-                self.verify(target).await;
+                if self.holds_address(&target, VERIFICATION_TIMEOUT).await {
+                    self.set_target(self.verification.latest(target)).await;
+                }
             }
         }
     }
@@ -289,19 +297,6 @@
         None
     }
 
-    async fn verify(&self, target: Target) {
-        let Some(claimant) = &target.instance else {
-            return;
-        };
-        if self
-            .holds_address(claimant, &target, VERIFICATION_TIMEOUT)
-            .await
-        {
-            let latest = self.verification.take(claimant);
-            self.set_target(latest.unwrap_or(target)).await;
-        }
-    }
-
     /// Describes a mismatch with the configuration, with a remedy.
     ///
     /// An announcement of an unknown service is not the target's. Accepted as one of its next process, it would
@@ -373,8 +368,7 @@
             return;
         }
         info!(self.shared.logger, "target found"; "instance" => %instance, "slots" => ?slots);
-        let announced = self.verification.take(&instance);
-        let found = || Target {
+        let found = Target {
             instance: Some(instance),
             start_time: None,
             address,
@@ -384,7 +378,7 @@
             cold_until: Instant::now(),
             lease_until: Instant::now() + DEFAULT_LEASE,
         };
-        self.set_target(announced.unwrap_or_else(found)).await;
+        self.set_target(self.verification.latest(found)).await;
     }
 
     /// Records that the target is absent, until a stop requested before the start would be over.
@@ -489,12 +483,17 @@
         }
     }
 
+    /// The process that `POST /leave` is about, if it can be told from others.
+    fn leaving_process(&self) -> Option<Process> {
+        if let Some(target) = self.shared.target() {
+            return target.process();
+        }
+        let latest_ms = self.latest_start_ms.load(atomic::Ordering::Acquire);
+        (latest_ms != 0).then(|| Process::unnamed(Some(StartTime(latest_ms))))
+    }
+
     async fn leave(&self) -> (StatusCode, String) {
-        let process = match self.shared.target() {
-            Some(target) => target.process(),
-            None => Some(Process::unnamed(None)),
-        };
-        let Some(process) = process else {
+        let Some(process) = self.leaving_process() else {
             // Nothing tells the process from the next one.
             info!(self.shared.logger, "target left");
             lock_running(&self.shared.running).mark_draining();
--- a/src/membership/verification.rs
+++ b/src/membership/verification.rs
@@ -22,7 +22,6 @@
 use tokio::sync::Notify;
 
 use crate::shared_state::Target;
-use crate::units::Instance;
 
 /// Longest time for which an announcement may be under way.
 pub const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(10);
@@ -70,11 +69,14 @@
         self.claim().clone()
     }
 
-    /// Removes the claim of the process that has responded as healthy, if there is one.
+    /// Removes the claim if it is of the process of `found`; returns it in place of `found` then, since it is what
+    /// the process has announced last.
     #[must_use]
-    pub fn take(&self, responder: &Instance) -> Option<Target> {
-        let mut claim = self.claim();
-        claim.take_if(|target| target.instance.as_ref() == Some(responder))
+    pub fn latest(&self, found: Target) -> Target {
+        let claim = self
+            .claim()
+            .take_if(|target| target.instance == found.instance);
+        claim.unwrap_or(found)
     }
 
     /// Removes the claim, whoever has made it.
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -25,7 +25,7 @@
 use crate::membership::absence::Absence;
 use crate::membership::member::{Offer, Stage};
 use crate::membership::roster::Roster;
-use crate::membership::target::{Departure, Process, Processes};
+use crate::membership::target::{Departure, Process, Processes, Renewal};
 use crate::quarantine::detector::lock_running;
 use crate::quarantine::running::Running;
 use crate::quarantine::shared::Quarantine;
@@ -99,6 +99,21 @@
 }
 
 impl Target {
+    /// The target of an announcement that arrived at `now`.
+    #[must_use]
+    pub fn announced(renewal: Renewal, now: Instant) -> Self {
+        Self {
+            instance: Some(renewal.process.instance),
+            start_time: renewal.process.start_time,
+            address: renewal.address,
+            service: renewal.service,
+            slots: renewal.slots,
+            revision: renewal.revision,
+            cold_until: now + renewal.cold.duration(),
+            lease_until: now + renewal.lease.duration(),
+        }
+    }
+
     /// Its process, if it can be told from others; the start time alone is enough.
     #[must_use]
     pub fn process(&self) -> Option<Process> {
