Review: refusals over a tenant's quota lose accepted answers

Cause: each refusal of the daemon closes its connection without waiting for the caller, as in the first case. A further request that is under way resets the connection, and answers that are still being sent are dropped.

Nothing is stopped.

--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -99,15 +99,8 @@
     }
 
     /// Sends a request.
-    pub fn send(
-        &mut self,
-        method: &str,
-        target: &str,
-        id: &str,
-        deadline: Duration,
-        body: &[u8],
-    ) -> io::Result<()> {
-        send(&mut self.stream, method, target, id, deadline, body)
+    pub fn send(&mut self, request: Request<'_>, body: &[u8]) -> io::Result<()> {
+        send(&mut self.stream, request, body)
     }
 
     /// A second handle for sending, and the connection for receiving.
@@ -134,30 +127,31 @@
     }
 }
 
+/// A request without its body.
+#[derive(Clone, Copy)]
+pub struct Request<'a> {
+    pub method: &'a str,
+    pub target: &'a str,
+    pub id: &'a str,
+    pub deadline: Duration,
+    /// Key of the client's tenant.
+    pub key: Option<&'a str>,
+}
+
 /// Sends a request on a stream.
-pub fn send(
-    stream: &mut TcpStream,
-    method: &str,
-    target: &str,
-    id: &str,
-    deadline: Duration,
-    body: &[u8],
-) -> io::Result<()> {
-    let deadline = deadline.as_millis().to_string();
-    let headers = [
+pub fn send(stream: &mut TcpStream, request: Request<'_>, body: &[u8]) -> io::Result<()> {
+    let deadline = request.deadline.as_millis().to_string();
+    let mut headers = vec![
         ("Host", HOST),
-        ("X-Jackdawpulley-Request-Id", id),
+        ("X-Jackdawpulley-Request-Id", request.id),
         ("X-Jackdawpulley-Deadline-Ms", deadline.as_str()),
     ];
-    if method == "GET" {
-        return http::write_without_body(stream, &format!("{method} {target} HTTP/1.1"), &headers);
+    headers.extend(request.key.map(|key| ("X-Jackdawpulley-Credential", key)));
+    let start = format!("{} {} HTTP/1.1", request.method, request.target);
+    if request.method == "GET" {
+        return http::write_without_body(stream, &start, &headers);
     }
-    http::write(
-        stream,
-        &format!("{method} {target} HTTP/1.1"),
-        &headers,
-        body,
-    )
+    http::write(stream, &start, &headers, body)
 }
 
 /// Host of all routes.
--- a/review/standin/src/late.rs
+++ b/review/standin/src/late.rs
@@ -59,13 +59,15 @@
         let mut connection = Connection::open(system.machines[WATCHED].outbound(), None)
             .map_err(|error| error.to_string())?;
         let id = client::new_id();
-        let sent = connection.send(
-            "GET",
-            &format!("/browse/{id}"),
-            &id,
-            Duration::from_secs(3),
-            b"",
-        );
+        let target = format!("/browse/{id}");
+        let request = client::Request {
+            method: "GET",
+            target: &target,
+            id: &id,
+            deadline: Duration::from_secs(3),
+            key: None,
+        };
+        let sent = connection.send(request, b"");
         sent.map_err(|error| error.to_string())?;
         let answer = connection.receive(Instant::now() + Duration::from_secs(3));
         if !answer.is_ok_and(|answer| answer.status() == 200 && !answer.closes()) {
@@ -85,7 +87,7 @@
         .map(|(number, connection)| {
             let system = Arc::clone(&system);
             thread::spawn(move || {
-                request(
+                ask(
                     &system,
                     connection,
                     terminated + SPACING / 2 + SPACING * number,
@@ -162,7 +164,7 @@
     result: Result<u16, String>,
 }
 
-fn request(system: &System, mut connection: Connection, at: Instant) -> Option<Outcome> {
+fn ask(system: &System, mut connection: Connection, at: Instant) -> Option<Outcome> {
     thread::sleep(at.saturating_duration_since(Instant::now()));
     if !system.gives_work(WATCHED) {
         return None;
@@ -171,7 +173,14 @@
     let sent = Instant::now();
     let target = format!("/archive/{id}?work={WORK_MS}");
     system.record.write(&format!("sent {id}"));
-    if let Err(error) = connection.send("GET", &target, &id, DEADLINE, b"") {
+    let request = client::Request {
+        method: "GET",
+        target: &target,
+        id: &id,
+        deadline: DEADLINE,
+        key: None,
+    };
+    if let Err(error) = connection.send(request, b"") {
         system.record.write(&format!("not sent {id}: {error}"));
         return None;
     }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,8 @@
 mod client;
 mod http;
 mod late;
+mod pipeline;
+mod quota;
 mod record;
 mod reset;
 mod store;
@@ -31,6 +33,7 @@
     let with_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
         "late" => late::run(&record, with_trouble),
+        "quota" => quota::run(&record, with_trouble),
         "reset" => reset::run(&record, with_trouble),
         _ => Err(format!("no case is named {case}")),
     };
--- a/review/standin/src/reset.rs
+++ b/review/standin/src/reset.rs
@@ -2,14 +2,13 @@
 //! that the client has sent behind them, before it could know of the close, resets the connection, and the answers
 //! that are still on their way are lost.
 
-use std::collections::VecDeque;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::client::{self, Connection, Link};
-use crate::http;
+use crate::client::Link;
+use crate::pipeline::{self, Sent, Workload};
 use crate::record::Record;
 use crate::system::{Bounds, Place, System};
 use crate::upstream;
@@ -61,27 +60,28 @@
 const TERM_AT: Duration = Duration::from_secs(4);
 const LENGTH: Duration = Duration::from_secs(14);
 
-/// A request on a connection, and what became of it.
-struct Sent {
-    id: String,
-    at: Instant,
-    ended: Instant,
-    result: Result<u16, String>,
-    /// Whether an earlier answer on its connection had closed it, so that it counts as not read.
-    is_behind_close: bool,
-}
-
 pub fn run(record: &Record, with_trouble: bool) -> Result<bool, String> {
     let system = System::start(&PLACES, CONFIG, BOUNDS, record)?;
-    let link = Link::new(LINK_MBPS);
+    let workload = Workload {
+        machine: WATCHED,
+        link: Link::new(LINK_MBPS),
+        spacing_ms: Arc::new(AtomicU64::new(
+            u64::try_from(SPACING.as_millis()).unwrap_or(0),
+        )),
+        work_ms: &WORK_MS,
+        bytes: BYTES,
+        deadline: DEADLINE,
+        key: None,
+    };
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let began = Instant::now();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let (system, link, sent) = (Arc::clone(&system), link.clone(), Arc::clone(&sent));
+            let (system, workload, sent) =
+                (Arc::clone(&system), workload.clone(), Arc::clone(&sent));
             thread::spawn(move || {
                 thread::sleep(SPACING / CLIENTS * number);
-                pipeline(&system, &link, &sent, began + LENGTH);
+                pipeline::run(&system, &workload, &sent, began + LENGTH);
             })
         })
         .collect();
@@ -148,96 +148,3 @@
     }
     Ok(lost.is_empty())
 }
-
-/// One client: sends a request each `SPACING`, before the earlier ones are answered, until it reads an answer that
-/// closes the connection; then it goes on with another connection.
-fn pipeline(system: &System, link: &Link, log: &Mutex<Vec<Sent>>, end: Instant) {
-    while Instant::now() < end {
-        let opened = Connection::open(system.machines[WATCHED].outbound(), Some(link));
-        let (true, Ok(connection)) = (system.gives_work(WATCHED), opened) else {
-            thread::sleep(Duration::from_millis(50));
-            continue;
-        };
-        let Ok((mut writer, mut reader)) = connection.split() else {
-            return;
-        };
-        let is_closed = Arc::new(AtomicBool::new(false));
-        let waiting: Arc<Mutex<VecDeque<(String, Instant)>>> = Arc::default();
-        let writing = {
-            let (is_closed, waiting, record) = (
-                Arc::clone(&is_closed),
-                Arc::clone(&waiting),
-                system.record.clone(),
-            );
-            thread::spawn(move || {
-                let mut works = WORK_MS.iter().cycle();
-                while !is_closed.load(Ordering::Acquire)
-                    && Instant::now() + Duration::from_secs(1) < end
-                {
-                    let id = client::new_id();
-                    waiting
-                        .lock()
-                        .expect("not poisoned")
-                        .push_back((id.clone(), Instant::now()));
-                    record.write(&format!("sent {id}"));
-                    let target = format!(
-                        "/archive/{id}?work={}&bytes={BYTES}",
-                        works.next().unwrap_or(&0)
-                    );
-                    if client::send(&mut writer, "GET", &target, &id, DEADLINE, b"").is_err() {
-                        return;
-                    }
-                    thread::sleep(SPACING);
-                }
-            })
-        };
-        let mut is_behind_close = false;
-        loop {
-            let next = waiting.lock().expect("not poisoned").front().cloned();
-            let Some((id, at)) = next else {
-                if writing.is_finished() {
-                    break;
-                }
-                thread::sleep(Duration::from_millis(1));
-                continue;
-            };
-            let result = if is_behind_close {
-                Err("behind an answer that closes the connection".to_owned())
-            } else {
-                // The client sends no more as soon as it has read that the connection closes.
-                let notice = |answer: &http::Message| {
-                    if answer.closes() {
-                        is_closed.store(true, Ordering::Release);
-                    }
-                };
-                match reader.receive_noticing(at + DEADLINE, notice) {
-                    Ok(answer) => {
-                        let is_whole =
-                            answer.status() != 200 || answer.body == upstream::body_of(&id, BYTES);
-                        is_behind_close = answer.closes();
-                        if is_whole {
-                            Ok(answer.status())
-                        } else {
-                            Err("another body".to_owned())
-                        }
-                    }
-                    Err(failure) => {
-                        is_closed.store(true, Ordering::Release);
-                        Err(format!("{failure:?}"))
-                    }
-                }
-            };
-            waiting.lock().expect("not poisoned").pop_front();
-            system.record.write(&format!("ended {id} {result:?}"));
-            let sent = Sent {
-                id,
-                at,
-                ended: Instant::now(),
-                result,
-                is_behind_close,
-            };
-            log.lock().expect("not poisoned").push(sent);
-        }
-        let _ = writing.join();
-    }
-}
