Review: the loss of all daemons loses an acknowledged departure

Cause: departures are kept in the memory of daemons alone, and a passed health check is taken for proof that a target accepts calls.

Done: a case in which an upstream deregisters, all ten daemons are killed 0.5 s later, and the upstream's health check falsely passes.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,7 @@
 //! disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod client;
+mod departed;
 mod http;
 mod late;
 mod pipeline;
@@ -32,6 +33,7 @@
     };
     let with_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
+        "departed" => departed::run(&record, with_trouble),
         "late" => late::run(&record, with_trouble),
         "quota" => quota::run(&record, with_trouble),
         "reset" => reset::run(&record, with_trouble),
--- a/review/standin/src/system.rs
+++ b/review/standin/src/system.rs
@@ -234,6 +234,18 @@
             .write(&format!("signal {signal} to daemon {index}"));
     }
 
+    /// Kills all daemons at the same moment.
+    pub fn kill_all(&self) {
+        for index in 0..self.machines.len() {
+            self.signal(index, SIGKILL);
+        }
+    }
+
+    /// Whether all daemons are ready.
+    pub fn are_ready(&self) -> bool {
+        self.machines.iter().all(|machine| is_ready(machine.ip))
+    }
+
     /// Starts daemons again that have ended, and kills those whose time of grace is over, until the case ends.
     /// To be called by the main thread, since processes end with the thread that started them.
     pub fn supervise(&self, until: Instant) -> Result<(), String> {
--- a/review/standin/src/upstream.rs
+++ b/review/standin/src/upstream.rs
@@ -30,12 +30,21 @@
     running: usize,
     waiting: usize,
     runs: Vec<Run>,
+    /// Whether it has deregistered, and sends no more heartbeats.
+    is_leaving: bool,
+    /// Whether its health check passes all the same.
+    has_false_health: bool,
+    /// Whether its process has ended.
+    has_ended: bool,
+    connections: Vec<TcpStream>,
 }
 
 /// An upstream beside a daemon.
 #[derive(Clone)]
 pub struct Upstream {
     instance: String,
+    address: SocketAddr,
+    control: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
     record: Record,
 }
@@ -53,24 +62,37 @@
         let listener = TcpListener::bind(address)?;
         let upstream = Self {
             instance: instance.to_owned(),
+            address,
+            control,
             state: Arc::default(),
             record: record.clone(),
         };
         let serving = upstream.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                let mut state = serving.state.0.lock().expect("not poisoned");
+                if state.has_ended {
+                    return;
+                }
+                state.connections.extend(stream.try_clone());
+                drop(state);
                 let upstream = serving.clone();
                 thread::spawn(move || upstream.serve(stream));
             }
         });
+        let beating = upstream.clone();
         let (instance, service, zone) = (instance.to_owned(), service.to_owned(), zone.to_owned());
         thread::spawn(move || {
             for sequence in 1_u64.. {
+                if beating.state.0.lock().expect("not poisoned").is_leaving {
+                    return;
+                }
                 let body = format!(
                     "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{SLOTS},\"state\":\"ready\",\"cold-left-s\":0,\"sequence\":{sequence}}}"
                 );
                 // Without an acknowledgement the next heartbeat follows soon.
-                let is_acknowledged = beat(control, &instance, &body).is_some();
+                let path = format!("/instances/{instance}/heartbeat");
+                let is_acknowledged = post(control, &path, &body).is_some();
                 thread::sleep(if is_acknowledged {
                     HEARTBEAT
                 } else {
@@ -81,6 +103,39 @@
         Ok(upstream)
     }
 
+    /// Deregisters, and goes on serving, with a health check that is right or falsely passes. Returns when that
+    /// was acknowledged.
+    pub fn leave(&self, has_false_health: bool) -> Option<Instant> {
+        let mut state = self.state.0.lock().expect("not poisoned");
+        state.is_leaving = true;
+        state.has_false_health = has_false_health;
+        drop(state);
+        let acknowledged = post(
+            self.control,
+            &format!("/instances/{}/deregister", self.instance),
+            "",
+        );
+        self.record.write(&format!(
+            "{} deregistered, acknowledged: {}",
+            self.instance,
+            acknowledged.is_some()
+        ));
+        acknowledged.map(|()| Instant::now())
+    }
+
+    /// Ends its process: requests that run are lost, and connections are refused.
+    pub fn exit(&self) {
+        let mut state = self.state.0.lock().expect("not poisoned");
+        state.has_ended = true;
+        for connection in state.connections.drain(..) {
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+        drop(state);
+        // Wakes the listener, which then closes.
+        let _ = TcpStream::connect(self.address);
+        self.record.write(&format!("{} has exited", self.instance));
+    }
+
     /// All runs so far.
     pub fn runs(&self) -> Vec<Run> {
         self.state.0.lock().expect("not poisoned").runs.clone()
@@ -104,7 +159,16 @@
         let target = request.second_word();
         if http::path_of(target) == "/health" {
             let headers = [("X-Jackdawpulley-Instance-Id", self.instance.as_str())];
-            return http::write(stream, "HTTP/1.1 200 OK", &headers, b"").is_ok();
+            let is_healthy = {
+                let state = self.state.0.lock().expect("not poisoned");
+                !state.is_leaving || state.has_false_health
+            };
+            let start = if is_healthy {
+                "HTTP/1.1 200 OK"
+            } else {
+                "HTTP/1.1 503 Service Unavailable"
+            };
+            return http::write(stream, start, &headers, b"").is_ok();
         }
         let Some(id) = request.header("x-jackdawpulley-request-id") else {
             let headers = [("X-Jackdawpulley-Not-Executed", "1")];
@@ -191,16 +255,16 @@
     id.bytes().chain([b' ']).cycle().take(size).collect()
 }
 
-fn beat(control: SocketAddr, instance: &str, body: &str) -> Option<()> {
+fn post(control: SocketAddr, path: &str, body: &str) -> Option<()> {
     let mut stream = TcpStream::connect_timeout(&control, Duration::from_secs(1)).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-    let start = format!("POST /instances/{instance}/heartbeat HTTP/1.1");
     let host = control.to_string();
     let headers = [
         ("Host", host.as_str()),
         ("Content-Type", "application/json"),
         ("Connection", "close"),
     ];
+    let start = format!("POST {path} HTTP/1.1");
     http::write(&mut stream, &start, &headers, body.as_bytes()).ok()?;
     let response = Reader::new(stream).message(true).ok()?;
     (response.status() == 200).then_some(())
