Connections: a daemon's close lingers until the caller has closed

What callers saw: responses that their targets had given whole broke off with a reset, and those behind them on the connection never arrived.

Cause: serve_connection dropped the socket as soon as hyper had written the last response. The kernel resets a connection on which bytes arrive after the close, or that is closed with bytes unread, and discards the send queue with it.

Change: the close shuts down the writing side, then reads and discards until the caller closes (RFC 9112, section 9.6). It covers every end of a caller's connection: responses that close, refusals before the body of an upload has been read, unreadable heads, evictions, bytes beyond the read-ahead bounds. An idle connection with an empty send queue closes at once, as before. A lingering connection keeps its place under the cap; up to an eighth of the places idle ones are evicted first, beyond that the one that lingers for longest. What is discarded has not run.

Weighed: keeping connections open after refusals would leave thousands of idle connections per host to the idle timeout, which the close exists to avoid.

--- a/src/calls/callers.rs
+++ b/src/calls/callers.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 
 use crate::calls::connections::{Connections, Decision, Id};
 
@@ -23,7 +23,7 @@
 struct State {
     connections: Connections,
     /// Sorted by id.
-    evictions: Vec<(Id, oneshot::Sender<()>)>,
+    evictions: Vec<(Id, Arc<Notify>)>,
 }
 
 impl Callers {
@@ -56,13 +56,10 @@
             return None;
         };
         if let Some(evicted) = evicted {
-            metrics::counter!("jackdaw_idle_connections_closed_total").increment(1);
-            if let Ok(index) = state.evictions.binary_search_by_key(&evicted, |c| c.0) {
-                let _ = state.evictions.remove(index).1.send(());
-            }
+            state.evict(evicted);
         }
-        let (sender, eviction) = oneshot::channel();
-        state.evictions.push((id, sender));
+        let eviction = Arc::new(Notify::new());
+        state.evictions.push((id, Arc::clone(&eviction)));
         Some(Connection {
             guard: ConnectionGuard {
                 callers: Arc::clone(self),
@@ -77,11 +74,20 @@
     }
 }
 
+impl State {
+    fn evict(&self, id: Id) {
+        if let Ok(index) = self.evictions.binary_search_by_key(&id, |c| c.0) {
+            metrics::counter!("jackdaw_idle_connections_closed_total").increment(1);
+            self.evictions[index].1.notify_one();
+        }
+    }
+}
+
 /// An admitted connection; its place is freed on drop.
 #[derive(Debug)]
 pub struct Connection {
     guard: ConnectionGuard,
-    eviction: oneshot::Receiver<()>,
+    eviction: Arc<Notify>,
 }
 
 impl Connection {
@@ -94,10 +100,17 @@
         }
     }
 
-    /// Waits until the connection is evicted.
-    pub async fn evicted(&mut self) {
-        if (&mut self.eviction).await.is_err() {
-            std::future::pending::<()>().await;
+    /// Waits until the connection is evicted. Once it lingers, it may be evicted again.
+    pub async fn evicted(&self) {
+        self.eviction.notified().await;
+    }
+
+    /// Records that the connection lingers, which may evict another one.
+    pub fn linger(&self) {
+        let mut state = self.guard.callers.state();
+        let evicted = state.connections.linger(self.guard.id, Instant::now());
+        if let Some(evicted) = evicted {
+            state.evict(evicted);
         }
     }
 }
--- a/src/calls/connections.rs
+++ b/src/calls/connections.rs
@@ -4,6 +4,11 @@
 //! requests. [`Connections`] limits how many are open: a new connection evicts the one that has
 //! been idle longest. It is a state machine without I/O; the server closes the evicted connections.
 //!
+//! A connection that [lingers](crate::linger) keeps its place. Evicting it may lose a response, while
+//! an idle connection costs its caller a new one, so a part of the places is left to lingering
+//! connections. Beyond that part they are evicted first, so that callers who do not close their
+//! connections after a refusal take no places of others.
+//!
 //! ```
 //! use std::time::{Duration, Instant};
 //! use jackdawpulley::calls::connections::{Connections, Decision};
@@ -19,6 +24,9 @@
 
 use std::time::Instant;
 
+/// Divisor of the capacity: idle connections are evicted first while at most that part lingers.
+const LINGERING_DIVISOR: usize = 8;
+
 /// Number of a connection, unique on its listener.
 pub type Id = u64;
 
@@ -29,7 +37,7 @@
     Accept {
         /// Its identifier.
         id: Id,
-        /// The idle connection that was evicted for it and is to be closed.
+        /// The idle or lingering connection that was evicted for it and is to be closed.
         evicted: Option<Id>,
     },
     /// Every open connection carries a request; the new one waits until one is idle or closed.
@@ -42,7 +50,9 @@
     id: Id,
     /// Requests in progress.
     requests: u32,
+    /// When the last request ended or the connection began to linger.
     idle_since: Instant,
+    is_lingering: bool,
 }
 
 /// Open connections of callers.
@@ -65,20 +75,26 @@
         }
     }
 
-    /// Number of open connections.
+    /// Number of open connections, lingering ones included.
     #[must_use]
     pub const fn count(&self) -> usize {
         self.open.len()
     }
 
-    /// Registers a new connection, evicting an idle one if the set is full.
+    /// Registers a new connection, evicting an idle or lingering one if the set is full.
     ///
     /// Guards against idle connections that use up all file descriptors: an idle daemon could not
     /// accept new callers, and these would time out.
     pub fn open(&mut self, now: Instant) -> Decision {
         let mut evicted = None;
         if self.open.len() >= self.capacity {
-            let Some(index) = self.longest_idle() else {
+            let lingering = self.longest(true);
+            let victim = if self.has_reserve() {
+                self.longest(false).or(lingering)
+            } else {
+                lingering
+            };
+            let Some(index) = victim else {
                 return Decision::Full;
             };
             evicted = Some(self.open.remove(index).id);
@@ -88,6 +104,7 @@
             id: self.last_id,
             requests: 0,
             idle_since: now,
+            is_lingering: false,
         });
         Decision::Accept {
             id: self.last_id,
@@ -111,6 +128,31 @@
         }
     }
 
+    /// Records that a connection lingers; returns another one that is evicted for it.
+    ///
+    /// A connection that has been evicted while idle, so that its place is taken, exceeds the
+    /// capacity within the part for lingering connections.
+    pub fn linger(&mut self, id: Id, now: Instant) -> Option<Id> {
+        let mut evicted = None;
+        if self.find(id).is_none() {
+            if self.open.len() >= self.capacity && !self.has_reserve() {
+                evicted = self.longest(true).map(|index| self.open.remove(index).id);
+            }
+            let index = self.index_of(id).unwrap_or_else(|index| index);
+            let connection = Connection {
+                id,
+                requests: 0,
+                idle_since: now,
+                is_lingering: true,
+            };
+            self.open.insert(index, connection);
+        } else if let Some(connection) = self.find(id) {
+            connection.idle_since = now;
+            connection.is_lingering = true;
+        }
+        evicted
+    }
+
     /// Removes a closed connection.
     pub fn close(&mut self, id: Id) {
         if let Ok(index) = self.index_of(id) {
@@ -118,9 +160,21 @@
         }
     }
 
-    fn longest_idle(&self) -> Option<usize> {
-        let idle = self.open.iter().enumerate();
-        idle.filter(|(_, connection)| connection.requests == 0)
+    /// Whether one more connection may linger before lingering ones are evicted first.
+    fn has_reserve(&self) -> bool {
+        let lingering = self
+            .open
+            .iter()
+            .filter(|connection| connection.is_lingering);
+        lingering.count() < (self.capacity / LINGERING_DIVISOR).max(1)
+    }
+
+    /// The connection without requests that has been idle, or has been lingering, for longest.
+    fn longest(&self, is_lingering: bool) -> Option<usize> {
+        let connections = self.open.iter().enumerate();
+        connections
+            .filter(|(_, connection)| connection.is_lingering == is_lingering)
+            .filter(|(_, connection)| connection.requests == 0)
             .min_by_key(|(_, connection)| connection.idle_since)
             .map(|(index, _)| index)
     }
--- a/src/calls/http_server.rs
+++ b/src/calls/http_server.rs
@@ -4,15 +4,15 @@
 //! served here on hyper, connection by connection.
 
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::task::Poll;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioTimer;
 use metrics::counter;
 use tokio::net::{TcpListener, TcpStream};
@@ -27,7 +27,9 @@
 use crate::calls::pipeline::budget::Budget;
 use crate::calls::pipeline::connection::{Connection, Handler};
 use crate::calls::pipeline::reader::Reader;
+use crate::calls::stream::BoxError;
 use crate::configuration::document::Bounds;
+use crate::linger::{self, End, Linger};
 use crate::shared_state::SharedState;
 use crate::units::Version;
 
@@ -124,8 +126,8 @@
 
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
-    mut admitted: callers::Connection,
-    mut phases: watch::Receiver<Phase>,
+    admitted: callers::Connection,
+    phases: watch::Receiver<Phase>,
     bounds_source: BoundsSource,
     shared: Arc<Connection<H>>,
 ) {
@@ -142,20 +144,58 @@
         .timer(TokioTimer::new())
         .header_read_timeout(read_timeout)
         .max_buf_size(max_head);
-    let mut connection = pin!(builder.serve_connection(reader, service));
-    // Any other error means that the caller closed the connection; its requests were dropped with
-    // it.
-    tokio::select! {
-        ended = connection.as_mut() => {
-            if ended.is_err_and(|error| error.is_parse()) {
-                counter!("jackdaw_unreadable_requests_total").increment(1);
-            }
-            return;
+    let mut connection = builder.serve_connection(reader, service);
+    let mut answered_at = None;
+    {
+        let closing = wait_for_closing(&admitted, phases, &bounds_source, bounds);
+        // Any other error means that the caller closed the connection; its requests were dropped
+        // with it.
+        if let Err(error) = run(&mut connection, closing, &shared).await
+            && error.is_parse()
+        {
+            counter!("jackdaw_unreadable_requests_total").increment(1);
+            // hyper has refused the request itself.
+            answered_at = Some(Instant::now());
         }
+    }
+    let stream = connection.into_parts().io.into_stream();
+    let answered_at = answered_at.or_else(|| shared.answered_at());
+    drop(shared);
+    close(stream, &admitted, answered_at).await;
+}
+
+/// Waits until a connection is to be closed after the response in progress.
+async fn wait_for_closing(
+    admitted: &callers::Connection,
+    mut phases: watch::Receiver<Phase>,
+    bounds_source: &BoundsSource,
+    bounds: Bounds,
+) {
+    tokio::select! {
         () = wait_for_phase(&mut phases, Phase::Ending) => {}
         () = admitted.evicted() => {}
         () = bounds_source.wait_for_larger_head(bounds.max_head) => {}
     }
+}
+
+/// Serves a connection until it ends or, once `closing` is ready, the response in progress and those
+/// of calls started early are written.
+async fn run<H, S, B>(
+    connection: &mut http1::Connection<Reader<H>, S>,
+    closing: impl Future<Output = ()>,
+    shared: &Connection<H>,
+) -> hyper::Result<()>
+where
+    H: Handler,
+    S: HttpService<Incoming, ResBody = B>,
+    S::Error: Into<BoxError>,
+    B: http_body::Body + 'static,
+    B::Error: Into<BoxError>,
+{
+    tokio::select! {
+        ended = &mut *connection => return ended,
+        () = closing => {}
+    }
     // hyper closes after the response in progress, so calls started early are answered first. They
     // leave the queue only while the connection is polled, in this task.
     shared.close();
@@ -168,11 +208,34 @@
     });
     tokio::select! {
         biased;
-        _ = connection.as_mut() => return,
+        ended = &mut *connection => return ended,
         () = taken => {}
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    Pin::new(&mut *connection).graceful_shutdown();
+    connection.await
+}
+
+/// Closes a connection on which everything has been written, the last response at `answered_at`.
+///
+/// A request that the caller sent before it could know of the close would otherwise reset the
+/// connection, and responses that are still being delivered would be lost. What is discarded has
+/// not run.
+async fn close(
+    mut stream: TcpStream,
+    admitted: &callers::Connection,
+    answered_at: Option<Instant>,
+) {
+    let idle = answered_at.map_or(Duration::MAX, |at| at.elapsed());
+    if !linger::is_needed(idle, linger::queued(&stream)) {
+        return;
+    }
+    admitted.linger();
+    let mut linger = Linger::new(&stream);
+    let end = tokio::select! {
+        end = std::future::poll_fn(|cx| linger.poll(&mut stream, cx)) => end,
+        () = admitted.evicted() => End::Evicted,
+    };
+    counter!("jackdaw_lingering_closes_total", "end" => <&str>::from(end)).increment(1);
 }
 
 /// Waits for a phase, forever if its sender is gone.
@@ -186,7 +249,7 @@
 pub fn router_handler(
     router: Router,
     address: SocketAddr,
-) -> impl Fn(Request<Body>) -> std::pin::Pin<Box<dyn Future<Output = Response<Body>> + Send>> {
+) -> impl Fn(Request<Body>) -> Pin<Box<dyn Future<Output = Response<Body>> + Send>> {
     let router = Arc::new(router);
     move |request| {
         let router = Arc::clone(&router);
--- a/src/calls/pipeline/connection.rs
+++ b/src/calls/pipeline/connection.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Waker};
+use std::time::Instant;
 
 use futures_util::future::{Either, FutureExt, TryFutureExt};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
@@ -71,6 +72,8 @@
     turns: Turns<Started>,
     /// Woken after a response if bytes are kept behind its request.
     reader: Option<Waker>,
+    /// When the last response was complete.
+    answered_at: Option<Instant>,
 }
 
 /// A call that was started early.
@@ -130,6 +133,12 @@
         self.state().turns.progress(number)
     }
 
+    /// When the last response was complete; `None` if there was none.
+    #[must_use]
+    pub fn answered_at(&self) -> Option<Instant> {
+        self.state().answered_at
+    }
+
     /// Wakes the reader after the next response, since bytes are kept behind its request.
     pub fn wake_after_response(&self, cx: &Context<'_>) {
         let mut state = self.state();
@@ -270,6 +279,7 @@
     fn drop(&mut self) {
         let mut state = self.0.state();
         state.turns.answer();
+        state.answered_at = Some(Instant::now());
         let reader = state.reader.take();
         drop(state);
         if let Some(reader) = reader {
--- a/src/calls/pipeline/reader.rs
+++ b/src/calls/pipeline/reader.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// The socket, without the bytes that have been read from it.
+    #[must_use]
+    pub fn into_stream(self) -> TcpStream {
+        self.io.into_inner()
+    }
+
     /// Reads behind the request in service and starts what may start. It never gives bytes to
     /// hyper, but reports the end of the connection.
     fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod extension;
 pub mod http_client;
 pub mod idempotency;
+pub mod linger;
 pub mod membership;
 pub mod operation;
 pub mod quarantine;
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -32,6 +32,67 @@
     assert!(!connections.begin(2), "it has been evicted");
 }
 
+fn open(connections: &mut Connections, now: Instant) -> (Id, Option<Id>) {
+    match connections.open(now) {
+        Decision::Accept { id, evicted } => (id, evicted),
+        Decision::Full => panic!("a connection is idle or lingers"),
+    }
+}
+
+/// Guards against responses that are lost since their connections are evicted while they linger,
+/// although idle connections could be evicted.
+#[test]
+fn idle_before_lingering() {
+    let now = Instant::now();
+    let mut connections = Connections::new(CAPACITY);
+    for id in 1..=CAPACITY as Id {
+        assert_eq!(open(&mut connections, now), (id, None));
+    }
+    assert_eq!(connections.linger(1, now), None);
+    let (_, evicted) = open(&mut connections, now);
+    assert_eq!(evicted, Some(1), "the reserve of one place is in use");
+    assert_eq!(open(&mut connections, now).1, Some(2));
+}
+
+/// Guards against callers that leave closing connections open and take the places of others.
+#[test]
+fn lingering_beyond_reserve() {
+    let start = Instant::now();
+    let mut connections = Connections::new(16);
+    for _ in 0..16 {
+        open(&mut connections, start);
+    }
+    for id in [3, 9, 4] {
+        let now = start + Duration::from_millis(id);
+        assert_eq!(connections.linger(id, now), None, "it keeps its place");
+    }
+    assert_eq!(open(&mut connections, start).1, Some(3), "longest");
+    assert_eq!(open(&mut connections, start).1, Some(4));
+    assert_eq!(open(&mut connections, start).1, Some(1), "idle");
+}
+
+/// Guards against an evicted connection that may not deliver its last response, and against any
+/// number of them.
+#[test]
+fn lingering_after_eviction() {
+    let now = Instant::now();
+    let mut connections = Connections::new(16);
+    for _ in 0..16 {
+        open(&mut connections, now);
+    }
+    for id in 1..=3 {
+        assert_eq!(open(&mut connections, now).1, Some(id));
+    }
+    for id in 1..=3 {
+        let later = now + Duration::from_millis(id);
+        let evicted = connections.linger(id, later);
+        assert_eq!(evicted, (id == 3).then_some(1));
+    }
+    assert_eq!(connections.count(), 16 + 2, "the reserve is an eighth");
+    assert_eq!(open(&mut connections, now).1, Some(2));
+    assert_eq!(connections.count(), 16 + 2);
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Open,
