Shutdown: the process waits until responses have been delivered

What callers saw: a response that its daemon had counted as answered was reset with the end of the process. It takes a caller whose link needs longer than some 100 ms for what is in the send queue, and one more request on the connection.

Cause: a call counted as in flight until hyper had taken its body. The process then slept 50 ms, twice, and exited. What hyper had not yet written was lost; what was in the send queue of a socket was lost if anything had arrived on it, since the kernel resets such a socket. A close that lingers in a task ends with the process as well.

Change: a response counts as in flight until hyper has flushed it to the socket, a closing connection until its close has ended, on every listener. finish_calls waits for both, within the drain limit as before. An idle connection with an empty send queue closes at once, so a process with nothing to deliver stops as early as before (process_end_ignores_idle_callers); a caller who reads nothing keeps it for 2 s (deaf_caller_does_not_keep_process).

--- a/src/calls/http_server.rs
+++ b/src/calls/http_server.rs
@@ -15,6 +15,7 @@
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioTimer;
 use metrics::counter;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use volo::Service;
@@ -86,8 +87,10 @@
 
 /// Serves `handler` on `listener` within the bounds of `bounds_source`.
 ///
-/// `callers` limits the number of connections.
+/// `callers` limits the number of connections. Responses count as in flight until they have been
+/// written and, on a connection that closes, delivered.
 pub async fn serve<H: Handler>(
+    shared: Arc<SharedState>,
     listener: TcpListener,
     callers: Arc<Callers>,
     phases: watch::Receiver<Phase>,
@@ -108,8 +111,12 @@
             Ok((stream, _)) => {
                 let admitted = callers.admit().await;
                 let requests = admitted.requests();
-                let connection =
-                    Connection::new(Arc::clone(&handler), requests, Arc::clone(&budget));
+                let connection = Connection::new(
+                    Arc::clone(&handler),
+                    Arc::clone(&shared),
+                    requests,
+                    Arc::clone(&budget),
+                );
                 let serving = serve_connection(
                     stream,
                     admitted,
@@ -145,7 +152,7 @@
         .header_read_timeout(read_timeout)
         .max_buf_size(max_head);
     let mut connection = builder.serve_connection(reader, service);
-    let mut answered_at = None;
+    let mut refused_at = None;
     {
         let closing = wait_for_closing(&admitted, phases, &bounds_source, bounds);
         // Any other error means that the caller closed the connection; its requests were dropped
@@ -155,13 +162,14 @@
         {
             counter!("jackdaw_unreadable_requests_total").increment(1);
             // hyper has refused the request itself.
-            answered_at = Some(Instant::now());
+            refused_at = Some(Instant::now());
         }
     }
-    let stream = connection.into_parts().io.into_stream();
-    let answered_at = answered_at.or_else(|| shared.answered_at());
+    let _closing = shared.track();
+    let written_at = refused_at.or_else(|| shared.written_at());
     drop(shared);
-    close(stream, &admitted, answered_at).await;
+    let stream = connection.into_parts().io.into_stream();
+    close(stream, &admitted, written_at).await;
 }
 
 /// Waits until a connection is to be closed after the response in progress.
@@ -215,17 +223,17 @@
     connection.await
 }
 
-/// Closes a connection on which everything has been written, the last response at `answered_at`.
+/// Closes a connection on which everything has been written, the last response at `written_at`.
 ///
 /// A request that the caller sent before it could know of the close would otherwise reset the
 /// connection, and responses that are still being delivered would be lost. What is discarded has
 /// not run.
-async fn close(
-    mut stream: TcpStream,
-    admitted: &callers::Connection,
-    answered_at: Option<Instant>,
-) {
-    let idle = answered_at.map_or(Duration::MAX, |at| at.elapsed());
+async fn close(mut stream: TcpStream, admitted: &callers::Connection, written_at: Option<Instant>) {
+    let idle = written_at.map_or(Duration::MAX, |at| at.elapsed());
+    if stream.shutdown().await.is_err() {
+        // The caller has closed the connection, or it was lost.
+        return;
+    }
     if !linger::is_needed(idle, linger::queued(&stream)) {
         return;
     }
--- a/src/calls/ingress.rs
+++ b/src/calls/ingress.rs
@@ -25,7 +25,7 @@
 use crate::membership::roster::Upstream;
 use crate::quota::Allowance;
 use crate::quota::limiter::{Admission, Refusal};
-use crate::shared_state::{InFlight, SharedState, Snapshot};
+use crate::shared_state::{SharedState, Snapshot};
 use crate::teams::directory::Caller;
 use crate::units::{Millis, Service, Version};
 
@@ -468,10 +468,6 @@
     fn admit_early(&self, request: &mut Request<Body>) -> bool {
         self.may_start_early(request)
     }
-
-    fn track_waiting(&self) -> Option<InFlight> {
-        Some(self.shared.track_call())
-    }
 }
 
 /// Time until `until` in whole seconds, at least one.
--- a/src/calls/pipeline/connection.rs
+++ b/src/calls/pipeline/connection.rs
@@ -17,7 +17,7 @@
 use crate::calls::pipeline::task::{Task, buffer};
 use crate::calls::pipeline::turns::{Ending, Progress, Turns};
 use crate::calls::stream::Guarded;
-use crate::shared_state::InFlight;
+use crate::shared_state::{InFlight, SharedState};
 
 /// Serves the requests of connections.
 pub trait Handler: Send + Sync + 'static {
@@ -34,11 +34,6 @@
     fn admit_early(&self, _request: &mut Request<Body>) -> bool {
         false
     }
-
-    /// Counts a response that waits for its turn as in flight until the guard is dropped.
-    fn track_waiting(&self) -> Option<InFlight> {
-        None
-    }
 }
 
 impl<H, F> Handler for H
@@ -62,6 +57,7 @@
 #[derive(Debug)]
 pub struct Connection<H> {
     handler: Arc<H>,
+    shared: Arc<SharedState>,
     requests: RequestCounter,
     budget: Arc<Budget>,
     state: Mutex<State>,
@@ -72,8 +68,10 @@
     turns: Turns<Started>,
     /// Woken after a response if bytes are kept behind its request.
     reader: Option<Waker>,
-    /// When the last response was complete.
-    answered_at: Option<Instant>,
+    /// Counts the connection as in flight while a response is complete and not yet written.
+    writing: Option<InFlight>,
+    /// When everything had last been written.
+    written_at: Option<Instant>,
 }
 
 /// A call that was started early.
@@ -89,14 +87,20 @@
 }
 
 /// What a response that waits for its turn holds until it has been written.
-type Held = (Option<InFlight>, Option<Charge>);
+type Held = (InFlight, Option<Charge>);
 
 impl<H: Handler> Connection<H> {
     /// A new connection.
     #[must_use]
-    pub fn new(handler: Arc<H>, requests: RequestCounter, budget: Arc<Budget>) -> Arc<Self> {
+    pub fn new(
+        handler: Arc<H>,
+        shared: Arc<SharedState>,
+        requests: RequestCounter,
+        budget: Arc<Budget>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             handler,
+            shared,
             requests,
             budget,
             state: Mutex::default(),
@@ -133,10 +137,27 @@
         self.state().turns.progress(number)
     }
 
-    /// When the last response was complete; `None` if there was none.
+    /// Counts the connection as in flight until the guard is dropped.
     #[must_use]
-    pub fn answered_at(&self) -> Option<Instant> {
-        self.state().answered_at
+    pub fn track(&self) -> InFlight {
+        self.shared.track_call()
+    }
+
+    /// Records that everything has been written to the socket.
+    pub fn record_written(&self) {
+        let mut state = self.state();
+        let written = state.writing.take();
+        if written.is_some() {
+            state.written_at = Some(Instant::now());
+        }
+        drop(state);
+        drop(written);
+    }
+
+    /// When the last response had been written to the socket; `None` if there was none.
+    #[must_use]
+    pub fn written_at(&self) -> Option<Instant> {
+        self.state().written_at
     }
 
     /// Wakes the reader after the next response, since bytes are kept behind its request.
@@ -181,11 +202,11 @@
         }
         metrics::counter!("jackdaw_requests_started_early_total").increment(1);
         let response = Arc::clone(&self.handler).respond(request);
-        let (handler, budget) = (Arc::clone(&self.handler), Arc::clone(&self.budget));
+        let (shared, budget) = (Arc::clone(&self.shared), Arc::clone(&self.budget));
         let work = response.then(|response| async move {
             // The response's own guards are dropped once its body is buffered, but a shutdown has
             // to wait until it has been written.
-            let in_flight = handler.track_waiting();
+            let in_flight = shared.track_call();
             let (response, charge) = buffer(response, budget).await;
             (response, (in_flight, charge))
         });
@@ -208,7 +229,7 @@
         request: Request<Incoming>,
     ) -> impl Future<Output = Result<Response<Body>, JoinError>> {
         let started = self.take(&request);
-        let turn = Turn(Arc::clone(&self));
+        let connection = Arc::clone(&self);
         // Combinators, since an async block would hold the handler's large future twice.
         let responding = if let Some(started) = started {
             let Started {
@@ -230,6 +251,10 @@
         responding.map_ok(move |(mut response, guards)| {
             self.decide_closing(&mut response);
             let (parts, body) = response.into_parts();
+            let turn = Turn {
+                writing: Some(connection.track()),
+                connection,
+            };
             Response::from_parts(parts, Guarded::wrap(body, (guards, turn)))
         })
     }
@@ -272,16 +297,20 @@
     }
 }
 
-/// Turn of a request, which ends when its response has been written.
-struct Turn<H: Handler>(Arc<Connection<H>>);
+/// Turn of a request, which ends when hyper has taken the whole response.
+struct Turn<H: Handler> {
+    connection: Arc<Connection<H>>,
+    writing: Option<InFlight>,
+}
 
 impl<H: Handler> Drop for Turn<H> {
     fn drop(&mut self) {
-        let mut state = self.0.state();
+        let mut state = self.connection.state();
         state.turns.answer();
-        state.answered_at = Some(Instant::now());
+        let earlier = std::mem::replace(&mut state.writing, self.writing.take());
         let reader = state.reader.take();
         drop(state);
+        drop(earlier);
         if let Some(reader) = reader {
             reader.wake();
         }
--- a/src/calls/pipeline/reader.rs
+++ b/src/calls/pipeline/reader.rs
@@ -187,7 +187,11 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().io).poll_flush(cx)
+        let this = self.get_mut();
+        ready!(Pin::new(&mut this.io).poll_flush(cx))?;
+        // hyper flushes once its own buffer is empty.
+        this.connection.record_written();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -331,6 +331,7 @@
         let phase = watch::Sender::new(Phase::Open).subscribe();
         let routed = http_server::router_handler(router, address);
         tokio::spawn(http_server::serve(
+            Arc::clone(shared),
             listener,
             Callers::new(MAX_LOCAL_CONNECTIONS),
             phase,
@@ -372,6 +373,6 @@
         }
     };
     let callers = Callers::new(shared.settings.callers);
-    let bounds = http_server::BoundsSource::Active(shared);
-    http_server::serve(listener, callers, phase, bounds, ingress).await;
+    let bounds = http_server::BoundsSource::Active(Arc::clone(&shared));
+    http_server::serve(shared, listener, callers, phase, bounds, ingress).await;
 }
--- a/src/linger.rs
+++ b/src/linger.rs
@@ -123,13 +123,14 @@
     }
 }
 
-/// Number of bytes in the send queue of a connection that its peer has not acknowledged; `None` if
-/// the system does not tell.
+/// Number of bytes in the send queue of a connection, whose writing side is closed, that its peer has
+/// not acknowledged; `None` if the system does not tell.
 #[must_use]
 pub fn queued(stream: &TcpStream) -> Option<usize> {
     // SAFETY: SIOCOUTQ writes one `c_int` and changes nothing.
     let queued = unsafe { ioctl(stream, Getter::<SIOCOUTQ, c_int>::new()) };
-    usize::try_from(queued.ok()?).ok()
+    // The end of the stream counts as one byte.
+    Some(usize::try_from(queued.ok()?).ok()?.saturating_sub(1))
 }
 
 /// The lingering close of a connection, polled until it is complete.
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -1,7 +1,9 @@
 //! Graceful shutdown of a daemon.
 //!
 //! The daemon announces the shutdown at once, still accepts its callers' requests for a while,
-//! closes their connections after a response, and exits when no call is in flight.
+//! closes their connections after a response, and exits when no call is in flight. A call is in
+//! flight until its response has been delivered: whatever is in a socket's send queue when the
+//! process ends is lost if the peer has sent anything that was not read.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -43,8 +45,9 @@
 /// Time for writing the responses of aborted calls, also over slow links. Together with the drain
 /// limit it fits into the time that the platform grants a shutdown.
 const ABORTED_RESPONSES_WAIT: Duration = Duration::from_millis(150);
-/// Time between the last response and the end of the process.
-const RESPONSE_FLUSH_WAIT: Duration = Duration::from_millis(50);
+/// Time in which connections that are told to close begin to do so, from when on they count as in
+/// flight.
+const CLOSE_WAIT: Duration = Duration::from_millis(50);
 
 /// Signals that the process handles, each received from [`Signals::install`] on.
 #[derive(Debug)]
@@ -159,7 +162,7 @@
         self.finish_calls(began).await;
     }
 
-    /// Waits until all calls are answered and the responses written; aborts calls at the drain limit.
+    /// Waits until all calls are answered and the responses delivered; aborts calls at the drain limit.
     ///
     /// Guards against a request that outlasts the shutdown, such as a body still arriving over a slow
     /// link: its connection would close without a response, and its caller could not tell whether
@@ -178,8 +181,7 @@
                 shared.wait_until_idle(ABORTED_RESPONSES_WAIT).await;
                 return;
             }
-            // The connections have the last responses and write them within this time.
-            tokio::time::sleep(RESPONSE_FLUSH_WAIT).await;
+            tokio::time::sleep(CLOSE_WAIT).await;
             if shared.in_flight() == 0 {
                 return;
             }
