Links: a daemon that ends closes the connections of its peers in order

What callers saw: a response that a daemon passed on for another host broke off, so that its caller was told that the outcome is unknown, or got part of a body.

Cause: peer::Server accepted until the process was gone and closed nothing. A response counted as in flight until h2 had taken its last bytes; what was in the send queue was reset with the process if the peer had sent a window update, a ping or a new stream in the meantime, as peers do while they receive.

Change: once the daemon has left the membership, its server sends GOAWAY on each connection, serves the streams that are open, closes the writing side and lingers (MeteredStream::lingering) until the peer has closed as well. A connection counts as in flight meanwhile if anything was sent on it in the last 2 s, and is given up after 2 s, so that a peer that is gone does not delay the end (idle_peers_do_not_delay_end).

Ruled out: treating streams above the last one of a GOAWAY as not run. The first GOAWAY names no stream, so a peer has none to send again.

Test: link_delivers_responses fails on the commit before (the process has ended; with that check left out, the response breaks off with ECONNRESET).

--- a/src/calls/http_server.rs
+++ b/src/calls/http_server.rs
@@ -247,7 +247,7 @@
 }
 
 /// Waits for a phase, forever if its sender is gone.
-async fn wait_for_phase(phases: &mut watch::Receiver<Phase>, wanted: Phase) {
+pub async fn wait_for_phase(phases: &mut watch::Receiver<Phase>, wanted: Phase) {
     if phases.wait_for(|phase| *phase >= wanted).await.is_err() {
         std::future::pending::<()>().await;
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -42,7 +42,7 @@
 use crate::settings::Settings;
 use crate::shared_state::SharedState;
 pub use crate::shutdown::{EXIT_INTERRUPTED, EXIT_STOPPED};
-use crate::shutdown::{Shutdown, Signals};
+use crate::shutdown::{Phases, Shutdown, Signals};
 use crate::telemetry;
 use crate::units::{Generation, Millis};
 
@@ -142,10 +142,7 @@
         shared.settings.peer_addr.ip(),
         Arc::clone(&shared.meter),
     ));
-    let (log, source) = sources(&shared, control_plane.as_ref());
-    let archive = control_plane
-        .clone()
-        .map_or_else(|| Archive::Log(log.clone()), Archive::Platform);
+    let (log, source, archive) = sources(&shared, control_plane.as_ref());
     let relay = Arc::new(Relay::new(
         Arc::clone(&shared),
         Arc::clone(&store),
@@ -160,12 +157,14 @@
         log.clone(),
     ));
     let sidecar = Arc::new(Sidecar::new(Arc::clone(&shared), Arc::clone(&deduplicator)));
+    let phases = Phases::default();
     let server = Arc::new(Server {
         shared: Arc::clone(&shared),
         sidecar: Arc::clone(&sidecar),
         keys: Arc::clone(&deduplicator),
         relay: Arc::clone(&relay),
         membership: Arc::clone(&membership),
+        phase: phases.end.subscribe(),
     });
     let publisher = Publisher::new(
         Arc::clone(&shared),
@@ -174,9 +173,7 @@
         log.clone(),
     );
     let operator = operator(&shared, publisher, &sidecar, &deduplicator);
-    let endpoint = Arc::new(Endpoint::new(Arc::clone(&shared), Arc::clone(&membership)));
-    let verifying = Arc::clone(&endpoint);
-    tokio::spawn(async move { verifying.verify_claims().await });
+    let endpoint = endpoint(&shared, &membership);
     let contacts = Contacts {
         shared: Arc::clone(&shared),
         log,
@@ -205,9 +202,12 @@
     let refresher = Refresher::new(&shared, &membership, &reader);
 
     let listener = server.listen().await?;
-    let phase = watch::Sender::new(Phase::Open);
     serve_listeners(&shared, &endpoint, operator, listeners).await?;
-    tokio::spawn(serve_calls(Arc::clone(&shared), ingress, phase.subscribe()));
+    tokio::spawn(serve_calls(
+        Arc::clone(&shared),
+        ingress,
+        phases.callers.subscribe(),
+    ));
     tokio::spawn(server.run(listener));
     tokio::spawn(Arc::clone(&membership).run());
     tokio::spawn(relay.run());
@@ -221,7 +221,7 @@
         shared,
         membership,
         keys: deduplicator,
-        phase,
+        phases,
         control_plane,
         reload,
     };
@@ -259,6 +259,14 @@
     }
 }
 
+/// Receives the target's announcements and verifies those that contradict each other.
+fn endpoint(shared: &Arc<SharedState>, membership: &Arc<Membership>) -> Arc<Endpoint> {
+    let endpoint = Arc::new(Endpoint::new(Arc::clone(shared), Arc::clone(membership)));
+    let verifying = Arc::clone(&endpoint);
+    tokio::spawn(async move { verifying.verify_claims().await });
+    endpoint
+}
+
 /// Builds the operators' API.
 fn operator(
     shared: &Arc<SharedState>,
@@ -275,17 +283,22 @@
     })
 }
 
-/// The log, disabled if a control plane provides the configuration, and the source of the reader.
-fn sources(shared: &SharedState, control_plane: Option<&Arc<dyn ControlPlane>>) -> (Log, Source) {
+/// The log, disabled if a control plane provides the configuration, the source of the reader and the
+/// archive of quarantined requests.
+fn sources(
+    shared: &SharedState,
+    control_plane: Option<&Arc<dyn ControlPlane>>,
+) -> (Log, Source, Archive) {
     let (address, meter) = (shared.settings.log_addr, Arc::clone(&shared.meter));
     match control_plane {
         None => {
             let log = Log::new(address, meter);
-            (log.clone(), Source::Log(log))
+            (log.clone(), Source::Log(log.clone()), Archive::Log(log))
         }
         Some(control_plane) => (
             Log::disabled(address, meter),
             Source::ControlPlane(Arc::clone(control_plane)),
+            Archive::Platform(Arc::clone(control_plane)),
         ),
     }
 }
--- a/src/peer/metered_stream.rs
+++ b/src/peer/metered_stream.rs
@@ -1,4 +1,4 @@
-//! TCP stream that counts control bytes and records when it last received data.
+//! TCP stream that counts control bytes and records when it last received and sent data.
 
 use std::io;
 use std::pin::Pin;
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 
 use crate::clock;
+use crate::linger::Linger;
 use crate::telemetry::Meter;
 
 /// TCP stream that counts its bytes until it turns out to carry calls.
@@ -19,8 +20,20 @@
     meter: Option<Arc<Meter>>,
     /// When bytes were last received, in Unix milliseconds.
     last_received: Arc<AtomicU64>,
+    /// When bytes were last sent, in Unix milliseconds.
+    last_sent: Arc<AtomicU64>,
     /// Set once the stream turns out to carry calls, which are not control traffic.
     carries_calls: Arc<AtomicBool>,
+    closing: Closing,
+}
+
+/// How a stream is closed.
+#[derive(Debug)]
+enum Closing {
+    /// Its writing side alone.
+    Plain,
+    /// With a lingering close, so that the peer receives everything that has been written.
+    Lingers(Option<Linger>),
 }
 
 impl MeteredStream {
@@ -31,7 +44,18 @@
             stream,
             meter,
             last_received: Arc::new(AtomicU64::new(clock::unix_ms())),
+            last_sent: Arc::default(),
             carries_calls: Arc::default(),
+            closing: Closing::Plain,
+        }
+    }
+
+    /// Makes the stream linger when it is closed.
+    #[must_use]
+    pub fn lingering(self) -> Self {
+        Self {
+            closing: Closing::Lingers(None),
+            ..self
         }
     }
 
@@ -41,6 +65,12 @@
         Arc::clone(&self.last_received)
     }
 
+    /// When bytes were last sent, in Unix milliseconds.
+    #[must_use]
+    pub fn last_sent(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.last_sent)
+    }
+
     /// Flag that stops the counting when set.
     #[must_use]
     pub fn carries_calls(&self) -> Arc<AtomicBool> {
@@ -80,6 +110,9 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if polled.is_ready() {
+            self.last_sent.store(clock::unix_ms(), Ordering::Relaxed);
+        }
         if let (Poll::Ready(Ok(written)), Some(meter)) = (&polled, self.active_meter()) {
             meter.add_peer(*written);
         }
@@ -90,7 +123,16 @@
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Self {
+            stream, closing, ..
+        } = self.get_mut();
+        match closing {
+            Closing::Plain => Pin::new(stream).poll_shutdown(cx),
+            Closing::Lingers(linger) => {
+                let linger = linger.get_or_insert_with(|| Linger::new(stream));
+                linger.poll(stream, cx).map(|_| Ok(()))
+            }
+        }
     }
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -2,7 +2,8 @@
 
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use h2::server::SendResponse;
@@ -11,8 +12,10 @@
 use slog::debug;
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use volo_http::body::Body;
 
+use crate::calls::http_server::{self, Phase};
 use crate::calls::metadata::{METADATA, read_metadata};
 use crate::calls::sidecar::Sidecar;
 use crate::calls::stream::{self, Continue, Incoming, REQUEST_WINDOW_BYTES};
@@ -26,9 +29,9 @@
 use crate::membership::datagram::Join;
 use crate::peer::link::{CONNECTION_WINDOW_BYTES, read_body};
 use crate::peer::metered_stream::MeteredStream;
-use crate::shared_state::SharedState;
+use crate::shared_state::{InFlight, SharedState};
 use crate::units::Millis;
-use crate::{clock, wire};
+use crate::{clock, linger, wire};
 
 /// Path of a [`Join`].
 pub const JOIN_PATH: &str = "/control/join";
@@ -50,6 +53,26 @@
     pub relay: Arc<Relay>,
     /// Replies to joining daemons.
     pub membership: Arc<Membership>,
+    /// Closes the connections before the process ends.
+    pub phase: watch::Receiver<Phase>,
+}
+
+/// A connection that is being closed.
+struct Closing {
+    /// Keeps the process until the peer has received everything; `None` if nothing was sent to it
+    /// lately, since a peer that is gone must not delay the end of the process.
+    _in_flight: Option<InFlight>,
+    deadline: Instant,
+}
+
+impl Closing {
+    /// Waits until the peer may be given up.
+    async fn expired(closing: Option<&Self>) {
+        match closing {
+            Some(closing) => tokio::time::sleep_until(closing.deadline.into()).await,
+            None => std::future::pending().await,
+        }
+    }
 }
 
 impl Server {
@@ -84,8 +107,8 @@
 
     async fn connection(self: &Arc<Self>, stream: TcpStream) -> Result<(), h2::Error> {
         let _ = stream.set_nodelay(true);
-        let stream = MeteredStream::new(stream, Some(Arc::clone(&self.shared.meter)));
-        let carries_calls = stream.carries_calls();
+        let stream = MeteredStream::new(stream, Some(Arc::clone(&self.shared.meter))).lingering();
+        let (carries_calls, last_sent) = (stream.carries_calls(), stream.last_sent());
         let transit_delay = Arc::new(Estimator::default());
         let mut connection = h2::server::Builder::new()
             .initial_window_size(REQUEST_WINDOW_BYTES)
@@ -94,7 +117,22 @@
             .max_header_list_size(MAX_HEADER_BYTES)
             .handshake(stream)
             .await?;
-        while let Some(accepted) = connection.accept().await {
+        let mut phase = self.phase.clone();
+        let mut closing: Option<Closing> = None;
+        loop {
+            let accepted = tokio::select! {
+                accepted = connection.accept() => accepted,
+                () = http_server::wait_for_phase(&mut phase, Phase::Ending), if closing.is_none() => {
+                    // The peer closes the connection after its last stream.
+                    connection.graceful_shutdown();
+                    closing = Some(self.begin_close(&last_sent));
+                    continue;
+                }
+                () = Closing::expired(closing.as_ref()) => return Ok(()),
+            };
+            let Some(accepted) = accepted else {
+                return Ok(());
+            };
             let (request, respond) = accepted?;
             let server = Arc::clone(self);
             if request.headers().contains_key(METADATA) {
@@ -105,7 +143,15 @@
                 tokio::spawn(async move { server.control(request, respond).await });
             }
         }
-        Ok(())
+    }
+
+    fn begin_close(&self, last_sent: &AtomicU64) -> Closing {
+        let sent_ms = last_sent.load(Ordering::Relaxed);
+        let idle = Duration::from_millis(clock::unix_ms().saturating_sub(sent_ms));
+        Closing {
+            _in_flight: linger::is_needed(idle, None).then(|| self.shared.track_call()),
+            deadline: Instant::now() + linger::STALL_TIMEOUT,
+        }
     }
 
     /// Answers one control message; resets the stream of an invalid one, but keeps the connection.
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -76,6 +76,25 @@
     }
 }
 
+/// Phases of the daemon's servers.
+#[derive(Debug)]
+pub struct Phases {
+    /// Phase of the callers' connections.
+    pub callers: watch::Sender<Phase>,
+    /// Phase of all other connections, which close before the process ends: those of peers, operators
+    /// and the target.
+    pub end: watch::Sender<Phase>,
+}
+
+impl Default for Phases {
+    fn default() -> Self {
+        Self {
+            callers: watch::Sender::new(Phase::Open),
+            end: watch::Sender::new(Phase::Open),
+        }
+    }
+}
+
 /// Runs the graceful shutdown of a daemon.
 pub struct Shutdown {
     /// State shared by the daemon's controllers.
@@ -84,8 +103,8 @@
     pub membership: Arc<Membership>,
     /// Hands off this daemon's idempotency keys.
     pub keys: Arc<Deduplicator>,
-    /// Closes callers' connections.
-    pub phase: watch::Sender<Phase>,
+    /// Closes connections.
+    pub phases: Phases,
     /// The platform's control plane, which lists the daemons.
     pub control_plane: Option<Arc<dyn ControlPlane>>,
     /// Reads settings that have changed.
@@ -143,12 +162,12 @@
         shared.advance(Stage::Draining);
         self.membership.publish_own_entry().await;
         tokio::time::sleep_until((began + accept).into()).await;
-        self.phase.send_replace(Phase::Closed);
+        self.phases.callers.send_replace(Phase::Closed);
         // Guards against a connection accepted at the last moment: its request has not arrived yet,
         // so nothing is in flight, and it would be read and aborted a moment later.
         tokio::time::sleep(FIRST_REQUEST_WAIT).await;
         tokio::time::sleep_until((began + CONNECTION_LINGER).into()).await;
-        self.phase.send_replace(Phase::Ending);
+        self.phases.callers.send_replace(Phase::Ending);
         self.finish_calls(began).await;
         // A graceful shutdown must not look like a crash to the other daemons' key deduplicators.
         let handed_off = self.keys.hand_off().await;
@@ -158,6 +177,7 @@
             Health::Gone
         };
         self.membership.leave(health).await;
+        self.phases.end.send_replace(Phase::Ending);
         // Calls that arrived in the meantime are answered as well.
         self.finish_calls(began).await;
     }
