Local addresses: connections close in order before the process ends

What callers saw: a response to an operator, or the acknowledgement of a target's announcement, was reset with the process if another request stood behind it on the connection.

Cause: the phase of these listeners never changed, so that their connections ended with the process.

Change: their connections get the phase that also closes the links of peers, once the daemon has left the membership, and close as those of callers do: after the response in progress, lingering if anything may still be under way. Idle ones close at once.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -202,7 +202,7 @@
     let refresher = Refresher::new(&shared, &membership, &reader);
 
     let listener = server.listen().await?;
-    serve_listeners(&shared, &endpoint, operator, listeners).await?;
+    serve_listeners(&shared, &endpoint, operator, listeners, &phases.end).await?;
     tokio::spawn(serve_calls(
         Arc::clone(&shared),
         ingress,
@@ -325,6 +325,7 @@
     endpoint: &Arc<Endpoint>,
     operator: Arc<Operator>,
     listeners: Vec<Listener>,
+    phase: &watch::Sender<Phase>,
 ) -> Result<()> {
     let handles = Handles {
         shared: Arc::clone(shared),
@@ -340,14 +341,12 @@
     }
     for (address, router) in routers {
         let listener = bind(address).await?;
-        // Without a sender the phase stays open: these are served until the process exits.
-        let phase = watch::Sender::new(Phase::Open).subscribe();
         let routed = http_server::router_handler(router, address);
         tokio::spawn(http_server::serve(
             Arc::clone(shared),
             listener,
             Callers::new(MAX_LOCAL_CONNECTIONS),
-            phase,
+            phase.subscribe(),
             http_server::BoundsSource::Fixed(Bounds::default()),
             Arc::new(routed),
         ));
