Dispatch: a target's interim responses without end do not stop the daemon

Cause: hyper bounds the size of a head, not the number of interim responses before it. Its reads found more at any time, so that one poll of the connection parsed up to 128 buffers, and the next one began at once.

Change: a connection to the target fails once 64 KiB have come without a complete head, interim responses included, and its target is suspected like one that sends bytes beyond a response. The buffer that callers' connections share for reading serves these as well, and lingering closes.

--- a/src/calls/dispatch.rs
+++ b/src/calls/dispatch.rs
@@ -13,10 +13,10 @@
 use http::{HeaderMap, HeaderName, Request, Response, Uri, Version};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use volo_http::body::Body;
 
+use crate::calls::head_limit::{Budget, Limited};
 use crate::calls::outcome::Reason;
 
 /// Time allowed for connecting to the target. It is on the same host, so taking longer means that
@@ -52,10 +52,17 @@
     suspect_until: Option<Instant>,
 }
 
+/// Sends requests on a connection.
+#[derive(Debug)]
+struct Channel {
+    sender: SendRequest<Body>,
+    head: Arc<Budget>,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     target: SocketAddr,
-    sender: SendRequest<Body>,
+    channel: Channel,
     idle_since: Instant,
     /// When the target may close the connection.
     expires: Instant,
@@ -65,7 +72,7 @@
 #[derive(Debug)]
 pub struct Connection {
     target: SocketAddr,
-    sender: SendRequest<Body>,
+    channel: Channel,
     idle_timeout: Duration,
     pool: Arc<Mutex<Pool>>,
 }
@@ -100,10 +107,11 @@
         on_connection: &(dyn Fn() -> Result<(), Reason> + Sync),
     ) -> Result<(Response<Incoming>, Connection), Reason> {
         let mut request = origin_form(request);
-        while let Some(mut sender) = self.take_idle(target, repeatable) {
+        while let Some(mut channel) = self.take_idle(target, repeatable) {
             on_connection()?;
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, self.connection(target, sender))),
+            channel.head.begin();
+            match channel.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, self.connection(target, channel))),
                 // The request is returned only if none of it was written.
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -111,10 +119,11 @@
                 },
             }
         }
-        let mut sender = self.connect(target).await?;
+        let mut channel = self.connect(target).await?;
         on_connection()?;
-        match sender.send_request(request).await {
-            Ok(response) => Ok((response, self.connection(target, sender))),
+        channel.head.begin();
+        match channel.sender.send_request(request).await {
+            Ok(response) => Ok((response, self.connection(target, channel))),
             Err(error) if is_provably_unsent(&error) => Err(Reason::Unreachable),
             Err(_) => Err(Reason::Broken),
         }
@@ -137,21 +146,23 @@
         pool.idle.clear();
     }
 
-    fn connection(&self, target: SocketAddr, sender: SendRequest<Body>) -> Connection {
+    fn connection(&self, target: SocketAddr, channel: Channel) -> Connection {
+        channel.head.end();
         Connection {
             target,
-            sender,
+            channel,
             idle_timeout: self.idle_timeout,
             pool: Arc::clone(&self.pool),
         }
     }
 
     /// Takes the most recently used connection from the pool if it may carry the request.
-    fn take_idle(&self, target: SocketAddr, repeatable: bool) -> Option<SendRequest<Body>> {
+    fn take_idle(&self, target: SocketAddr, repeatable: bool) -> Option<Channel> {
         let now = Instant::now();
         let mut pool = lock(&self.pool);
-        pool.idle
-            .retain(|idle| idle.target == target && now < idle.expires && idle.sender.is_ready());
+        pool.idle.retain(|idle| {
+            idle.target == target && now < idle.expires && idle.channel.sender.is_ready()
+        });
         let suspect = pool.suspect_until.is_some_and(|until| now < until);
         let max_idle = if repeatable {
             self.idle_timeout
@@ -165,29 +176,32 @@
         if now.duration_since(last.idle_since) >= max_idle {
             return None;
         }
-        pool.idle.pop().map(|idle| idle.sender)
+        pool.idle.pop().map(|idle| idle.channel)
     }
 
-    async fn connect(&self, target: SocketAddr) -> Result<SendRequest<Body>, Reason> {
+    async fn connect(&self, target: SocketAddr) -> Result<Channel, Reason> {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(target));
         let Ok(Ok(stream)) = connecting.await else {
             return Err(Reason::Unreachable);
         };
         let _ = stream.set_nodelay(true);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let head = Arc::new(Budget::default());
+        let limited = Limited::new(stream, Arc::clone(&head));
+        let handshake = http1::Builder::new().handshake(limited).await;
         let (sender, connection) = handshake.map_err(|_| Reason::Unreachable)?;
-        let pool = Arc::clone(&self.pool);
+        let (pool, received) = (Arc::clone(&self.pool), Arc::clone(&head));
         tokio::spawn(async move {
             let Err(error) = connection.await else {
                 return;
             };
             // hyper closes a connection on bytes beyond a response; others may carry such bytes
             // too.
-            if error.is_parse() || error.to_string().contains("unexpected") {
+            let is_foreign = error.is_parse() || error.to_string().contains("unexpected");
+            if is_foreign || received.is_exhausted() {
                 lock(&pool).suspect_until = Some(Instant::now() + SUSPECT_PERIOD);
             }
         });
-        Ok(sender)
+        Ok(Channel { sender, head })
     }
 }
 
@@ -197,19 +211,19 @@
     pub fn release(self, headers: &HeaderMap) {
         let Self {
             target,
-            mut sender,
+            mut channel,
             idle_timeout,
             pool,
         } = self;
         let idle_timeout =
             keep_alive_timeout(headers).map_or(idle_timeout, |timeout| timeout.min(idle_timeout));
-        if sender.is_ready() {
-            put_back(&pool, target, sender, idle_timeout);
+        if channel.sender.is_ready() {
+            put_back(&pool, target, channel, idle_timeout);
             return;
         }
         tokio::spawn(async move {
-            if sender.ready().await.is_ok() {
-                put_back(&pool, target, sender, idle_timeout);
+            if channel.sender.ready().await.is_ok() {
+                put_back(&pool, target, channel, idle_timeout);
             }
         });
     }
@@ -227,18 +241,13 @@
     Some(timeout.saturating_sub(KEEP_ALIVE_MARGIN))
 }
 
-fn put_back(
-    pool: &Mutex<Pool>,
-    target: SocketAddr,
-    sender: SendRequest<Body>,
-    idle_timeout: Duration,
-) {
+fn put_back(pool: &Mutex<Pool>, target: SocketAddr, channel: Channel, idle_timeout: Duration) {
     let mut pool = lock(pool);
     if pool.idle.len() < MAX_IDLE_CONNECTIONS {
         let idle_since = Instant::now();
         pool.idle.push(IdleConnection {
             target,
-            sender,
+            channel,
             idle_since,
             expires: idle_since + idle_timeout,
         });
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -18,6 +18,7 @@
 pub mod dialect;
 pub(crate) mod dispatch;
 pub mod executor;
+pub(crate) mod head_limit;
 pub(crate) mod http_server;
 pub(crate) mod ingress;
 pub mod latency;
--- a/src/calls/pipeline/reader.rs
+++ b/src/calls/pipeline/reader.rs
@@ -1,6 +1,5 @@
 //! Reader between a socket and hyper, which passes on one request at a time.
 
-use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -8,7 +7,7 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, ReadBuf};
+use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
 use crate::calls::pipeline::budget::Charge;
@@ -16,11 +15,7 @@
 use crate::calls::pipeline::splitter::Splitter;
 use crate::calls::pipeline::turns::Progress;
 use crate::calls::pipeline::{MAX_KEPT_BYTES, Stop};
-
-thread_local! {
-    /// Bytes read from a socket, until they are passed on or kept.
-    static SCRATCH: RefCell<Box<[u8]>> = RefCell::new(vec![0; MAX_KEPT_BYTES].into_boxed_slice());
-}
+use crate::scratch;
 
 /// The bytes of one connection as hyper reads them.
 #[derive(Debug)]
@@ -82,7 +77,7 @@
                 return Poll::Pending;
             }
             let splitter = &mut self.splitter;
-            let received = poll_socket(&mut self.io, cx, room, |data| {
+            let received = scratch::poll_read(self.io.inner_mut(), cx, room, |data| {
                 splitter.receive(data);
                 data.len()
             });
@@ -123,22 +118,6 @@
     }
 }
 
-/// Reads up to `room` bytes from a socket and returns what `take` makes of them, 0 at its end.
-fn poll_socket(
-    io: &mut TokioIo<TcpStream>,
-    cx: &mut Context<'_>,
-    room: usize,
-    take: impl FnOnce(&[u8]) -> usize,
-) -> Poll<io::Result<usize>> {
-    SCRATCH.with_borrow_mut(|scratch| {
-        let room = room.min(scratch.len());
-        let mut read = ReadBuf::new(&mut scratch[..room]);
-        ready!(Pin::new(io.inner_mut()).poll_read(cx, &mut read))?;
-        let data = read.filled();
-        Poll::Ready(Ok(if data.is_empty() { 0 } else { take(data) }))
-    })
-}
-
 impl<H: Handler> Read for Reader<H> {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -164,11 +143,16 @@
         let kept = this.splitter.pass(buf.remaining());
         if kept.is_empty() {
             let splitter = &mut this.splitter;
-            ready!(poll_socket(&mut this.io, cx, buf.remaining(), |data| {
-                let passed = splitter.receive(data);
-                buf.put_slice(&data[..passed]);
-                passed
-            }))?;
+            ready!(scratch::poll_read(
+                this.io.inner_mut(),
+                cx,
+                buf.remaining(),
+                |data| {
+                    let passed = splitter.receive(data);
+                    buf.put_slice(&data[..passed]);
+                    passed
+                }
+            ))?;
         } else {
             buf.put_slice(&kept);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,6 +68,7 @@
 
 mod error;
 mod peer;
+mod scratch;
 mod shutdown;
 
 pub use configuration::document::Document;
--- a/src/linger.rs
+++ b/src/linger.rs
@@ -27,10 +27,12 @@
 
 use rustix::ioctl::{Getter, Opcode, ioctl};
 use strum::{Display, IntoStaticStr};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+use crate::scratch;
+
 /// Longest time in which the peer neither receives anything nor closes.
 pub const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest time in total, for a peer that receives slowly.
@@ -43,7 +45,7 @@
 /// Interval at which the send queue is checked.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// Bytes that are discarded at a time.
-const DISCARD_BYTES: usize = 8 << 10;
+const DISCARD_BYTES: usize = 64 << 10;
 /// Request for the number of bytes in a socket's send queue that the peer has not acknowledged.
 const SIOCOUTQ: Opcode = 0x5411;
 
@@ -169,11 +171,9 @@
             self.next_check.as_mut().reset((now + CHECK_PERIOD).into());
         }
         loop {
-            let mut buffer = [0; DISCARD_BYTES];
-            let mut read = ReadBuf::new(&mut buffer);
-            match Pin::new(&mut *stream).poll_read(cx, &mut read) {
-                Poll::Ready(Ok(())) if !read.filled().is_empty() => {
-                    if let Some(end) = self.progress.discard(read.filled().len()) {
+            match scratch::poll_read(stream, cx, DISCARD_BYTES, <[u8]>::len) {
+                Poll::Ready(Ok(bytes)) if bytes > 0 => {
+                    if let Some(end) = self.progress.discard(bytes) {
                         return Poll::Ready(end);
                     }
                 }
