Validation: a refusal counts from its head, whatever its body does

What callers saw: requests that a target had refused (503 with the header that says so, or 421) were sent on only after half a second, or failed at their deadlines, if the refusal's body did not end.

Cause: the body was read, up to 256 KiB or for as long as the request had left, before the head was looked at, so that the connection could be reused.

Change: the head decides. The connection is returned to the pool by a task of its own if the body ends within 8 KiB and 500 ms, and closed otherwise. A refusal whose body breaks off now counts as one too; it was reported as an unknown outcome.

--- a/src/calls/validator.rs
+++ b/src/calls/validator.rs
@@ -3,6 +3,8 @@
 //! A target may respond late, twice, to another request, or break off. A response is passed on only
 //! if it belongs to its request. Its connection is reused only if the whole response was buffered.
 
+use std::time::Duration;
+
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,6 +20,10 @@
 /// If a response breaks off before its head is passed on, the ingress can try another target or
 /// report an error, where it would otherwise have to cut the caller's connection.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
+/// Largest body of a refusal after which its connection is reused, in bytes.
+const MAX_REFUSAL_BYTES: usize = 8 << 10;
+/// Longest time for that body.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Validates the target's response to one call.
 #[derive(Debug)]
@@ -67,9 +73,17 @@
             dispatcher.mark_suspect();
             return Err(Reason::Broken);
         }
-        let misdirected = self.is_misdirected();
-        let refused = self.is_refusal();
+        // The head alone says that the request has not run.
+        let refusal = if self.is_misdirected() {
+            Some(Reason::Misdirected)
+        } else {
+            self.is_refusal().then_some(Reason::Shed)
+        };
         let (parts, body) = self.response.into_parts();
+        if let Some(reason) = refusal {
+            release_after(self.connection, parts.headers, body);
+            return Err(reason);
+        }
         let buffered = stream::buffer(Body::from_incoming(body), MAX_BUFFERED_BYTES).await;
         let body = match buffered.map_err(|_| Reason::Broken)? {
             Buffered::Whole(bytes) => {
@@ -78,12 +92,6 @@
             }
             Buffered::Partial(body) => Guarded::wrap(body, self.connection),
         };
-        if misdirected {
-            return Err(Reason::Misdirected);
-        }
-        if refused {
-            return Err(Reason::Shed);
-        }
         Ok(Response::from_parts(parts, body))
     }
 
@@ -111,3 +119,19 @@
         named && (signed || !self.response.status().is_success())
     }
 }
+
+/// Returns the connection of a refusal to the pool once its body has been read, or closes it if the
+/// body does not end.
+fn release_after(connection: Connection, headers: HeaderMap, body: Incoming) {
+    if http_body::Body::is_end_stream(&body) {
+        connection.release(&headers);
+        return;
+    }
+    tokio::spawn(async move {
+        let reading = stream::buffer(Body::from_incoming(body), MAX_REFUSAL_BYTES);
+        let read = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, reading).await;
+        if matches!(read, Ok(Ok(Buffered::Whole(_)))) {
+            connection.release(&headers);
+        }
+    });
+}
