Validation: a body that goes on after its deadline ends

What callers saw: a response with the right identifier and signature whose body did not end was passed on for as long as the caller read, and held a slot of its target and memory for its transfer all the time (4 of 4 still being sent 2.5 s after their deadlines).

Cause: the time of an attempt bounds the head and the first 256 KiB. What follows was bounded by nothing.

Change: after its deadline a body ends with an error, never as if it were complete, once 4 MiB more have come or 5 s have passed. A response that was complete at the deadline is at most as large as the buffers on its way and arrives as before.

Weighed: an end right at the deadline would cut responses that are late and complete; a bound on the size alone lets a trickle hold a slot for hours.

--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -369,7 +369,7 @@
                 let throttle = &executor.throttle;
                 notice = throttle.record(&self.target, headers, has_run, began);
             }
-            validator.validate(&executor.dispatcher).await
+            validator.validate(&executor.dispatcher, deadline).await
         };
         // Dropping the exchange closes its connection, so that a late response can't be taken for
         // that to the next request.
--- a/src/calls/validator.rs
+++ b/src/calls/validator.rs
@@ -3,7 +3,7 @@
 //! A target may respond late, twice, to another request, or break off. A response is passed on only
 //! if it belongs to its request. Its connection is reused only if the whole response was buffered.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::Full;
@@ -13,7 +13,7 @@
 use crate::calls::dialect::Dialect;
 use crate::calls::dispatch::{Connection, Dispatcher};
 use crate::calls::outcome::Reason;
-use crate::calls::stream::{self, Buffered, Guarded};
+use crate::calls::stream::{self, Buffered, Guarded, Late};
 
 /// Largest response that is buffered whole before its head is passed on, in bytes.
 ///
@@ -63,12 +63,17 @@
         self.response.headers().contains_key(&self.dialect.refused)
     }
 
-    /// Returns the response if it belongs to the request; buffers it where it is small.
+    /// Returns the response if it belongs to the request; buffers it where it is small, and lets a
+    /// larger one go on for a limited time after `deadline`.
     ///
     /// # Errors
     ///
     /// Why the response can't be passed on.
-    pub async fn validate(self, dispatcher: &Dispatcher) -> Result<Response<Body>, Reason> {
+    pub async fn validate(
+        self,
+        dispatcher: &Dispatcher,
+        deadline: Instant,
+    ) -> Result<Response<Body>, Reason> {
         if !self.belongs_to_request() {
             dispatcher.mark_suspect();
             return Err(Reason::Broken);
@@ -90,7 +95,7 @@
                 self.connection.release(&parts.headers);
                 Body::from_body(Full::new(bytes))
             }
-            Buffered::Partial(body) => Guarded::wrap(body, self.connection),
+            Buffered::Partial(body) => Guarded::wrap(Late::wrap(body, deadline), self.connection),
         };
         Ok(Response::from_parts(parts, body))
     }
