Platform calls: a response without end is given up

What was seen: a response of the store, or of the product's log, whose body does not end was read for as long as it came: a part every 500 ms kept its reader waiting for more than 35 s (no end), and a fast one would fill the memory of the process.

Cause: http_client bounded the time between two parts, and neither the size nor the total time.

Change: 32 MiB and 30 s for a body; the time between two parts stays 1 s. A configuration read over a slow link is not affected (slow_response_is_read_completely).

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -5,11 +5,16 @@
 
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt;
+use tokio::time::Instant;
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest time between two parts of a response.
+/// Longest time between two parts of a body.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for a whole body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest body, in bytes: several times the largest document.
+const MAX_BODY_BYTES: usize = 32 << 20;
 /// Time after which an idle connection is no longer reused.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -85,30 +90,40 @@
         };
         let (parts, mut body) = response.into_parts();
         let (status, headers) = (parts.status, parts.headers);
-        let mut bytes = Vec::new();
-        // Guards against a large response over a slow link: it takes longer than any reasonable
-        // time-out, so with one for the whole response every retry would fail as well. Hence only
-        // the time between two parts is bounded.
-        loop {
-            let frame = match tokio::time::timeout(PROGRESS_TIMEOUT, body.frame()).await {
-                Ok(Some(frame)) => frame.map_err(|error| chain(error.as_ref()))?,
-                Ok(None) => {
-                    return Ok(Response {
-                        status,
-                        headers,
-                        body: bytes,
-                    });
-                }
-                Err(_) => {
-                    return Err(format!(
-                        "response truncated: no further data after {} bytes",
-                        bytes.len()
-                    ));
-                }
-            };
-            if let Some(data) = frame.data_ref() {
-                bytes.extend_from_slice(data);
+        let bytes = read_body(&mut body).await?;
+        Ok(Response {
+            status,
+            headers,
+            body: bytes,
+        })
+    }
+}
+
+/// Reads a body for as long as it makes progress.
+///
+/// Guards against a large response over a slow link: it takes longer than any reasonable time-out, so
+/// with one for the whole response every retry would fail as well. Hence the time is bounded between
+/// two parts, and in total only so that a body without end is given up.
+async fn read_body(body: &mut volo_http::body::Body) -> Result<Vec<u8>, String> {
+    let mut bytes = Vec::new();
+    let expiry = Instant::now() + BODY_TIMEOUT;
+    loop {
+        let deadline = Instant::now() + PROGRESS_TIMEOUT;
+        let frame = match tokio::time::timeout_at(deadline.min(expiry), body.frame()).await {
+            Ok(Some(frame)) => frame.map_err(|error| chain(error.as_ref()))?,
+            Ok(None) => return Ok(bytes),
+            Err(_) => {
+                let length = bytes.len();
+                return Err(format!(
+                    "response truncated: no progress after {length} bytes"
+                ));
             }
+        };
+        if let Some(data) = frame.data_ref() {
+            bytes.extend_from_slice(data);
+        }
+        if bytes.len() > MAX_BODY_BYTES {
+            return Err("response exceeds 32 MiB".to_owned());
         }
     }
 }
