--- a/src/linger.rs
+++ b/src/linger.rs
@@ -40,7 +40,7 @@
 /// Maximum number of bytes that are discarded: a body of the largest size that is usually allowed.
 pub const MAX_DISCARDED_BYTES: usize = 64 << 20;
 /// Time for which a connection has to be idle, with nothing left in its send queue, before it is
-/// closed without lingering. By then the peer has read the last response.
+/// closed without lingering. A working peer has read the last response by then.
 pub const DELIVERY_TIME: Duration = Duration::from_millis(500);
 /// Interval at which the send queue is checked.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
