--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -47,6 +47,11 @@
         self.stream.write_all(request)
     }
 
+    /// The stream, of which nothing has been read.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
     /// Reads an answer.
     pub fn read(&mut self, timeout: Duration) -> io::Result<Answer> {
         let began = Instant::now();
--- a/review/standin-2/src/daemon.rs
+++ b/review/standin-2/src/daemon.rs
@@ -35,14 +35,14 @@
         store: SocketAddr,
         folder: &Path,
     ) -> Result<Self, String> {
-        let (outbound, control, ready) = (crate::free(ip)?, crate::free(ip)?, crate::free(ip)?);
-        let peer = crate::free(ip)?.port();
+        let at = |port| SocketAddr::new(ip, port);
+        let (outbound, control, ready) = (at(crate::OUTBOUND_PORT), at(crate::CONTROL_PORT), at(crate::READY_PORT));
         let settings = vec![
             ("zone", ["zone-a", "zone-b", "zone-c"][index % 3].to_owned()),
             ("service", service.to_owned()),
             ("app-addr", upstream.to_string()),
             ("ip", ip.to_string()),
-            ("port-range.0", peer.to_string()),
+            ("port-range.0", crate::PEER_PORT.to_string()),
             ("listen.outbound", outbound.to_string()),
             ("listen.control", control.to_string()),
             ("listen.ready", ready.to_string()),
--- a/review/standin-2/src/lib.rs
+++ b/review/standin-2/src/lib.rs
@@ -23,8 +23,14 @@
 pub const HOST: &str = "shop.example";
 /// Time for a deployment to become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
-/// Port of the metrics, which the settings template fixes.
-const METRICS_PORT: u16 = 9_464;
+/// Ports of a machine, below those that the system gives to outgoing connections. The template fixes the last one.
+pub const READY_PORT: u16 = 8_140;
+pub const OUTBOUND_PORT: u16 = 8_141;
+pub const STORE_PORT: u16 = 8_142;
+pub const CONTROL_PORT: u16 = 8_146;
+pub const APP_PORT: u16 = 8_147;
+pub const PEER_PORT: u16 = 7_660;
+const PORTS: [u16; 7] = [READY_PORT, OUTBOUND_PORT, STORE_PORT, CONTROL_PORT, APP_PORT, PEER_PORT, 9_464];
 
 /// Exit status of a case that could not run.
 pub const CANNOT_RUN: i32 = 2;
@@ -62,12 +68,12 @@
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
         let ips = addresses(services.len() + 1)?;
-        let store = Store::start(free(ips[0])?)?;
+        let store = Store::start(SocketAddr::new(ips[0], STORE_PORT))?;
         store.put("keyed.op", "config", configuration("00000001", routes).as_bytes());
         let mut machines = Vec::new();
         for (index, service) in services.iter().enumerate() {
             let ip = ips[index + 1];
-            let upstream = Upstream::start(free(ip)?, service, &format!("i-{index:08x}"), behaviour.clone())?;
+            let upstream = Upstream::start(SocketAddr::new(ip, APP_PORT), service, &format!("i-{index:08x}"), behaviour.clone())?;
             let daemon = Daemon::new(index, ip, service, upstream.address, store.address, &folder)?;
             machines.push(Machine { upstream, daemon });
         }
@@ -148,20 +154,14 @@
         let ips: Vec<IpAddr> = (1..=count)
             .map(|d| IpAddr::V4(Ipv4Addr::new(127, b as u8, c as u8, d as u8)))
             .collect();
-        let is_free = |ip: &IpAddr| TcpListener::bind(SocketAddr::new(*ip, METRICS_PORT)).is_ok();
-        if ips.iter().all(is_free) {
+        let is_free = |ip: &IpAddr, port| TcpListener::bind(SocketAddr::new(*ip, port)).is_ok();
+        if ips.iter().all(|ip| PORTS.iter().all(|port| is_free(ip, *port))) {
             return Ok(ips);
         }
     }
     Err("no free loopback addresses".to_owned())
 }
 
-/// A free port at an address.
-pub fn free(ip: IpAddr) -> Result<SocketAddr, String> {
-    let listener = TcpListener::bind(SocketAddr::new(ip, 0)).map_err(|e| e.to_string())?;
-    listener.local_addr().map_err(|e| e.to_string())
-}
-
 /// Whether the disruption is part of the run.
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
