--- a/review/standin-2/src/bin/endless.rs
+++ b/review/standin-2/src/bin/endless.rs
@@ -50,7 +50,10 @@
         }
         let head = upstream.head(run, "200 OK");
         let first = "x".repeat(FIRST_BYTES);
-        stream.write_all(format!("{head}Transfer-Encoding: chunked\r\n\r\n{FIRST_BYTES:x}\r\n{first}\r\n").as_bytes())?;
+        stream.write_all(
+            format!("{head}Transfer-Encoding: chunked\r\n\r\n{FIRST_BYTES:x}\r\n{first}\r\n")
+                .as_bytes(),
+        )?;
         loop {
             stream.write_all(NEXT)?;
             std::thread::sleep(INTERVAL);
@@ -74,8 +77,12 @@
             let id = format!("req-{number:04}");
             record.line(&format!("sent {id}"));
             let (status, bytes, end) = wait_for_end(daemon, &id);
-            let end_text = end.map_or("none within 12 s".to_owned(), |end| format!("{:.3} s", end.as_secs_f64()));
-            record.line(&format!("{id}: {status}, {bytes} bytes, final answer or close after {end_text}"));
+            let end_text = end.map_or("none within 12 s".to_owned(), |end| {
+                format!("{:.3} s", end.as_secs_f64())
+            });
+            record.line(&format!(
+                "{id}: {status}, {bytes} bytes, final answer or close after {end_text}"
+            ));
             ends.lock().expect("no panic").push(end.unwrap_or(PATIENCE));
         }));
     }
@@ -96,7 +103,16 @@
     let Ok(mut connection) = Connection::open(daemon) else {
         return ("no connection".to_owned(), 0, Some(began.elapsed()));
     };
-    if connection.send(&request("GET", "/book/seat", id, 3_000, "Connection: close\r\n")).is_err() {
+    if connection
+        .send(&request(
+            "GET",
+            "/book/seat",
+            id,
+            3_000,
+            "Connection: close\r\n",
+        ))
+        .is_err()
+    {
         return ("not sent".to_owned(), 0, Some(began.elapsed()));
     }
     let mut stream: TcpStream = connection.into_stream();
@@ -111,7 +127,11 @@
                     first.extend(&buffer[..length.min(64)]);
                 }
             }
-            Err(error) if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+            Err(error)
+                if matches!(
+                    error.kind(),
+                    std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                ) => {}
             Err(_) => return (line(&first), bytes, Some(began.elapsed())),
         }
     }
@@ -119,5 +139,9 @@
 }
 
 fn line(bytes: &[u8]) -> String {
-    String::from_utf8_lossy(bytes).lines().next().unwrap_or("nothing").to_owned()
+    String::from_utf8_lossy(bytes)
+        .lines()
+        .next()
+        .unwrap_or("nothing")
+        .to_owned()
 }
--- a/review/standin-2/src/bin/framing.rs
+++ b/review/standin-2/src/bin/framing.rs
@@ -37,7 +37,9 @@
     let since = Arc::clone(&began);
     let behaviour: Behaviour = Arc::new(move |upstream, run, stream| {
         let number = upstream.runs().len();
-        let is_time = since.get().is_some_and(|since| since.elapsed() < TROUBLE_TIME);
+        let is_time = since
+            .get()
+            .is_some_and(|since| since.elapsed() < TROUBLE_TIME);
         let is_faulty = upstream.id < "i-00000002".to_owned();
         if !trouble || !is_time || !is_faulty || number % SPOILT_INTERVAL != 0 {
             return upstream.answer(run, BODY, stream);
@@ -45,10 +47,17 @@
         let head = upstream.head(run, "200 OK");
         let size = BODY.len();
         let framing = "Content-Length: 7\r\nTransfer-Encoding: chunked\r\n";
-        stream.write_all(format!("{head}{framing}\r\n{size:x}\r\n{BODY}\r\n0\r\n\r\n").as_bytes())?;
+        stream
+            .write_all(format!("{head}{framing}\r\n{size:x}\r\n{BODY}\r\n0\r\n\r\n").as_bytes())?;
         Ok(true)
     });
-    let route = Route { prefix: "/book/", kind: "safe", service: "desk", timeout_s: 2.0, max_attempts: 2 };
+    let route = Route {
+        prefix: "/book/",
+        kind: "safe",
+        service: "desk",
+        timeout_s: 2.0,
+        max_attempts: 2,
+    };
     let mut deployment = Deployment::start(&["desk"; 4], &[route], &behaviour)?;
     let mut wrong = 0;
     began.get_or_init(Instant::now);
@@ -62,19 +71,29 @@
             None => Connection::open(daemon).map_err(|e| e.to_string())?,
         };
         std::thread::sleep(PAUSE);
-        connection.send(&request("GET", "/book/seat", &id, 2_000, "")).map_err(|e| e.to_string())?;
+        connection
+            .send(&request("GET", "/book/seat", &id, 2_000, ""))
+            .map_err(|e| e.to_string())?;
         let mut is_wrong = false;
         let text = match connection.read(Duration::from_secs(3)) {
             Ok(answer) => {
                 let is_success = (200..300).contains(&answer.status);
-                let is_whole = answer.body == BODY.as_bytes() && answer.signature().is_some() && answer.id() == id;
+                let is_whole = answer.body == BODY.as_bytes()
+                    && answer.signature().is_some()
+                    && answer.id() == id;
                 is_wrong = is_success && !is_whole;
                 let surplus = connection.surplus(Duration::from_millis(5));
                 is_wrong |= !surplus.is_empty();
-                let closes = answer.head.get("connection").is_some_and(|value| value == "close");
+                let closes = answer
+                    .head
+                    .get("connection")
+                    .is_some_and(|value| value == "close");
                 let text = format!(
                     "{} of {:?}, body {:?}, then {:?}",
-                    answer.status, answer.id(), String::from_utf8_lossy(&answer.body), String::from_utf8_lossy(&surplus)
+                    answer.status,
+                    answer.id(),
+                    String::from_utf8_lossy(&answer.body),
+                    String::from_utf8_lossy(&surplus)
                 );
                 if surplus.is_empty() && !closes {
                     connections[machine] = Some(connection);
@@ -87,7 +106,9 @@
             }
         };
         let mark = if is_wrong { "WRONG" } else { "ok" };
-        record.line(&format!("{mark}: sent {id} to machine {machine}, got {text}"));
+        record.line(&format!(
+            "{mark}: sent {id} to machine {machine}, got {text}"
+        ));
         wrong += usize::from(is_wrong);
     }
     for machine in &deployment.machines {
@@ -96,6 +117,8 @@
         }
     }
     deployment.stop();
-    record.line(&format!("MIXED: {wrong} of {REQUESTS} requests got a wrong body or foreign bytes"));
+    record.line(&format!(
+        "MIXED: {wrong} of {REQUESTS} requests got a wrong body or foreign bytes"
+    ));
     Ok(wrong > 0)
 }
--- a/review/standin-2/src/bin/longname.rs
+++ b/review/standin-2/src/bin/longname.rs
@@ -31,27 +31,56 @@
 }
 
 fn run(record: &Record) -> Result<bool, String> {
-    let behaviour: Behaviour = Arc::new(|upstream, run, stream| upstream.answer(run, "booked", stream));
-    let route = |prefix, service| Route { prefix, kind: "unsafe", service, timeout_s: 1.0, max_attempts: 2 };
+    let behaviour: Behaviour =
+        Arc::new(|upstream, run, stream| upstream.answer(run, "booked", stream));
+    let route = |prefix, service| Route {
+        prefix,
+        kind: "unsafe",
+        service,
+        timeout_s: 1.0,
+        max_attempts: 2,
+    };
     let before = [route("/book/", "desk"), route("/dropped/", "desk")];
     let mut deployment = Deployment::start(&["desk"; MACHINES], &before, &behaviour)?;
     let name = if has_trouble() { LONG } else { SHORT };
-    let after = [route("/book/", "desk"), route("/added/", "desk"), route("/settle/", name)];
+    let after = [
+        route("/book/", "desk"),
+        route("/added/", "desk"),
+        route("/settle/", name),
+    ];
     for (machine, path) in [(0, "/book/x"), (1, "/dropped/x"), (2, "/added/x")] {
         let status = send(&deployment, machine, path, &format!("before-{machine}"));
-        record.line(&format!("before the new version, machine {machine}, {path}: {status}"));
+        record.line(&format!(
+            "before the new version, machine {machine}, {path}: {status}"
+        ));
     }
-    deployment.store.put("keyed.op", "config", configuration("00000002", &after).as_bytes());
+    deployment.store.put(
+        "keyed.op",
+        "config",
+        configuration("00000002", &after).as_bytes(),
+    );
     let acknowledged = Instant::now();
-    record.line(&format!("the store has acknowledged version 2, with the service {name}"));
+    record.line(&format!(
+        "the store has acknowledged version 2, with the service {name}"
+    ));
     std::thread::sleep(APPLY);
     let (mut sent, mut ran, mut refused) = (0, 0, 0);
     while acknowledged.elapsed() < APPLY + WATCHED {
         for machine in 0..MACHINES {
             std::thread::sleep(PAUSE);
             sent += 1;
-            let dropped = send(&deployment, machine, "/dropped/x", &format!("dropped-{sent:04}"));
-            let added = send(&deployment, machine, "/added/x", &format!("added-{sent:04}"));
+            let dropped = send(
+                &deployment,
+                machine,
+                "/dropped/x",
+                &format!("dropped-{sent:04}"),
+            );
+            let added = send(
+                &deployment,
+                machine,
+                "/added/x",
+                &format!("added-{sent:04}"),
+            );
             ran += usize::from(dropped == 200);
             refused += usize::from(added == 404);
             record.line(&format!(
@@ -60,9 +89,18 @@
             ));
         }
     }
-    let run_ids = deployment.machines.iter().flat_map(|machine| machine.upstream.runs());
-    let run_ids: Vec<String> = run_ids.map(|run| run.id).filter(|id| id.starts_with("dropped")).collect();
-    record.line(&format!("ran with the dropped route: {}", run_ids.join(" ")));
+    let run_ids = deployment
+        .machines
+        .iter()
+        .flat_map(|machine| machine.upstream.runs());
+    let run_ids: Vec<String> = run_ids
+        .map(|run| run.id)
+        .filter(|id| id.starts_with("dropped"))
+        .collect();
+    record.line(&format!(
+        "ran with the dropped route: {}",
+        run_ids.join(" ")
+    ));
     deployment.stop();
     record.line(&format!(
         "CONFIG: of {sent} requests each, {ran} ran with a dropped route, {refused} got 404 though the route is there"
--- a/review/standin-2/src/bin/samekey.rs
+++ b/review/standin-2/src/bin/samekey.rs
@@ -25,19 +25,37 @@
 }
 
 fn run(record: &Record) -> Result<bool, String> {
-    let header = if has_trouble() { "Idempotency-Key" } else { "X-Counter" };
+    let header = if has_trouble() {
+        "Idempotency-Key"
+    } else {
+        "X-Counter"
+    };
     let behaviour: Behaviour = Arc::new(|upstream, run, stream| {
         let order = String::from_utf8_lossy(&run.body).into_owned();
         upstream.answer(run, &format!("confirmed: {order}"), stream)
     });
-    let route = |prefix| Route { prefix, kind: "unsafe", service: "desk", timeout_s: 1.0, max_attempts: 2 };
-    let mut deployment = Deployment::start(&["desk"; 3], &[route("/book/"), route("/cancel/")], &behaviour)?;
+    let route = |prefix| Route {
+        prefix,
+        kind: "unsafe",
+        service: "desk",
+        timeout_s: 1.0,
+        max_attempts: 2,
+    };
+    let mut deployment = Deployment::start(
+        &["desk"; 3],
+        &[route("/book/"), route("/cancel/")],
+        &behaviour,
+    )?;
     let (mut foreign, mut lost) = (0, 0);
     let mut expected = Vec::new();
     for number in 0..REQUESTS {
         for client in 0..CLIENTS {
             let id = format!("req-{client}-{number:04}");
-            let path = if client == 2 { "/cancel/seat" } else { "/book/seat" };
+            let path = if client == 2 {
+                "/cancel/seat"
+            } else {
+                "/book/seat"
+            };
             let body = format!("clerk {client}, hearing {client}{number:03}");
             let request = format!(
                 "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Jackdawpulley-Request-Id: {id}\r\n\
@@ -49,14 +67,21 @@
                 Ok(answer) => {
                     let is_success = (200..300).contains(&answer.status);
                     let is_own = answer.body == format!("confirmed: {body}").as_bytes()
-                        && answer.signature().is_some_and(|signature| signature.ends_with(&id));
+                        && answer
+                            .signature()
+                            .is_some_and(|signature| signature.ends_with(&id));
                     let is_foreign = is_success && !is_own;
                     foreign += usize::from(is_foreign);
                     if is_success {
                         expected.push(id.clone());
                     }
                     let mark = if is_foreign { "FOREIGN" } else { "ok" };
-                    format!("{mark}: {} {:?}, signature {:?}", answer.status, String::from_utf8_lossy(&answer.body), answer.signature())
+                    format!(
+                        "{mark}: {} {:?}, signature {:?}",
+                        answer.status,
+                        String::from_utf8_lossy(&answer.body),
+                        answer.signature()
+                    )
                 }
                 Err(error) => format!("no answer: {error}"),
             };
@@ -66,7 +91,12 @@
     let mut ran = Vec::new();
     for machine in &deployment.machines {
         for run in machine.upstream.runs() {
-            record.line(&format!("ran {} at {}: {}", run.id, machine.upstream.id, String::from_utf8_lossy(&run.body)));
+            record.line(&format!(
+                "ran {} at {}: {}",
+                run.id,
+                machine.upstream.id,
+                String::from_utf8_lossy(&run.body)
+            ));
             ran.push(run.id);
         }
     }
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -63,7 +63,12 @@
             return Err(io::Error::new(io::ErrorKind::InvalidData, text));
         }
         let body = http::read_body(&mut self.reader, &head, true)?;
-        Ok(Answer { status, head, body, took: began.elapsed() })
+        Ok(Answer {
+            status,
+            head,
+            body,
+            took: began.elapsed(),
+        })
     }
 
     /// Bytes that arrive within a time although no request is waiting.
--- a/review/standin-2/src/daemon.rs
+++ b/review/standin-2/src/daemon.rs
@@ -36,7 +36,11 @@
         folder: &Path,
     ) -> Result<Self, String> {
         let at = |port| SocketAddr::new(ip, port);
-        let (outbound, control, ready) = (at(crate::OUTBOUND_PORT), at(crate::CONTROL_PORT), at(crate::READY_PORT));
+        let (outbound, control, ready) = (
+            at(crate::OUTBOUND_PORT),
+            at(crate::CONTROL_PORT),
+            at(crate::READY_PORT),
+        );
         let settings = vec![
             ("zone", ["zone-a", "zone-b", "zone-c"][index % 3].to_owned()),
             ("service", service.to_owned()),
@@ -59,12 +63,22 @@
             ("bounds.exposure-slack", String::new()),
         ];
         let root = std::env::var("ROOT").map_or_else(|_| PathBuf::from("."), PathBuf::from);
-        Ok(Self { index, outbound, control, ready, settings, root, folder: folder.to_owned(), child: None })
+        Ok(Self {
+            index,
+            outbound,
+            control,
+            ready,
+            settings,
+            root,
+            folder: folder.to_owned(),
+            child: None,
+        })
     }
 
     /// Starts the process.
     pub fn start(&mut self, first: bool) -> Result<(), String> {
-        let template = std::fs::read_to_string(self.root.join(TEMPLATE)).map_err(|e| format!("{TEMPLATE}: {e}"))?;
+        let template = std::fs::read_to_string(self.root.join(TEMPLATE))
+            .map_err(|e| format!("{TEMPLATE}: {e}"))?;
         let mut text = template.replace("{{first-start}}", &first.to_string());
         for (name, value) in &self.settings {
             text = text.replace(&format!("{{{{{name}}}}}"), value);
@@ -72,7 +86,11 @@
         let file = self.folder.join(format!("settings-{}", self.index));
         std::fs::write(&file, text).map_err(|e| e.to_string())?;
         let log = self.folder.join(format!("daemon-{}.log", self.index));
-        let log = File::options().create(true).append(true).open(log).map_err(|e| e.to_string())?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .map_err(|e| e.to_string())?;
         let errors = log.try_clone().map_err(|e| e.to_string())?;
         let child = Command::new(self.root.join(PROGRAM))
             .env("JACKDAWPULLEY_NODE_FILE", &file)
@@ -88,13 +106,17 @@
     /// Whether the daemon says that it is ready.
     pub fn is_ready(&self) -> bool {
         let request = "GET /ready HTTP/1.1\r\nHost: ready\r\n\r\n";
-        client::exchange(self.ready, request.as_bytes(), Duration::from_secs(1)).is_ok_and(|answer| answer.status == 200)
+        client::exchange(self.ready, request.as_bytes(), Duration::from_secs(1))
+            .is_ok_and(|answer| answer.status == 200)
     }
 
     /// Sends a signal, by its name.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg(format!("-{name}"))
+                .arg(child.id().to_string())
+                .status();
         }
     }
 
@@ -108,7 +130,9 @@
 
     /// Whether the process runs.
     pub fn is_running(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+        self.child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 }
 
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -13,7 +13,10 @@
 impl Head {
     /// First value of a header.
     pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -49,15 +52,22 @@
             return Ok(Some(head));
         }
         if let Some((name, value)) = text.split_once(':') {
-            head.headers.push((name.trim().to_owned(), value.trim().to_owned()));
+            head.headers
+                .push((name.trim().to_owned(), value.trim().to_owned()));
         }
     }
 }
 
 /// Reads a body by its framing; `to_end` if one without framing ends with the connection.
-pub fn read_body(reader: &mut BufReader<TcpStream>, head: &Head, to_end: bool) -> io::Result<Vec<u8>> {
+pub fn read_body(
+    reader: &mut BufReader<TcpStream>,
+    head: &Head,
+    to_end: bool,
+) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
-    let is_chunked = head.get("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked"));
+    let is_chunked = head
+        .get("transfer-encoding")
+        .is_some_and(|v| v.eq_ignore_ascii_case("chunked"));
     if is_chunked {
         loop {
             let mut line = String::new();
@@ -65,7 +75,8 @@
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
             let size = line.trim().split(';').next().unwrap_or("");
-            let size = usize::from_str_radix(size, 16).map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+            let size = usize::from_str_radix(size, 16)
+                .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
             let mut chunk = vec![0; size + 2];
             if size == 0 {
                 reader.read_exact(&mut chunk)?;
--- a/review/standin-2/src/lib.rs
+++ b/review/standin-2/src/lib.rs
@@ -30,7 +30,15 @@
 pub const CONTROL_PORT: u16 = 8_146;
 pub const APP_PORT: u16 = 8_147;
 pub const PEER_PORT: u16 = 7_660;
-const PORTS: [u16; 7] = [READY_PORT, OUTBOUND_PORT, STORE_PORT, CONTROL_PORT, APP_PORT, PEER_PORT, 9_464];
+const PORTS: [u16; 7] = [
+    READY_PORT,
+    OUTBOUND_PORT,
+    STORE_PORT,
+    CONTROL_PORT,
+    APP_PORT,
+    PEER_PORT,
+    9_464,
+];
 
 /// Exit status of a case that could not run.
 pub const CANNOT_RUN: i32 = 2;
@@ -69,15 +77,28 @@
         std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
         let ips = addresses(services.len() + 1)?;
         let store = Store::start(SocketAddr::new(ips[0], STORE_PORT))?;
-        store.put("keyed.op", "config", configuration("00000001", routes).as_bytes());
+        store.put(
+            "keyed.op",
+            "config",
+            configuration("00000001", routes).as_bytes(),
+        );
         let mut machines = Vec::new();
         for (index, service) in services.iter().enumerate() {
             let ip = ips[index + 1];
-            let upstream = Upstream::start(SocketAddr::new(ip, APP_PORT), service, &format!("i-{index:08x}"), behaviour.clone())?;
+            let upstream = Upstream::start(
+                SocketAddr::new(ip, APP_PORT),
+                service,
+                &format!("i-{index:08x}"),
+                behaviour.clone(),
+            )?;
             let daemon = Daemon::new(index, ip, service, upstream.address, store.address, &folder)?;
             machines.push(Machine { upstream, daemon });
         }
-        let mut deployment = Self { store, machines, folder };
+        let mut deployment = Self {
+            store,
+            machines,
+            folder,
+        };
         for machine in &mut deployment.machines {
             machine.daemon.start(true)?;
             machine.upstream.announce_to(machine.daemon.control);
@@ -142,20 +163,28 @@
          \"max-body-bytes\":8388608,\"header-timeout-s\":5.0,\"idle-timeout-s\":20.0}}"
             .to_owned(),
     );
-    format!("{{\"version\":\"{version}\",\"resources\":[{}]}}", resources.join(","))
+    format!(
+        "{{\"version\":\"{version}\",\"resources\":[{}]}}",
+        resources.join(",")
+    )
 }
 
 /// Loopback addresses that nothing uses.
 fn addresses(count: usize) -> Result<Vec<IpAddr>, String> {
     let seed = std::process::id();
     for attempt in 0..200_u32 {
-        let number = seed.wrapping_mul(2_654_435_761).wrapping_add(attempt.wrapping_mul(7_919));
+        let number = seed
+            .wrapping_mul(2_654_435_761)
+            .wrapping_add(attempt.wrapping_mul(7_919));
         let (b, c) = ((number >> 8) % 200 + 20, (number >> 16) % 250 + 1);
         let ips: Vec<IpAddr> = (1..=count)
             .map(|d| IpAddr::V4(Ipv4Addr::new(127, b as u8, c as u8, d as u8)))
             .collect();
         let is_free = |ip: &IpAddr, port| TcpListener::bind(SocketAddr::new(*ip, port)).is_ok();
-        if ips.iter().all(|ip| PORTS.iter().all(|port| is_free(ip, *port))) {
+        if ips
+            .iter()
+            .all(|ip| PORTS.iter().all(|port| is_free(ip, *port)))
+        {
             return Ok(ips);
         }
     }
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -14,14 +14,22 @@
 impl Record {
     /// Opens the file that the first argument names.
     pub fn open() -> Result<Self, String> {
-        let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned());
+        let path = std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "record.txt".to_owned());
         let file = File::create(path).map_err(|e| e.to_string())?;
-        Ok(Self { began: Instant::now(), file: Mutex::new(file) })
+        Ok(Self {
+            began: Instant::now(),
+            file: Mutex::new(file),
+        })
     }
 
     /// Writes a line.
     pub fn line(&self, text: &str) {
-        let mut file = self.file.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut file = self
+            .file
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
         let _ = writeln!(file, "{:9.3} {text}", self.began.elapsed().as_secs_f64());
     }
 }
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -56,12 +56,19 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = http::read_head(&mut reader) {
-            let Ok(body) = http::read_body(&mut reader, &head, false) else { return };
+            let Ok(body) = http::read_body(&mut reader, &head, false) else {
+                return;
+            };
             let (status, body) = self.answer(&head, &body);
-            let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
+            let head = format!(
+                "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
             let mut bytes = head.into_bytes();
             bytes.extend(body);
             if writer.write_all(&bytes).is_err() {
@@ -74,7 +81,9 @@
         let (path, query) = head.word(1).split_once('?').unwrap_or((head.word(1), ""));
         let get = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(known, _)| *known == name).map(|(_, value)| unescape(value))
+            pairs
+                .find(|(known, _)| *known == name)
+                .map(|(_, value)| unescape(value))
         };
         let part = get("part").and_then(|v| v.parse().ok()).unwrap_or(0);
         let place = (get("topic").unwrap_or_default(), part);
@@ -85,8 +94,14 @@
                     return ("400 Bad Request", b"{}".to_vec());
                 };
                 match self.append(&place, records, at) {
-                    Ok((offset, end)) => ("200 OK", format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes()),
-                    Err(end) => ("412 Precondition Failed", format!("{{\"end\":{end}}}").into_bytes()),
+                    Ok((offset, end)) => (
+                        "200 OK",
+                        format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes(),
+                    ),
+                    Err(end) => (
+                        "412 Precondition Failed",
+                        format!("{{\"end\":{end}}}").into_bytes(),
+                    ),
                 }
             }
             "/log-read" => {
@@ -99,7 +114,12 @@
         }
     }
 
-    fn append(&self, place: &Place, records: Vec<Vec<u8>>, at: Option<u64>) -> Result<(u64, u64), u64> {
+    fn append(
+        &self,
+        place: &Place,
+        records: Vec<Vec<u8>>,
+        at: Option<u64>,
+    ) -> Result<(u64, u64), u64> {
         let mut partitions = self.lock();
         let partition = partitions.entry(place.clone()).or_default();
         let offset = partition.records.len() as u64;
@@ -107,7 +127,10 @@
             return Err(offset);
         }
         for record in records {
-            if place.0.starts_with("keyed.") && !record.is_empty() && record.len() > record[0] as usize {
+            if place.0.starts_with("keyed.")
+                && !record.is_empty()
+                && record.len() > record[0] as usize
+            {
                 let (key, value) = record[1..].split_at(record[0] as usize);
                 let key = String::from_utf8_lossy(key).into_owned();
                 if value.is_empty() {
@@ -153,22 +176,33 @@
         let mut partitions = self.lock();
         let partition = partitions.entry(place.clone()).or_default();
         let after = after.unwrap_or_default();
-        let matching = partition.newest.iter().filter(|(key, _)| after.is_empty() || **key > after);
+        let matching = partition
+            .newest
+            .iter()
+            .filter(|(key, _)| after.is_empty() || **key > after);
         let items: Vec<String> = matching
             .take(PAGE + 1)
             .map(|(key, (value, offset))| {
-                format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
+                format!(
+                    "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+                    base64(value)
+                )
             })
             .collect();
         let more = items.len() > PAGE;
         let shown = &items[..items.len().min(PAGE)];
         let end = partition.records.len();
-        let body = format!("{{\"items\":[{}],\"more\":{more},\"end\":{end}}}", shown.join(","));
+        let body = format!(
+            "{{\"items\":[{}],\"more\":{more},\"end\":{end}}}",
+            shown.join(",")
+        );
         ("200 OK", body.into_bytes())
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Place, Partition>> {
-        self.partitions.lock().unwrap_or_else(PoisonError::into_inner)
+        self.partitions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -205,10 +239,15 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in bytes.chunks(3) {
-        let number = group.iter().fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte)) << (8 * (3 - group.len()));
+        let number = group
+            .iter()
+            .fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte))
+            << (8 * (3 - group.len()));
         for index in 0..4 {
             if index <= group.len() {
-                text.push(char::from(DIGITS[(number >> (18 - 6 * index) & 63) as usize]));
+                text.push(char::from(
+                    DIGITS[(number >> (18 - 6 * index) & 63) as usize],
+                ));
             } else {
                 text.push('=');
             }
--- a/review/standin-2/src/upstream.rs
+++ b/review/standin-2/src/upstream.rs
@@ -39,7 +39,12 @@
 
 impl Upstream {
     /// Starts an upstream.
-    pub fn start(address: SocketAddr, service: &str, id: &str, behaviour: Behaviour) -> Result<Arc<Self>, String> {
+    pub fn start(
+        address: SocketAddr,
+        service: &str,
+        id: &str,
+        behaviour: Behaviour,
+    ) -> Result<Arc<Self>, String> {
         let listener = TcpListener::bind(address).map_err(|e| e.to_string())?;
         let upstream = Arc::new(Self {
             address,
@@ -65,7 +70,11 @@
         let upstream = Arc::clone(self);
         std::thread::spawn(move || {
             loop {
-                let state = if upstream.is_leaving.load(Ordering::Relaxed) { "draining" } else { "ready" };
+                let state = if upstream.is_leaving.load(Ordering::Relaxed) {
+                    "draining"
+                } else {
+                    "ready"
+                };
                 upstream.heartbeat(control, state);
                 std::thread::sleep(HEARTBEAT);
             }
@@ -86,12 +95,16 @@
             self.id,
             body.len()
         );
-        client::exchange(control, request.as_bytes(), Duration::from_secs(1)).map_or(0, |answer| answer.status)
+        client::exchange(control, request.as_bytes(), Duration::from_secs(1))
+            .map_or(0, |answer| answer.status)
     }
 
     /// What has run so far.
     pub fn runs(&self) -> Vec<Run> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Head of a sound answer, without its framing.
@@ -105,7 +118,8 @@
     /// Writes a sound answer.
     pub fn answer(&self, run: &Run, body: &str, stream: &mut TcpStream) -> io::Result<bool> {
         let head = self.head(run, "200 OK");
-        stream.write_all(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes())?;
+        stream
+            .write_all(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes())?;
         Ok(true)
     }
 
@@ -116,13 +130,22 @@
         while let Some(head) = http::read_head(&mut reader)? {
             let body = http::read_body(&mut reader, &head, false)?;
             if head.word(1) == "/health" {
-                let status = if self.is_leaving.load(Ordering::Relaxed) { "503 Leaving" } else { "200 OK" };
+                let status = if self.is_leaving.load(Ordering::Relaxed) {
+                    "503 Leaving"
+                } else {
+                    "200 OK"
+                };
                 let id = &self.id;
-                let text = format!("HTTP/1.1 {status}\r\nX-Jackdawpulley-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+                let text = format!(
+                    "HTTP/1.1 {status}\r\nX-Jackdawpulley-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                );
                 writer.write_all(text.as_bytes())?;
                 continue;
             }
-            let id = head.get("x-jackdawpulley-request-id").unwrap_or("").to_owned();
+            let id = head
+                .get("x-jackdawpulley-request-id")
+                .unwrap_or("")
+                .to_owned();
             let expected = head.get("x-jackdawpulley-expected-instance");
             if expected.is_some_and(|expected| expected != self.id) {
                 let text = format!(
@@ -133,8 +156,16 @@
                 writer.write_all(text.as_bytes())?;
                 continue;
             }
-            let run = Run { id, head, body, at: Instant::now() };
-            self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run.clone());
+            let run = Run {
+                id,
+                head,
+                body,
+                at: Instant::now(),
+            };
+            self.runs
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(run.clone());
             if !(self.behaviour)(self, &run, &mut writer)? {
                 return Ok(());
             }
