--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -8,6 +8,7 @@
 
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::Full;
+use slog::info;
 use volo_http::body::Body;
 
 use crate::calls::admission::{Options, Permit, Queue};
@@ -15,6 +16,7 @@
 use crate::calls::dispatch::Dispatcher;
 use crate::calls::metadata::Metadata;
 use crate::calls::outcome::{OUTCOME, Outcome, Reason};
+use crate::calls::overrun::{Bounded, Cut, Overrun, Source};
 use crate::calls::stream::{self, Buffered, Continue, Guarded};
 use crate::calls::throttle::Throttle;
 use crate::calls::validator::Validator;
@@ -26,7 +28,7 @@
 use crate::rollout::counters;
 use crate::settings::Limits;
 use crate::shared_state::{InFlight, SharedState, Target};
-use crate::units::{Millis, Rate, Service};
+use crate::units::{Instance, Millis, Rate, Service};
 
 /// Divisor of the time left: a request may wait for a slot for that part.
 const QUEUE_WAIT_DIVISOR: u32 = 2;
@@ -348,7 +350,7 @@
             began,
         });
         let run = run?;
-        let mut recorder = Recorder::begin(&executor.shared, &metadata.route, deadline);
+        let recorder = Recorder::begin(&executor.shared, &metadata.route, deadline);
         let mut notice = None;
         let exchange = async {
             let on_connection = || {
@@ -369,7 +371,7 @@
                 let throttle = &executor.throttle;
                 notice = throttle.record(&self.target, headers, has_run, began);
             }
-            validator.validate(&executor.dispatcher, deadline).await
+            validator.validate(&executor.dispatcher).await
         };
         // Dropping the exchange closes its connection, so that a late response can't be taken for
         // that to the next request.
@@ -395,10 +397,32 @@
             response.extensions_mut().insert(notice);
         }
         let (parts, body) = response.into_parts();
-        Ok(Response::from_parts(
-            parts,
-            Guarded::wrap(body, (self.permit, in_flight)),
-        ))
+        let held = (self.permit, in_flight);
+        let body = match body {
+            Buffered::Whole(bytes) => Guarded::wrap(Body::from_body(Full::new(bytes)), held),
+            Buffered::Partial(body) => {
+                let shared = Arc::clone(&executor.shared);
+                let report = move |cut| record_cut(&shared, &metadata, &self.target, cut);
+                let overrun = Overrun::new(Source::Target, deadline);
+                Bounded::watch(Guarded::wrap(body, held), overrun, report)
+            }
+        };
+        Ok(Response::from_parts(parts, body))
+    }
+}
+
+/// Records that the body of a response was given up after its head had been passed on.
+fn record_cut(shared: &SharedState, metadata: &Metadata, target: &Target, cut: Cut) {
+    if cut.end.is_source_failure() {
+        // In addition to the head, which has been counted as answered.
+        let outcome = counters::Outcome::Failed;
+        shared.rollouts.count_response(&metadata.route, outcome);
+    }
+    if shared.log_limiter.admit(Instant::now()) {
+        info!(shared.logger, "response body given up"; "call" => &metadata.id,
+            "route" => &metadata.route, "instance" => target.instance.as_ref().map(Instance::as_str),
+            "address" => %target.address, "bytes" => cut.bytes,
+            "late_ms" => Millis::from(cut.late).0, "end" => %cut.end);
     }
 }
 
@@ -406,7 +430,7 @@
 ///
 /// A server error does not clear the request of suspicion: it may have occurred before the part of
 /// the work that would crash the target.
-fn completion(result: &Result<Response<Body>, Reason>) -> Completion {
+fn completion(result: &Result<Response<Buffered>, Reason>) -> Completion {
     match result {
         Ok(response) if !response.status().is_server_error() => Completion::Answered,
         Err(Reason::Broken | Reason::TimedOut) => Completion::Unresolved,
@@ -470,7 +494,7 @@
         }
     }
 
-    fn finish(&mut self, result: &Result<Response<Body>, Reason>) {
+    fn finish(mut self, result: &Result<Response<Buffered>, Reason>) {
         self.is_finished = true;
         let outcome = match result {
             Ok(response) if !response.status().is_server_error() => {
--- a/src/calls/stream.rs
+++ b/src/calls/stream.rs
@@ -6,7 +6,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
-use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use h2::{Reason, RecvStream, SendStream};
@@ -14,9 +13,10 @@
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
 use tokio::sync::Notify;
-use tokio::time::Sleep;
 use volo_http::body::Body;
 
+use crate::calls::overrun::Cut;
+
 /// Error of a body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -28,12 +28,6 @@
 /// Bodies up to this many bytes are sent along with their heads, as they hardly load a link.
 const SMALL_BODY_BYTES: u64 = REQUEST_WINDOW_BYTES as u64;
 
-/// Longest time for which a body goes on after its deadline.
-const MAX_LATE_TIME: Duration = Duration::from_secs(5);
-/// Largest part of a body that follows after its deadline, in bytes: what the buffers between a target and
-/// its caller hold, so that a response which was complete at the deadline arrives.
-const MAX_LATE_BYTES: usize = 4 << 20;
-
 /// Whether a body is large enough to be sent only once the receiver asks for it.
 #[must_use]
 pub fn is_large(headers: &HeaderMap, body: &Body) -> bool {
@@ -179,64 +173,6 @@
     }
 }
 
-/// A body that fails if it goes on for long after its deadline.
-///
-/// A complete response is delivered also when it is late. One that never ends would hold its slot
-/// for as long as its caller reads.
-#[derive(Debug)]
-pub struct Late {
-    body: Body,
-    deadline: Instant,
-    /// Ends the body.
-    expiry: Pin<Box<Sleep>>,
-    /// Bytes that may still follow after the deadline.
-    left: usize,
-}
-
-impl Late {
-    /// Bounds what follows of a body after `deadline`.
-    #[must_use]
-    pub fn wrap(body: Body, deadline: Instant) -> Body {
-        Body::from_body(Self {
-            body,
-            deadline,
-            expiry: Box::pin(tokio::time::sleep_until((deadline + MAX_LATE_TIME).into())),
-            left: MAX_LATE_BYTES,
-        })
-    }
-}
-
-impl http_body::Body for Late {
-    type Data = Bytes;
-    type Error = BoxError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        if self.left == 0 || self.expiry.as_mut().poll(cx).is_ready() {
-            let reason = "body does not end within 5 s or 4 MiB after its deadline";
-            return Poll::Ready(Some(Err(reason.into())));
-        }
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        if let Some(Ok(frame)) = &frame
-            && Instant::now() >= self.deadline
-        {
-            let length = frame.data_ref().map_or(0, Bytes::len);
-            self.left = self.left.saturating_sub(length);
-        }
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// A body read into memory up to a bound.
 #[derive(Debug)]
 pub enum Buffered {
@@ -305,7 +241,7 @@
             Ok(frame) => frame,
             Err(error) => {
                 // Ending the stream here would make a truncated body look complete.
-                stream.send_reset(Reason::INTERNAL_ERROR);
+                stream.send_reset(reset_reason(&error));
                 return Err(error);
             }
         };
@@ -322,6 +258,25 @@
     Ok(stream.send_data(Bytes::new(), true)?)
 }
 
+/// Tells the receiver whether the sender's own source broke off, or its caller did not read in time.
+fn reset_reason(error: &BoxError) -> Reason {
+    if is_source_failure(error) {
+        Reason::INTERNAL_ERROR
+    } else {
+        Reason::CANCEL
+    }
+}
+
+/// Whether a body broke off because of its source, and not because its caller did not read in time.
+#[must_use]
+pub fn is_source_failure(error: &BoxError) -> bool {
+    if let Some(cut) = error.downcast_ref::<Cut>() {
+        return cut.end.is_source_failure();
+    }
+    let reset = error.downcast_ref::<h2::Error>();
+    reset.is_none_or(|error| error.reason() != Some(Reason::CANCEL))
+}
+
 /// Sends a whole message and ends the stream.
 ///
 /// # Errors
--- a/src/calls/validator.rs
+++ b/src/calls/validator.rs
@@ -3,17 +3,16 @@
 //! A target may respond late, twice, to another request, or break off. A response is passed on only
 //! if it belongs to its request. Its connection is reused only if the whole response was buffered.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use volo_http::body::Body;
 
 use crate::calls::dialect::Dialect;
 use crate::calls::dispatch::{Connection, Dispatcher};
 use crate::calls::outcome::Reason;
-use crate::calls::stream::{self, Buffered, Guarded, Late};
+use crate::calls::stream::{self, Buffered, Guarded};
 
 /// Largest response that is buffered whole before its head is passed on, in bytes.
 ///
@@ -63,17 +62,13 @@
         self.response.headers().contains_key(&self.dialect.refused)
     }
 
-    /// Returns the response if it belongs to the request; buffers it where it is small, and lets a
-    /// larger one go on for a limited time after `deadline`.
+    /// Returns the response if it belongs to the request, whole where it is small. A larger body holds its
+    /// connection.
     ///
     /// # Errors
     ///
     /// Why the response can't be passed on.
-    pub async fn validate(
-        self,
-        dispatcher: &Dispatcher,
-        deadline: Instant,
-    ) -> Result<Response<Body>, Reason> {
+    pub async fn validate(self, dispatcher: &Dispatcher) -> Result<Response<Buffered>, Reason> {
         if !self.belongs_to_request() {
             dispatcher.mark_suspect();
             return Err(Reason::Broken);
@@ -91,11 +86,11 @@
         }
         let buffered = stream::buffer(Body::from_incoming(body), MAX_BUFFERED_BYTES).await;
         let body = match buffered.map_err(|_| Reason::Broken)? {
-            Buffered::Whole(bytes) => {
+            whole @ Buffered::Whole(_) => {
                 self.connection.release(&parts.headers);
-                Body::from_body(Full::new(bytes))
+                whole
             }
-            Buffered::Partial(body) => Guarded::wrap(Late::wrap(body, deadline), self.connection),
+            Buffered::Partial(body) => Buffered::Partial(Guarded::wrap(body, self.connection)),
         };
         Ok(Response::from_parts(parts, body))
     }
