Give up a response whose sidecar falls silent after the deadline

Callers saw: the sidecar of the target freezes, or is cut off, in the middle of a body over 256 KiB. The ingress bounds an attempt until the head, and pings a link only while calls wait for their heads, so the caller waited until the link ended: over 9 s, all that it was given, in silent_sidecar on.

The bound on bodies stood at the target's host alone.

Change: a body from another host is bounded as well, by 350 ms without a byte while the caller waits for one. It bounds each wait alone and neither bytes nor time in total: the sidecar bounds its target, and what it sends over a slow link is a response that is ready. Pings for links with bodies were weighed and left out: they cost every large response on a quiet link and take 0.7 s.

--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -13,6 +13,7 @@
 use crate::calls::executor::remove_team_headers;
 use crate::calls::metadata::{Metadata, write_metadata};
 use crate::calls::outcome::Reason;
+use crate::calls::overrun::{Bounded, Overrun, Source};
 use crate::calls::route::ResolvedRoute;
 use crate::calls::stream::{self, Incoming};
 use crate::calls::wait;
@@ -314,10 +315,13 @@
                     Failure::Broken => Reason::Broken,
                 })?;
         let (parts, stream) = response.into_parts();
-        Ok(Response::from_parts(
-            parts,
-            Incoming::new(stream).into_body(),
-        ))
+        let body = Incoming::new(stream).into_body();
+        let body = if http_body::Body::is_end_stream(&body) {
+            body
+        } else {
+            Bounded::wrap(body, Overrun::new(Source::Sidecar, self.deadline))
+        };
+        Ok(Response::from_parts(parts, body))
     }
 }
 
