Count a response that breaks off as a failure of its upstream

Callers saw: a target whose bodies do not end answers its heads fast, and the ingress recorded each of them as a success.

Cause: statistics and outlier detection see the head alone.

Change: a body that breaks off lowers the upstream's reliability and counts for its ejection, and the ingress logs the call, the upstream and the error. A caller that did not read in time is no failure of the upstream: the sidecar resets such a stream with CANCEL. An attempt that ended so is not made again, since its head has reached the caller; before 256 KiB have come it ends as timed-out, and a second attempt has begun at half of the time (hedging).

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -14,10 +14,10 @@
 use crate::calls::balancer::Balancer;
 use crate::calls::call::{Attempt, Call};
 use crate::calls::notice::Memory;
+use crate::calls::observed::{self, Observed, Observer};
 use crate::calls::outcome::{OUTCOME, Outcome, REASON, Reason};
 use crate::calls::retry::{Budget, Budgets};
 use crate::calls::sidecar::{Load, Sidecar};
-use crate::calls::stream::Guarded;
 use crate::configuration::document::{Ejection, Retry};
 use crate::membership::roster::Upstream;
 use crate::settings::{Retries, Settings};
@@ -159,6 +159,7 @@
         }
         let service = attempt.metadata.service.clone();
         let route = attempt.metadata.route.clone();
+        let id = attempt.metadata.id.clone();
         let began = Instant::now();
         attempt.metadata.notice = self.notices(|notices| notices.get(upstream.peer));
         let exchange = async {
@@ -181,17 +182,19 @@
         };
         let statistics = &self.balancer.statistics;
         if statistics.record(upstream, seen, load, began, &route) {
-            let roster = self.shared.roster();
-            let upstreams = roster.upstreams(&service);
-            let now = Instant::now();
-            let ejected = upstreams.iter().filter(|other| other.ejected(now)).count();
-            upstream.record_failure(now, rule, ejected, upstreams.len());
+            observed::record_failure(&self.shared, upstream, &service, rule);
         }
         self.record_notice(upstream, seen, load.unwrap_or_default(), began);
         match reply {
             Reply::Answered(response) => {
-                let (parts, body) = response.into_parts();
-                Reply::Answered(Response::from_parts(parts, Guarded::wrap(body, in_flight)))
+                let observer = Observer {
+                    shared: Arc::clone(&self.shared),
+                    upstream: Arc::clone(upstream),
+                    call: id,
+                    service,
+                    ejection: rule.clone(),
+                };
+                Reply::Answered(response.map(|body| Observed::wrap(body, observer, in_flight)))
             }
             failed @ Reply::Failed(_) => failed,
         }
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -27,6 +27,7 @@
 pub mod metadata;
 pub mod nesting;
 pub mod notice;
+pub(crate) mod observed;
 pub mod outcome;
 pub mod overrun;
 pub mod pace;
