--- a/src/calls/ingress.rs
+++ b/src/calls/ingress.rs
@@ -71,16 +71,28 @@
     shared: Arc<SharedState>,
     calls: AtomicU64,
     sender: Sender,
+    /// Service of this host.
+    caller_service: Service,
+    /// Its whole name, which targets receive.
+    caller_name: HeaderValue,
 }
 
 impl Ingress {
     /// An ingress that passes calls for the local target directly to `sidecar`.
     #[must_use]
     pub fn new(shared: Arc<SharedState>, sidecar: Arc<Sidecar>) -> Self {
+        let name = shared.settings.service.as_ref();
+        let name = name.map_or("", Service::as_str);
+        let caller_service = Service::from_name(name);
+        // Only control characters are no header value.
+        let caller_name = HeaderValue::from_bytes(name.as_bytes())
+            .or_else(|_| HeaderValue::from_str(caller_service.as_str()));
         Self {
             sender: Sender::new(Arc::clone(&shared), sidecar),
             shared,
             calls: AtomicU64::new(0),
+            caller_name: caller_name.unwrap_or(HeaderValue::from_static("")),
+            caller_service,
         }
     }
 
@@ -259,9 +271,8 @@
             settings, dialect, ..
         } = &*self.shared;
         if let Some(name) = &dialect.caller_service {
-            let service = settings.service.as_ref().map_or("", Service::as_str);
-            let value = HeaderValue::from_str(service).map_err(|_| Reason::Unnamed)?;
-            request.headers_mut().insert(name, value);
+            let service = self.caller_name.clone();
+            request.headers_mut().insert(name, service);
         }
         let arrival = Arrival {
             id,
@@ -276,7 +287,7 @@
                 metrics::counter!("jackdaw_unauthenticated_total", "key" => key).increment(1);
             }
         })?;
-        call.metadata.caller_service = settings.service.clone().unwrap_or_default();
+        call.metadata.caller_service = self.caller_service.clone();
         let (statistics, route) = (
             &self.sender.balancer.statistics,
             &call.resolved_route.route.name,
--- a/src/configuration/normalize.rs
+++ b/src/configuration/normalize.rs
@@ -29,16 +29,17 @@
 use crate::configuration::fault::Fault;
 use crate::teams::key::Key;
 use crate::teams::team::Team;
-use crate::units::Millis;
+use crate::units::{Millis, Service};
 
 /// Bytes that are kept of a name that is too long; a hash of the whole name is appended.
 const KEPT_NAME_BYTES: usize = 96;
 
 /// Replaces unsupported values and sorts the resources; returns a fault for each change.
 #[must_use]
-pub fn normalize(document: Document) -> (Document, Vec<Fault>) {
-    let mut document = document.sorted();
+pub fn normalize(mut document: Document) -> (Document, Vec<Fault>) {
     let mut faults = Vec::new();
+    normalize_groups(&mut document, &mut faults);
+    document = document.sorted();
     drop_duplicate_groups(&mut document, &mut faults);
     for route in &mut document.routes {
         route.host = route.host.take().map(|host| authority::normalize(&host));
@@ -62,6 +63,34 @@
     }
 }
 
+/// Gives each group a valid name, also where routes refer to it, and a valid service.
+fn normalize_groups(document: &mut Document, faults: &mut Vec<Fault>) {
+    for group in &mut document.groups {
+        let name = normalize_name(&group.name);
+        let service = match group.service.as_str() {
+            "" => Service::from_name(&name),
+            service => Service::from_name(service),
+        };
+        if name != group.name || service != group.service {
+            let path = format!("groups[{name:?}]");
+            let problem = format!(
+                "a name of {} bytes is empty, too long or has unsupported characters",
+                group.service.as_str().len()
+            );
+            let remedy = format!("the daemons call its service {service}");
+            faults.push(fault(path, problem, &remedy));
+        }
+        group.name = name;
+        group.service = service;
+    }
+    for route in &mut document.routes {
+        route.group = normalize_name(&route.group);
+        for part in &mut route.split {
+            part.group = normalize_name(&part.group);
+        }
+    }
+}
+
 fn drop_duplicate_groups(document: &mut Document, faults: &mut Vec<Fault>) {
     document.groups.dedup_by(|later, first| {
         let repeated = later.name == first.name;
--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -348,10 +348,10 @@
     /// its next announcement, and its share of the requests would go to the others.
     pub async fn discover_target(&self, slots: Option<Slots>) {
         let settings = &self.shared.settings;
-        let (Some(address), Some(service)) = (settings.service_addr, settings.service.clone())
-        else {
+        let (Some(address), Some(name)) = (settings.service_addr, &settings.service) else {
             return;
         };
+        let service = Service::from_name(name.as_str());
         if !self.processes().is_empty() {
             return;
         }
--- a/tests/document_normalization.rs
+++ b/tests/document_normalization.rs
@@ -6,7 +6,7 @@
 use jackdawpulley::configuration::check;
 use jackdawpulley::configuration::document::{Document, Share};
 use jackdawpulley::configuration::normalize::normalize;
-use jackdawpulley::units::Millis;
+use jackdawpulley::units::{Millis, Service};
 use proptest::prelude::*;
 
 fn names(document: &Document) -> Vec<&str> {
@@ -83,6 +83,40 @@
     assert_eq!(check::document(&normalized).len(), 3);
 }
 
+/// Guards against a service whose name keeps a version out of force, or is taken for another one.
+#[test]
+fn service_names() {
+    let long = |end: &str| format!("{}{end}", "catalogue.".repeat(20));
+    let (first, second) = (long("a"), long("b"));
+    let mut document = numbered_document(1);
+    for name in [first.as_str(), second.as_str(), "à la carte/1", ""] {
+        document.routes.push(route(name, &format!("/{name}"), name));
+        document.groups.push(group(name));
+    }
+    document.routes[1].split = vec![Share {
+        group: second.clone(),
+        weight: 1,
+    }];
+    let (normalized, faults) = normalize(document);
+    assert_eq!(check::document(&normalized), []);
+    assert!(faults.len() >= 4, "{faults:?}");
+    let path_of = |name: &str| format!("/{name}");
+    let service = |path: String| {
+        let found = normalized.routes.iter().find(|route| route.path == path);
+        let route = found.expect("it is kept");
+        let group = normalized.group(&route.group).expect("it has a group");
+        group.service.clone()
+    };
+    for name in [first.as_str(), second.as_str(), "à la carte/1"] {
+        assert_eq!(service(path_of(name)), Service::from_name(name));
+    }
+    assert_ne!(Service::from_name(&first), Service::from_name(&second));
+    let split = normalized.routes.iter().find(|r| !r.split.is_empty());
+    let part = &split.expect("it is kept").split[0].group;
+    let group = normalized.group(part).expect("it has a group");
+    assert_eq!(group.service, Service::from_name(&second));
+}
+
 proptest! {
     #![proptest_config(deterministic_config(300))]
 
