Let a part of a version that can't be used cost that part alone

Cause: normalize left these to check, which judges a document whole, and one value that serde can't read failed the whole text.

Change: a time-out of 0 becomes 1 ms, no attempts one; a route with a host that no request can name is left out. A resource that can't be read is left out alone. Each fault is logged, counted in jackdaw_config_faults and listed in /state (config_faults).

Found on the way, by the extended property test: two routes with the same name of 127 or 128 bytes got a numbered name of over 128, and the version was refused.

--- a/src/configuration/control_plane.rs
+++ b/src/configuration/control_plane.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::configuration::document::Document;
+use crate::configuration::fault::Fault;
 use crate::error::Result;
 use crate::quarantine::fingerprint::Fingerprint;
 use crate::quarantine::record::Record;
@@ -25,6 +26,8 @@
     pub version: Version,
     /// Its whole content, neither validated nor normalized yet.
     pub document: Document,
+    /// What could not be read of it and is left out.
+    pub faults: Vec<Fault>,
 }
 
 /// Position in the platform's records from which a read continues.
--- a/src/configuration/normalize.rs
+++ b/src/configuration/normalize.rs
@@ -3,7 +3,8 @@
 //! A control plane validates documents by limits of its own. If daemons rejected a version because a value
 //! exceeds the limits of [`check`](super::check), the whole fleet would stay at the previous version. Such a
 //! value is therefore replaced by the nearest supported one, and the rest of the version becomes active.
-//! Contradictions, such as a route to a missing group, stay for [`check`](super::check) to reject.
+//! Contradictions, such as a route to a missing group, stay for [`check`](super::check) to reject, and so does a
+//! time-out of over a day, which is a mistake in the unit.
 //!
 //! Normalization is deterministic: every daemon gets the same document from the same version.
 //!
@@ -44,7 +45,9 @@
     for route in &mut document.routes {
         route.host = route.host.take().map(|host| authority::normalize(&host));
         normalize_split(route, &mut faults);
+        normalize_timeout(route, &mut faults);
     }
+    drop_unmatched_routes(&mut document.routes, &mut faults);
     drop_duplicate_routes(&mut document.routes, &mut faults);
     normalize_names(&mut document.routes, &mut faults);
     for retry in &mut document.retries {
@@ -133,6 +136,19 @@
     }
 }
 
+/// Removes routes with a host that no request can name.
+fn drop_unmatched_routes(routes: &mut Vec<Route>, faults: &mut Vec<Fault>) {
+    routes.retain(|route| {
+        let Some(host) = route.host.as_ref().filter(|host| !authority::is_host(host)) else {
+            return true;
+        };
+        let path = format!("routes[{:?}].host", route.name);
+        let problem = format!("{host:?} is not a host name");
+        faults.push(fault(path, problem, "the route is left out"));
+        false
+    });
+}
+
 /// Removes routes that match the same requests as an earlier one.
 fn drop_duplicate_routes(routes: &mut Vec<Route>, faults: &mut Vec<Fault>) {
     let duplicates = duplicate_routes(routes);
@@ -159,7 +175,7 @@
         let index = loop {
             let Err(index) = used.binary_search(&name) else {
                 count += 1;
-                name = format!("{}#{count}", normalize_name(&route.name));
+                name = numbered_name(&route.name, count);
                 continue;
             };
             break index;
@@ -185,6 +201,20 @@
     if name.len() <= MAX_NAME_BYTES {
         return name.to_owned();
     }
+    shortened_name(name)
+}
+
+/// The valid name of the resource that is number `count` of those named alike.
+fn numbered_name(name: &str, count: u32) -> String {
+    let numbered = format!("{}#{count}", normalize_name(name));
+    if numbered.len() <= MAX_NAME_BYTES {
+        return numbered;
+    }
+    format!("{}#{count}", shortened_name(name))
+}
+
+/// Begins like `name` and ends with a hash of it.
+fn shortened_name(name: &str) -> String {
     let kept = name.floor_char_boundary(KEPT_NAME_BYTES);
     format!("{}#{:016x}", &name[..kept], xxh3_64(name.as_bytes()))
 }
@@ -248,11 +278,31 @@
 }
 
 fn normalize_attempts(retry: &mut Retry, faults: &mut Vec<Fault>) {
-    if retry.attempts > MAX_ATTEMPTS {
+    let fitting = retry.attempts.clamp(1, MAX_ATTEMPTS);
+    if retry.attempts != fitting {
         let path = format!("retries[{:?}].attempts", retry.name);
         let problem = format!("{} attempts", retry.attempts);
-        faults.push(fault(path, problem, "at most 10 are made"));
-        retry.attempts = MAX_ATTEMPTS;
+        faults.push(fault(path, problem, "the nearest of 1 to 10 is used"));
+        retry.attempts = fitting;
+    }
+}
+
+/// Replaces a time-out of 0, with which a route answers nothing.
+fn normalize_timeout(route: &mut Route, faults: &mut Vec<Fault>) {
+    if route.timeout_ms == Millis(0) {
+        let path = format!("routes[{:?}].timeout_ms", route.name);
+        faults.push(fault(path, "0 ms".into(), "1 ms is used"));
+        route.timeout_ms = Millis(1);
+    }
+}
+
+fn normalize_time(path: String, time: &mut Millis, faults: &mut Vec<Fault>) {
+    let fitting = Millis(time.0.clamp(1, MAX_TIMEOUT_MS));
+    if *time != fitting {
+        let problem = format!("{time} ms");
+        let remedy = "the nearest of 1 to 86400000 ms is used";
+        faults.push(fault(path, problem, remedy));
+        *time = fitting;
     }
 }
 
@@ -262,20 +312,6 @@
         faults.push(fault("bounds.max_head".into(), problem, "8192 is used"));
         bounds.max_head = MIN_HEAD_BYTES;
     }
-    let times = [
-        ("bounds.head_ms", &mut bounds.head_ms),
-        ("bounds.idle_ms", &mut bounds.idle_ms),
-    ];
-    for (path, time) in times {
-        let fitting = Millis(time.0.clamp(1, MAX_TIMEOUT_MS));
-        if *time != fitting {
-            let problem = format!("{time} ms");
-            faults.push(fault(
-                path.into(),
-                problem,
-                "the nearest of 1 to 86400000 ms is used",
-            ));
-            *time = fitting;
-        }
-    }
+    normalize_time("bounds.head_ms".into(), &mut bounds.head_ms, faults);
+    normalize_time("bounds.idle_ms".into(), &mut bounds.idle_ms, faults);
 }
--- a/src/configuration/reader.rs
+++ b/src/configuration/reader.rs
@@ -32,6 +32,8 @@
 /// Pauses after failed reads: the longest one delays a change by at most a second once the source is
 /// available again.
 const RETRY_BACKOFF: Backoff = Backoff::new(Duration::from_millis(200), Duration::from_secs(1));
+/// Faults of a version that are logged, one a line; `/state` names more.
+const MAX_LOGGED_FAULTS: usize = 20;
 /// Longest time between two checks of the role.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -215,12 +217,23 @@
     /// An invalid version does not fail the read: it would be repeated for ever, and a valid version read
     /// together with it would never become active.
     fn accept_newest(&self, releases: Vec<Release>) {
-        for Release { version, document } in releases.into_iter().rev() {
+        for release in releases.into_iter().rev() {
+            let Release {
+                version,
+                document,
+                mut faults,
+            } = release;
             self.shared.freshness.note_received(version);
-            if version <= self.shared.digest().version {
+            let active = self.shared.digest().version;
+            if version < active {
+                return;
+            }
+            let (document, changes) = normalize(document);
+            faults.extend(changes);
+            if version == active {
+                self.shared.set_config_faults(version, faults);
                 return;
             }
-            let (document, faults) = normalize(document);
             let update = Update {
                 version,
                 body: Body::Whole(document),
@@ -228,6 +241,7 @@
             };
             if self.store.accept(update, Channel::Read).is_ok() {
                 self.log_normalized(version, &faults);
+                self.shared.set_config_faults(version, faults);
                 return;
             }
         }
@@ -238,6 +252,10 @@
         if let Some(first) = faults.first() {
             warn!(self.shared.logger, "version normalized to the supported limits"; "version" => version.0,
                 "faults" => faults.len(), "first" => %first);
+            for fault in faults.iter().skip(1).take(MAX_LOGGED_FAULTS - 1) {
+                warn!(self.shared.logger, "part of the version normalized"; "version" => version.0,
+                    "fault" => %fault);
+            }
         }
     }
 
--- a/src/operation/state.rs
+++ b/src/operation/state.rs
@@ -33,6 +33,8 @@
     pub version: Version,
     /// Newest version that this daemon has received, active or not.
     pub offered: Version,
+    /// What was changed or left out of the active version, the first few hundred; empty if a peer delivered it.
+    pub config_faults: Vec<String>,
     /// Hash of the document, in hexadecimal.
     pub hash: String,
     /// Age of the watermark: since then the platform may have a newer version.
@@ -174,6 +176,12 @@
             version: config.digest.version,
             hash: format!("{:016x}", config.digest.hash),
             offered: shared.freshness.received(),
+            config_faults: shared
+                .config_faults()
+                .iter()
+                .take(MAX_LISTED)
+                .map(ToString::to_string)
+                .collect(),
             watermark_ms: shared.freshness.age(now),
             routes: config.table.len(),
             teams: config.teams.teams().len(),
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -21,6 +21,7 @@
 use crate::clock;
 use crate::configuration::document::Document;
 use crate::configuration::exchange::Digest;
+use crate::configuration::fault::Fault;
 use crate::configuration::freshness::Freshness;
 use crate::membership::absence::Absence;
 use crate::membership::member::{Offer, Stage};
@@ -159,6 +160,8 @@
     /// How recently this daemon knew the platform's newest version.
     pub freshness: Freshness,
     config: ArcSwap<Snapshot>,
+    /// What was changed or left out of a version that this daemon has read.
+    config_faults: ArcSwap<(Version, Vec<Fault>)>,
     roster: ArcSwap<Roster>,
     target: ArcSwapOption<Target>,
     /// Processes of the targets at the co-located address. Locked for a few instructions, and while
@@ -211,6 +214,7 @@
             meter: Meter::shared(),
             freshness: Freshness::default(),
             config: ArcSwap::from_pointee(Snapshot::compile(Version(0), Arc::default())),
+            config_faults: ArcSwap::default(),
             roster: ArcSwap::default(),
             target: ArcSwapOption::empty(),
             processes: Mutex::new(processes),
@@ -228,6 +232,25 @@
         }
     }
 
+    /// Records what was changed or left out of a version that this daemon has read.
+    pub fn set_config_faults(&self, version: Version, faults: Vec<Fault>) {
+        let count = u32::try_from(faults.len()).unwrap_or(u32::MAX);
+        metrics::gauge!("jackdaw_config_faults").set(f64::from(count));
+        self.config_faults.store(Arc::new((version, faults)));
+    }
+
+    /// What was changed or left out of the active version; empty if a peer delivered it.
+    #[must_use]
+    pub fn config_faults(&self) -> Vec<Fault> {
+        let faults = self.config_faults.load();
+        let is_active = faults.0 == self.config().digest.version;
+        if is_active {
+            faults.1.clone()
+        } else {
+            Vec::new()
+        }
+    }
+
     /// The active configuration.
     #[must_use]
     pub fn config(&self) -> Arc<Snapshot> {
