Stop watching a body that is over

Found by reading: the task that watches the caller of a large response looped without a pause once the body had been given up by a poll, until hyper dropped it, and counted a body as unread whose last part was still being written to a slow caller. It now ends with the body.

--- a/src/calls/overrun.rs
+++ b/src/calls/overrun.rs
@@ -232,6 +232,8 @@
     overrun: Overrun,
     /// The source, or why it was given up.
     source: Result<Body, Cut>,
+    /// Whether the source has come to its end, or failed by itself.
+    has_ended: bool,
     report: Option<Report>,
 }
 
@@ -324,7 +326,13 @@
 /// Gives a body up when it is due, whether or not its caller asks for more.
 async fn watch(state: Arc<Mutex<State>>) {
     loop {
-        let next_check = lock(&state).overrun.next_check();
+        let next_check = {
+            let state = lock(&state);
+            if state.is_over() {
+                return;
+            }
+            state.overrun.next_check()
+        };
         tokio::time::sleep_until(next_check.into()).await;
         let closed = lock(&state).close_if_due(Instant::now());
         if let Some(closed) = closed {
@@ -339,6 +347,7 @@
         Arc::new(Mutex::new(Self {
             overrun,
             source: Ok(source),
+            has_ended: false,
             report,
         }))
     }
@@ -371,14 +380,22 @@
                 self.overrun.receive(now, length);
                 self.close_if_due(now)
             }
-            Poll::Ready(Some(Err(_)) | None) => None,
+            Poll::Ready(Some(Err(_)) | None) => {
+                self.has_ended = true;
+                None
+            }
         };
         (polled, closed, self.overrun.next_check())
     }
 
+    /// Whether nothing follows any more.
+    fn is_over(&self) -> bool {
+        self.has_ended || self.source.as_ref().map_or(true, Body::is_end_stream)
+    }
+
     fn close_if_due(&mut self, now: Instant) -> Option<Closed> {
         let end = self.overrun.check(now)?;
-        if self.source.is_err() {
+        if self.is_over() {
             return None;
         }
         let cut = self.overrun.cut(now, end);
