Reset a caller of HTTP/1.0 whose response broke off

Callers saw: a response without a length to a request of HTTP/1.0 has no chunks, so the close of its connection is all that ends it.

Cause: hyper reports the failed body and leaves the connection to the daemon, whose lingering close looks the same for all responses.

Change: a connection whose last response ends by the close alone is reset if the body failed. One with a length or chunks shows by itself that it is not complete, and is not reset: that could lose the responses in front of it.

--- a/src/calls/http_server.rs
+++ b/src/calls/http_server.rs
@@ -153,22 +153,29 @@
         .max_buf_size(max_head);
     let mut connection = builder.serve_connection(reader, service);
     let mut refused_at = None;
+    let mut looks_complete = false;
     {
         let closing = wait_for_closing(&admitted, phases, &bounds_source, bounds);
         // Any other error means that the caller closed the connection; its requests were dropped
         // with it.
-        if let Err(error) = run(&mut connection, closing, &shared).await
-            && error.is_parse()
-        {
-            counter!("jackdaw_unreadable_requests_total").increment(1);
-            // hyper has refused the request itself.
-            refused_at = Some(Instant::now());
+        if let Err(error) = run(&mut connection, closing, &shared).await {
+            if error.is_parse() {
+                counter!("jackdaw_unreadable_requests_total").increment(1);
+                // hyper has refused the request itself.
+                refused_at = Some(Instant::now());
+            }
+            looks_complete = error.is_user() && shared.ends_by_close();
         }
     }
     let _closing = shared.track();
     let written_at = refused_at.or_else(|| shared.written_at());
     drop(shared);
     let stream = connection.into_parts().io.into_stream();
+    if looks_complete {
+        // Only a reset tells the caller that its response broke off.
+        let _ = stream.set_zero_linger();
+        return;
+    }
     close(stream, &admitted, written_at).await;
 }
 
--- a/src/calls/pipeline/connection.rs
+++ b/src/calls/pipeline/connection.rs
@@ -5,7 +5,8 @@
 use std::time::Instant;
 
 use futures_util::future::{Either, FutureExt, TryFutureExt};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, Version, header};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use tokio::task::JoinError;
 use volo_http::body::Body;
@@ -72,6 +73,8 @@
     writing: Option<InFlight>,
     /// When everything had last been written.
     written_at: Option<Instant>,
+    /// Whether the close of the connection is all that ends the response in progress.
+    ends_by_close: bool,
 }
 
 /// A call that was started early.
@@ -160,6 +163,13 @@
         self.state().written_at
     }
 
+    /// Whether the close of the connection is all that ends the response in progress: a caller of HTTP/1.0 gets no
+    /// chunks.
+    #[must_use]
+    pub fn ends_by_close(&self) -> bool {
+        self.state().ends_by_close
+    }
+
     /// Wakes the reader after the next response, since bytes are kept behind its request.
     pub fn wake_after_response(&self, cx: &Context<'_>) {
         let mut state = self.state();
@@ -229,6 +239,7 @@
         request: Request<Incoming>,
     ) -> impl Future<Output = Result<Response<Body>, JoinError>> {
         let started = self.take(&request);
+        let has_chunks = request.version() > Version::HTTP_10;
         let connection = Arc::clone(&self);
         // Combinators, since an async block would hold the handler's large future twice.
         let responding = if let Some(started) = started {
@@ -250,6 +261,7 @@
         };
         responding.map_ok(move |(mut response, guards)| {
             self.decide_closing(&mut response);
+            self.state().ends_by_close = !has_chunks && !has_length(&response);
             let (parts, body) = response.into_parts();
             let turn = Turn {
                 writing: Some(connection.track()),
@@ -297,6 +309,11 @@
     }
 }
 
+fn has_length(response: &Response<Body>) -> bool {
+    let is_named = response.headers().contains_key(header::CONTENT_LENGTH);
+    is_named || response.body().size_hint().exact().is_some()
+}
+
 /// Turn of a request, which ends when hyper has taken the whole response.
 struct Turn<H: Handler> {
     connection: Arc<Connection<H>>,
