Refuse responses with a transfer coding that nobody undoes

Cause: hyper reads a body whose last coding is not `chunked` up to the end of the connection, as RFC 9112, section 6.3, says, and leaves the codings to its user. The validator looked at id, signature and status only, and the header was then taken off as one of the connection.

Change: `response_head::check` judges a parsed head; the validator calls it before anything of the response is used, its refusal and its notices included. No `TE` is sent, so `chunked` is the only coding that a server may use (RFC 9110, section 10.1.4). The request then counts as broken like one with a response that is no HTTP: repeatable ones are sent elsewhere, others get 502 `unknown`, the connection closes and the target counts as failing. A metric and a log line name the fault.

`Transfer-Encodin: chunked` or `Content-Lenght: 6`, then a close, is served as before.

--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -8,6 +8,7 @@
 
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::Full;
+use metrics::counter;
 use slog::info;
 use volo_http::body::Body;
 
@@ -25,6 +26,7 @@
 use crate::membership::member::Stage;
 use crate::quarantine::detector::Detector;
 use crate::quarantine::running::{Completion, Run};
+use crate::response_head::Fault;
 use crate::rollout::counters;
 use crate::settings::Limits;
 use crate::shared_state::{InFlight, SharedState, Target};
@@ -366,6 +368,9 @@
             );
             let (response, connection) = sending.await?;
             let validator = Validator::new(response, connection, dialect, &metadata.id);
+            if let Err(fault) = validator.check_head() {
+                record_malformed(&executor.shared, &metadata, &self.target, fault);
+            }
             if let Some(headers) = validator.headers_of_target() {
                 let has_run = !validator.is_refusal();
                 let throttle = &executor.throttle;
@@ -411,6 +416,17 @@
     }
 }
 
+/// Records that the head of a response is malformed.
+fn record_malformed(shared: &SharedState, metadata: &Metadata, target: &Target, fault: Fault) {
+    let kind: &'static str = fault.into();
+    counter!("jackdaw_malformed_responses_total", "fault" => kind).increment(1);
+    if shared.log_limiter.admit(Instant::now()) {
+        info!(shared.logger, "response malformed"; "call" => &metadata.id, "route" => &metadata.route,
+            "instance" => target.instance.as_ref().map(Instance::as_str),
+            "address" => %target.address, "fault" => %fault);
+    }
+}
+
 /// Records that the body of a response was given up after its head had been passed on.
 fn record_cut(shared: &SharedState, metadata: &Metadata, target: &Target, cut: Cut) {
     if cut.end.is_source_failure() {
--- a/src/calls/validator.rs
+++ b/src/calls/validator.rs
@@ -1,7 +1,8 @@
 //! Validation of the target's response.
 //!
-//! A target may respond late, twice, to another request, or break off. A response is passed on only
-//! if it belongs to its request. Its connection is reused only if the whole response was buffered.
+//! A target may respond late, twice, to another request, with a malformed head, or break off. A response is
+//! passed on only if its head is valid and it belongs to its request. Its connection is reused only if the whole
+//! response was buffered.
 
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use crate::calls::dispatch::{Connection, Dispatcher};
 use crate::calls::outcome::Reason;
 use crate::calls::stream::{self, Buffered, Guarded};
+use crate::response_head::{self, Fault};
 
 /// Largest response that is buffered whole before its head is passed on, in bytes.
 ///
@@ -49,10 +51,20 @@
         }
     }
 
-    /// Headers of the response if it is from the process that the request was sent to.
+    /// Checks the head, which says nothing reliable if it is malformed.
+    ///
+    /// # Errors
+    ///
+    /// The first fault.
+    pub fn check_head(&self) -> Result<(), Fault> {
+        response_head::check(self.response.headers())
+    }
+
+    /// Headers of the response if it is valid and from the process that the request was sent to.
     #[must_use]
     pub fn headers_of_target(&self) -> Option<&HeaderMap> {
-        let is_own = self.belongs_to_request() && !self.is_misdirected();
+        let is_valid = self.check_head().is_ok();
+        let is_own = is_valid && self.belongs_to_request() && !self.is_misdirected();
         is_own.then(|| self.response.headers())
     }
 
@@ -69,7 +81,8 @@
     ///
     /// Why the response can't be passed on.
     pub async fn validate(self, dispatcher: &Dispatcher) -> Result<Response<Buffered>, Reason> {
-        if !self.belongs_to_request() {
+        // A malformed head proves nothing, so the request may have run even if the head says that it has not.
+        if self.check_head().is_err() || !self.belongs_to_request() {
             dispatcher.mark_suspect();
             return Err(Reason::Broken);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod operation;
 pub mod quarantine;
 pub mod quota;
+pub mod response_head;
 pub mod rollout;
 pub mod settings;
 pub mod shared_state;
