--- a/src/response_head.rs
+++ b/src/response_head.rs
@@ -19,7 +19,7 @@
 //! assert_eq!(response_head::check(&headers), Err(Fault::Coding));
 //! ```
 
-use http::{HeaderMap, header};
+use http::{HeaderMap, HeaderValue, header};
 use snafu::Snafu;
 use strum::IntoStaticStr;
 
@@ -35,6 +35,11 @@
         "the response's transfer coding is not `chunked`; correct the server or leave the coding out"
     ))]
     Coding,
+    /// The body has several lengths, or a length and a transfer coding.
+    #[snafu(display(
+        "the response gives the end of its body twice; send either one `Content-Length` or `chunked`"
+    ))]
+    Length,
 }
 
 /// Checks the framing of a response whose head has been parsed.
@@ -49,5 +54,13 @@
     if !is_chunked || codings.next().is_some() {
         return Err(Fault::Coding);
     }
+    let lengths = headers.get_all(header::CONTENT_LENGTH);
+    let is_number = |length: &HeaderValue| length.as_bytes().iter().all(u8::is_ascii_digit);
+    let ends = lengths.iter().count() + usize::from(coding.is_some());
+    // RFC 9112, section 6.3, lets a recipient choose among two ends, but if they differ, it is not known which one
+    // the server meant.
+    if ends > 1 || !lengths.iter().all(is_number) {
+        return Err(Fault::Length);
+    }
     Ok(())
 }
