Refuse responses with an invalid status code

Callers got the status 600 or 999 of a target as its answer, signed. Beside the target they also got its 101, which nobody had asked for, with no body; through another daemon HTTP/2 refused that one.

Cause: a parsed head may have any status of three digits from 100 on, and nothing looked at it. RFC 9110, section 15, has no codes outside 100 to 599, and a response that ends a request is none below 200.

Evidence: malformed_status failed without this change for 600 and 999 through both daemons and for two kinds of 101 beside the target. Ruled out: 000, 099, 20, 2000, a word, a control byte in the reason, HTTP/1.9, HTTP/2.0, a 100 behind which nothing follows, and no status line: all were refused before, and their rows are kept.

Change: `response_head::check` takes the status as well. The request counts as broken, so repeatable ones are sent elsewhere and others get 502 `unknown`.

--- a/src/calls/validator.rs
+++ b/src/calls/validator.rs
@@ -57,7 +57,7 @@
     ///
     /// The first fault.
     pub fn check_head(&self) -> Result<(), Fault> {
-        response_head::check(self.response.headers())
+        response_head::check(self.response.status(), self.response.headers())
     }
 
     /// Headers of the response if it is valid and from the process that the request was sent to.
