Check the heads of the store's, the log's and the daemons' responses

No caller saw it; a daemon that believes such an end waits for records that never come.

The client of whole messages reads the body that the HTTP library gives it, and looked at neither coding nor status. The store, the product's own log and `jackdawctl` use it.

Evidence: malformed_heads failed without this change in its first row. Ruled out: `000`, and lines that are no field, which were refused before; their rows are kept.

Change: `http_client::Client::exchange` calls `response_head::check` and gives an error that names the fault, so a write counts as one without a response, and a read is repeated.

Measured: both tests of the file pass, with a page in chunks and one that ends with its connection still read.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -7,6 +7,8 @@
 use http_body_util::BodyExt;
 use tokio::time::Instant;
 
+use crate::response_head;
+
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time between two parts of a body.
@@ -90,6 +92,7 @@
         };
         let (parts, mut body) = response.into_parts();
         let (status, headers) = (parts.status, parts.headers);
+        response_head::check(status, &headers).map_err(|fault| fault.to_string())?;
         let bytes = read_body(&mut body).await?;
         Ok(Response {
             status,
