Take a malformed response to a health check for none

A daemon that restarts asks its target for its health and believed a response whose head it would not accept for any request, so the target was in service before it had announced itself.

Cause: the health check reads the head alone, and looked at status and instance only.

Evidence: health_checks failed without this change: after a restart the target was known although its response had `Transfer-Encoding: chunkd` beside a length.

Change: the finding of such a response is `Unknown`. The target comes into service with its next announcement.

--- a/src/membership/health_check.rs
+++ b/src/membership/health_check.rs
@@ -11,6 +11,7 @@
 use crate::calls::dispatch::Dispatcher;
 use crate::calls::notice;
 use crate::calls::outcome::Reason;
+use crate::response_head;
 use crate::shared_state::SharedState;
 use crate::units::{Instance, Service};
 
@@ -94,6 +95,7 @@
     }
 
     fn healthy_instance(&self, response: &Response<Incoming>) -> Option<Instance> {
+        response_head::check(response.status(), response.headers()).ok()?;
         // A health check may be wrong; what a target says of its end is not.
         let leaving = notice::says_leaving(response.headers(), &self.shared.dialect);
         let healthy = response.status().is_success() && !leaving;
