Check the responses that other daemons pass on

A sidecar judges its target's responses, but one of an earlier release passes on a status of 600 or 999, which an ingress of this one gave its caller as an answer: hosts are upgraded one after the other.

Cause: the ingress looked at the header with the outcome alone. HTTP/2 itself refuses a `Transfer-Encoding` and a `Content-Length` that its data does not have.

Not seen with real daemons of two releases.

Change: reading a sidecar's response is `outcome::of_sidecar`, testable without a network, and begins with `response_head::check`. Such a response proves nothing, so the request may have run.

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use futures_util::future::{Either, select};
-use http::{HeaderValue, Response};
+use http::Response;
 use rand::RngExt;
 use volo_http::body::Body;
 
@@ -15,7 +15,7 @@
 use crate::calls::call::{Attempt, Call};
 use crate::calls::notice::Memory;
 use crate::calls::observed::{self, Observed, Observer};
-use crate::calls::outcome::{OUTCOME, Outcome, REASON, Reason};
+use crate::calls::outcome::{self, Reason};
 use crate::calls::retry::{Budget, Budgets};
 use crate::calls::sidecar::{Load, Sidecar};
 use crate::configuration::document::{Ejection, Retry};
@@ -238,17 +238,8 @@
 
 /// Reads a sidecar's response: the target's own, or a reason.
 fn parse_reply(response: Response<Body>) -> Reply {
-    let text = |name| {
-        response
-            .headers()
-            .get(name)
-            .and_then(|value: &HeaderValue| value.to_str().ok())
-    };
-    let answered = text(OUTCOME).is_some_and(|outcome| outcome == Outcome::Answered.to_string());
-    if answered {
-        return Reply::Answered(response);
+    match outcome::of_sidecar(response.status(), response.headers()) {
+        Ok(()) => Reply::Answered(response),
+        Err(reason) => Reply::Failed(reason),
     }
-    let reason = text(REASON).and_then(|reason| reason.parse().ok());
-    // A response without a known reason proves nothing, so the request may have run.
-    Reply::Failed(reason.unwrap_or(Reason::Broken))
 }
--- a/src/calls/outcome.rs
+++ b/src/calls/outcome.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, VariantNames};
 use volo_http::body::Body;
 
+use crate::response_head;
+
 /// Header that names the outcome: `answered`, `not-run` or `unknown`.
 pub const OUTCOME: &str = "x-jackdaw-outcome";
 /// Header that names the reason for any other outcome than `answered`.
@@ -177,6 +179,24 @@
     response
 }
 
+/// Reads the head of a sidecar's response, which is the target's own if it says so.
+///
+/// # Errors
+///
+/// Why the target gave no response. A response that is malformed or names no known reason proves nothing, so the
+/// request may have run.
+pub fn of_sidecar(status: StatusCode, headers: &HeaderMap) -> Result<(), Reason> {
+    if response_head::check(status, headers).is_err() {
+        return Err(Reason::Broken);
+    }
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    if text(OUTCOME).is_some_and(|outcome| outcome == Outcome::Answered.to_string()) {
+        return Ok(());
+    }
+    let reason = text(REASON).and_then(|reason| reason.parse().ok());
+    Err(reason.unwrap_or(Reason::Broken))
+}
+
 /// Builds the response that tells a caller why there is none from the target.
 #[must_use]
 pub fn caller_refusal(id: &str, reason: Reason) -> Response<Body> {
