Refuse responses whose signature would be taken off

Cause: the signature was looked for in the response as it came, and what `Connection` lists is taken off later.

Ruled out: `Connection` with `Content-Length` or the call's identifier: the first is kept, the second written anew by the ingress.

Change: a signature that `Connection` lists counts as none, so the response is broken as any unsigned success.

--- a/src/calls/stream.rs
+++ b/src/calls/stream.rs
@@ -67,16 +67,20 @@
     header::UPGRADE,
 ];
 
-/// Removes headers that apply to one connection only.
-pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
+/// Names that `Connection` lists as applying to one connection only, but for two that every message needs.
+pub fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = HeaderName> {
+    headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|text| text.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .filter(|name| *name != header::HOST && *name != header::CONTENT_LENGTH)
-        .collect();
+}
+
+/// Removes headers that apply to one connection only.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = connection_options(headers).collect();
     for name in named {
         headers.remove(name);
     }
--- a/src/calls/validator.rs
+++ b/src/calls/validator.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use hyper::body::Incoming;
 use volo_http::body::Body;
 
@@ -128,7 +128,9 @@
         };
         let named = !self.dialect.echoes_call_id || header(&self.dialect.call_id) == Some(self.id);
         let signature = self.dialect.signature.as_ref();
-        let signed = signature.is_none_or(|name| headers.contains_key(name));
+        // A signature that `Connection` lists would not be passed on.
+        let is_kept = |name: &HeaderName| stream::connection_options(headers).all(|it| it != *name);
+        let signed = signature.is_none_or(|name| headers.contains_key(name) && is_kept(name));
         named && (signed || !self.response.status().is_success())
     }
 }
