--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -196,6 +196,12 @@
         })
     }
 
+    /// When the response head is due.
+    #[must_use]
+    pub const fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
     /// Time left until the response head is due.
     #[must_use]
     pub fn left(&self) -> Duration {
--- a/src/calls/ingress.rs
+++ b/src/calls/ingress.rs
@@ -303,6 +303,10 @@
 
     /// Returns the target's response, or a refusal with the reason why there is none.
     async fn complete(&self, mut call: Call) -> Response<Body> {
+        if !self.shared.admits_call(call.deadline()) {
+            call.record_failure(Reason::Draining);
+            return self.refuse(&call);
+        }
         if self.quarantine_end(&call).is_some() {
             // The sidecars refuse it as well; refusing here saves a slot and a round trip.
             call.record_failure(Reason::Quarantined);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod clock;
 pub mod configuration;
 pub mod daemon;
+pub mod drain;
 pub mod extension;
 pub mod http_client;
 pub mod idempotency;
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -23,6 +23,7 @@
 use crate::configuration::exchange::Digest;
 use crate::configuration::fault::Fault;
 use crate::configuration::freshness::Freshness;
+use crate::drain::Schedule;
 use crate::membership::absence::Absence;
 use crate::membership::member::{Offer, Stage};
 use crate::membership::roster::Roster;
@@ -183,6 +184,8 @@
     /// Whether this daemon may be registered in the platform's list of daemons.
     registered: AtomicBool,
     drain_ms: AtomicU64,
+    /// Times of the graceful shutdown, once it has begun.
+    shutdown: OnceLock<Schedule>,
     in_flight: AtomicU64,
     versions: watch::Sender<Version>,
     /// Highest known generation of the platform's store.
@@ -223,6 +226,7 @@
             running: Mutex::default(),
             stage: AtomicU8::new(Stage::Starting as u8),
             registered: AtomicBool::new(false),
+            shutdown: OnceLock::new(),
             in_flight: AtomicU64::new(0),
             versions: watch::Sender::new(Version(0)),
             generations: watch::Sender::new(Generation(0)),
@@ -498,15 +502,28 @@
         self.stages.send_replace(self.stage());
     }
 
-    /// Begins a graceful shutdown. With `accept_ms` above 0 the daemon is `Leaving` first, so that
-    /// the target still receives calls while callers go elsewhere.
-    pub fn begin_shutdown(&self) {
-        let accepts_callers = self.settings.accept_ms > Millis(0);
+    /// Begins a graceful shutdown, unless one has begun, and returns its times. With `accept_ms` above 0 the
+    /// daemon is `Leaving` first, so that the target still receives calls while callers go elsewhere.
+    pub fn begin_shutdown(&self) -> Schedule {
+        let accept = self.settings.accept_ms;
+        let (accept_time, limit) = (accept.duration(), self.drain_limit().duration());
+        let schedule = self
+            .shutdown
+            .get_or_init(|| Schedule::new(Instant::now(), accept_time, limit));
+        let accepts_callers = accept > Millis(0);
         self.advance(if accepts_callers {
             Stage::Leaving
         } else {
             Stage::Draining
         });
+        *schedule
+    }
+
+    /// Whether a call that is due at `deadline` may begin: not if a shutdown could give it up.
+    #[must_use]
+    pub fn admits_call(&self, deadline: Instant) -> bool {
+        let schedule = self.shutdown.get();
+        schedule.is_none_or(|schedule| schedule.admits(Instant::now(), deadline))
     }
 
     /// Subscribes to the lifecycle stage.
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -1,7 +1,8 @@
 //! Graceful shutdown of a daemon.
 //!
 //! The daemon announces the shutdown at once, still accepts its callers' requests for a while,
-//! closes their connections after a response, and exits when no call is in flight. A call is in
+//! closes their connections after a response, and exits when no call is in flight. The times are those of a
+//! [`Schedule`]. A call is in
 //! flight until its response has been delivered: whatever is in a socket's send queue when the
 //! process ends is lost if the peer has sent anything that was not read.
 
@@ -15,6 +16,7 @@
 
 use crate::calls::http_server::Phase;
 use crate::configuration::control_plane::ControlPlane;
+use crate::drain::Schedule;
 use crate::error::{Result, SignalsSnafu};
 use crate::extension::Reload;
 use crate::idempotency::deduplicator::Deduplicator;
@@ -28,20 +30,8 @@
 /// Exit status when an interrupt ended the shutdown early.
 pub const EXIT_INTERRUPTED: u8 = 3;
 
-/// Minimum time from the start of the shutdown until idle connections of callers are closed; until then
-/// a connection is closed only after a response.
-const CONNECTION_LINGER: Duration = Duration::from_millis(2_500);
-/// How long before new connections of callers are refused the target stops receiving calls: most
-/// calls that it has are answered within this time.
-///
-/// Closing the target earlier would leave a healthy target idle while its daemon waits for callers to
-/// go elsewhere, and again while the next daemon starts.
-const TARGET_CLOSE_LEAD: Duration = Duration::from_millis(800);
 /// Interval at which settings are read again, since they may change without a signal.
 const SETTINGS_POLL_PERIOD: Duration = Duration::from_secs(2);
-/// Time within which the first request arrives on the connection accepted last: many times the
-/// network delay from a caller.
-const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(200);
 /// Time for writing the responses of aborted calls, also over slow links. Together with the drain
 /// limit it fits into the time that the platform grants a shutdown.
 const ABORTED_RESPONSES_WAIT: Duration = Duration::from_millis(150);
@@ -137,9 +127,9 @@
             }
         }
         info!(shared.logger, "draining"; "in_flight" => shared.in_flight());
-        shared.begin_shutdown();
+        let schedule = shared.begin_shutdown();
         tokio::select! {
-            () = self.drain() => {
+            () = self.drain(schedule) => {
                 info!(shared.logger, "stopped");
                 EXIT_STOPPED
             }
@@ -149,26 +139,22 @@
         }
     }
 
-    async fn drain(&self) {
-        let (shared, began) = (&self.shared, Instant::now());
+    async fn drain(&self, schedule: Schedule) {
+        let shared = &self.shared;
         self.membership.publish_own_entry().await;
         if let Some(control_plane) = self.control_plane.clone() {
             let registration = Registration::new(Arc::clone(shared), control_plane);
             // A stale entry costs a joining daemon one failed attempt, so nothing waits for this.
             tokio::spawn(async move { registration.deregister().await });
         }
-        let accept = shared.settings.accept_ms.duration();
-        tokio::time::sleep_until((began + accept.saturating_sub(TARGET_CLOSE_LEAD)).into()).await;
+        tokio::time::sleep_until(schedule.target_close.into()).await;
         shared.advance(Stage::Draining);
         self.membership.publish_own_entry().await;
-        tokio::time::sleep_until((began + accept).into()).await;
+        tokio::time::sleep_until(schedule.accept_end.into()).await;
         self.phases.callers.send_replace(Phase::Closed);
-        // Guards against a connection accepted at the last moment: its request has not arrived yet,
-        // so nothing is in flight, and it would be read and aborted a moment later.
-        tokio::time::sleep(FIRST_REQUEST_WAIT).await;
-        tokio::time::sleep_until((began + CONNECTION_LINGER).into()).await;
+        tokio::time::sleep_until(schedule.idle_close.into()).await;
         self.phases.callers.send_replace(Phase::Ending);
-        self.finish_calls(began).await;
+        self.finish_calls(schedule.limit).await;
         // A graceful shutdown must not look like a crash to the other daemons' key deduplicators.
         let handed_off = self.keys.hand_off().await;
         let health = if handed_off {
@@ -179,7 +165,7 @@
         self.membership.leave(health).await;
         self.phases.end.send_replace(Phase::Ending);
         // Calls that arrived in the meantime are answered as well.
-        self.finish_calls(began).await;
+        self.finish_calls(schedule.limit).await;
     }
 
     /// Waits until all calls are answered and the responses delivered; aborts calls at the drain limit.
@@ -187,14 +173,11 @@
     /// Guards against a request that outlasts the shutdown, such as a body still arriving over a slow
     /// link: its connection would close without a response, and its caller could not tell whether
     /// the request has run.
-    async fn finish_calls(&self, began: Instant) {
+    async fn finish_calls(&self, limit: Instant) {
         let shared = &self.shared;
         loop {
-            let limit = shared
-                .drain_limit()
-                .duration()
-                .saturating_sub(began.elapsed());
-            if !shared.wait_until_idle(limit).await {
+            let left = limit.saturating_duration_since(Instant::now());
+            if !shared.wait_until_idle(left).await {
                 warn!(shared.logger, "aborting calls in flight: drain limit exceeded";
                     "in_flight" => shared.in_flight());
                 shared.abort_calls();
