Fit the times of a stop into a short grace time

With `--grace-s=2` and `--accept-ms=3000`, as the settings of the platform have it, a stopping daemon waited for its callers for 3 s, was past its drain limit by then, and would have been killed with their requests.

Cause: `accept-ms` and the time until idle connections are closed did not follow the drain limit.

Evidence: short_grace_is_kept failed without this change: the process ended 3.27 s after the SIGTERM.

Change: connections are accepted for 60 % of the drain limit at most, and idle ones closed after 75 % of it. At a grace time of 6 s nothing changes: 3.0 s of 5.58 s, and 3.2 s (usual_times).

--- a/src/drain.rs
+++ b/src/drain.rs
@@ -21,6 +21,9 @@
 
 use std::time::{Duration, Instant};
 
+/// Largest part of the drain limit, in percent, for which callers' new connections are accepted: calls that arrive
+/// last need the rest.
+const MAX_ACCEPT_PERCENT: u32 = 60;
 /// How long before new connections of callers are refused the target stops receiving calls: most
 /// calls that it has are answered within this time.
 ///
@@ -35,6 +38,8 @@
 /// Minimum time from the start of the shutdown until idle connections of callers are closed; until then
 /// a connection is closed only after a response.
 const CONNECTION_LINGER: Duration = Duration::from_millis(2_500);
+/// Largest part of the drain limit, in percent, that this minimum may take.
+const MAX_LINGER_PERCENT: u32 = 75;
 
 /// Times of one shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,14 +56,18 @@
 
 impl Schedule {
     /// A shutdown that began at `began`, accepts connections for `accept` and gives calls up after `limit`.
+    ///
+    /// A limit that is short for the other times shortens them.
     #[must_use]
     pub fn new(began: Instant, accept: Duration, limit: Duration) -> Self {
+        let accept = accept.min(limit * MAX_ACCEPT_PERCENT / 100);
+        let linger = CONNECTION_LINGER.min(limit * MAX_LINGER_PERCENT / 100);
         Self {
             target_close: began + accept.saturating_sub(TARGET_CLOSE_LEAD),
             accept_end: began + accept,
             // Guards against a connection accepted at the last moment: its request has not arrived yet, so
             // nothing is in flight, and it would be read and aborted a moment later.
-            idle_close: began + CONNECTION_LINGER.max(accept + FIRST_REQUEST_WAIT),
+            idle_close: began + linger.max(accept + FIRST_REQUEST_WAIT),
             limit: began + limit,
         }
     }
--- a/tests/drain_schedule.rs
+++ b/tests/drain_schedule.rs
@@ -10,6 +10,29 @@
     Schedule::new(began, ms(accept_ms), ms(limit_ms))
 }
 
+/// Guards against times that don't fit into a short grace time.
+#[test]
+fn short_limits() {
+    let began = Instant::now();
+    for limit_ms in [0, 1, 100, 930, 1_860, 2_790, 3_720, 5_580, 9_300, 30_000] {
+        for accept_ms in [0, 1_000, 3_000, 60_000] {
+            let Schedule {
+                target_close,
+                accept_end,
+                idle_close,
+                limit,
+            } = schedule(began, accept_ms, limit_ms);
+            assert!(began <= target_close && target_close <= accept_end);
+            assert!(accept_end <= idle_close);
+            assert_eq!(limit, began + Duration::from_millis(limit_ms));
+            assert!(
+                limit_ms < 930 || idle_close < limit,
+                "{accept_ms} {limit_ms}"
+            );
+        }
+    }
+}
+
 #[test]
 fn usual_times() {
     let began = Instant::now();
