Refuse names of instances that don't fit into datagrams

A target whose name has 3,000 bytes is announced, and leaves: every other daemon then takes its host for gone, and its callers' requests no longer reach it, although the host works.

Cause: the host's membership entry holds the names of processes that have departed, without a bound; a datagram with it is larger than what receivers read.

With the check of the health check's response taken out, the restarted daemon takes the target with 7,000 bytes. Ruled out by odd_values, which passed before and is kept: bodies nested 1,000 to 100,000 deep, closed and not, numbers beyond 64 bits, and with 100,000 digits, a port of 99999, names of 100 kB of a zone, a revision or a service.

Change: names of up to 128 bytes are accepted, so that the entries of two hosts with two departures each fit into a datagram. A longer one gets 422 with the remedy, and no instance is read from such a health check.

Measured: both tests of the file pass; 127 and 128 bytes are accepted and leave both daemons live.

--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -97,6 +97,14 @@
     }
 }
 
+/// Describes what is wrong with a process, with a remedy.
+fn process_problem(process: &Process) -> Option<&'static str> {
+    if !process.instance.is_valid() {
+        return Some("the name of the instance must have at most 128 bytes");
+    }
+    start_problem(process.start_time)
+}
+
 /// Describes what is wrong with a start time, with a remedy.
 fn start_problem(start_time: Option<StartTime>) -> Option<&'static str> {
     let latest = StartTime(clock::unix_ms() + MAX_CLOCK_SKEW_MS);
@@ -175,8 +183,8 @@
             cold_ms: renewal.cold,
             start_time: renewal.process.start_time,
         };
-        let problem = announcement
-            .problem()
+        let problem = process_problem(&renewal.process)
+            .or_else(|| announcement.problem())
             .or_else(|| self.service_problem(&renewal));
         if let Some(problem) = problem {
             return Err(Rejection(problem));
@@ -321,14 +329,14 @@
     ///
     /// # Errors
     ///
-    /// [`Rejection`] if the start time of the process is invalid; the process then remains.
+    /// [`Rejection`] if the name or the start time of the process is invalid; the process then remains.
     pub async fn deregister(&self, process: &Process) -> Result<(), Rejection> {
         self.depart("target deregistered", process).await
     }
 
     /// Records a departure. Whoever is told of it afterwards can rely on it: the process gets no new requests.
     async fn depart(&self, event: &'static str, process: &Process) -> Result<(), Rejection> {
-        if let Some(problem) = start_problem(process.start_time) {
+        if let Some(problem) = process_problem(process) {
             return Err(Rejection(problem));
         }
         let is_repeated = self.processes().has_departed(process);
--- a/src/membership/health_check.rs
+++ b/src/membership/health_check.rs
@@ -101,6 +101,7 @@
         let healthy = response.status().is_success() && !leaving;
         let name = self.shared.dialect.instance.as_ref()?;
         let instance = response.headers().get(name).filter(|_| healthy)?;
-        instance.to_str().ok().map(Instance::from)
+        let instance = instance.to_str().ok().map(Instance::from);
+        instance.filter(Instance::is_valid)
     }
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -237,6 +237,18 @@
     }
 }
 
+impl Instance {
+    /// Maximum length of a name, in bytes: the membership entries of two hosts, each with two departures, fit into
+    /// a datagram.
+    pub const MAX: usize = 128;
+
+    /// Whether the name is short enough for membership entries.
+    #[must_use]
+    pub const fn is_valid(&self) -> bool {
+        self.0.len() <= Self::MAX
+    }
+}
+
 impl Service {
     /// Maximum length of a name, in bytes.
     pub const MAX: usize = 64;
