Refuse targets at addresses of no host

A heartbeat with the address 0.0.0.0:0, 255.255.255.255:1 or a group's, or with port 0, was acknowledged and took the place of the running target, under another name as well as its own.

Cause: any address that parses was accepted. A claim of the address is checked by a request to the claimed one; that nothing accepts it there counts as proof that the claimant may take over.

Change: an announcement with such an address, also of the product's own interface, gets 422 with the remedy.

Not changed: an address of another host, or a wrong port, is accepted as before.

--- a/src/membership/announce.rs
+++ b/src/membership/announce.rs
@@ -4,7 +4,7 @@
 //! hint about liveness: when it expires, the target gets no new requests, and those in flight are left alone.
 
 use std::cmp::Ordering;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{self, AtomicU64};
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
@@ -80,6 +80,11 @@
         if !self.service.is_valid() {
             return Some("service must be 1 to 64 letters, digits, dots, dashes or underscores");
         }
+        if !is_of_host(self.address) {
+            return Some(
+                "address is none of a host; give the IP address and port that accept calls",
+            );
+        }
         if self.slots.0 == 0 {
             return Some("slots is 0; give the number of calls that run at the same time");
         }
@@ -97,6 +102,13 @@
     }
 }
 
+/// Whether connections to one host can be opened at an address.
+fn is_of_host(address: SocketAddr) -> bool {
+    let ip = address.ip();
+    let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
+
 /// Describes what is wrong with a process, with a remedy.
 fn process_problem(process: &Process) -> Option<&'static str> {
     if !process.instance.is_valid() {
