Move the records of a request's end out of the executor

What rollouts, crash detection, metrics and logs record of a request's end is a module of its own now; the validator judges a head once and keeps the result. No behaviour changes.

--- a/src/calls/executor.rs
+++ b/src/calls/executor.rs
@@ -8,8 +8,6 @@
 
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::Full;
-use metrics::counter;
-use slog::info;
 use volo_http::body::Body;
 
 use crate::calls::admission::{Options, Permit, Queue};
@@ -17,7 +15,8 @@
 use crate::calls::dispatch::Dispatcher;
 use crate::calls::metadata::Metadata;
 use crate::calls::outcome::{OUTCOME, Outcome, Reason};
-use crate::calls::overrun::{Bounded, Cut, Overrun, Source};
+use crate::calls::overrun::{Bounded, Overrun, Source};
+use crate::calls::recorder::{self, Recorder};
 use crate::calls::stream::{self, Buffered, Continue, Guarded};
 use crate::calls::throttle::Throttle;
 use crate::calls::validator::Validator;
@@ -25,12 +24,10 @@
 use crate::configuration::document::Guard;
 use crate::membership::member::Stage;
 use crate::quarantine::detector::Detector;
-use crate::quarantine::running::{Completion, Run};
-use crate::response_head::Fault;
-use crate::rollout::counters;
+use crate::quarantine::running::Run;
 use crate::settings::Limits;
 use crate::shared_state::{InFlight, SharedState, Target};
-use crate::units::{Instance, Millis, Rate, Service};
+use crate::units::{Millis, Rate, Service};
 
 /// Divisor of the time left: a request may wait for a slot for that part.
 const QUEUE_WAIT_DIVISOR: u32 = 2;
@@ -42,8 +39,6 @@
 /// Largest body that is buffered whole before it is sent to the target, in bytes; a larger one is
 /// streamed.
 const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
-/// Time before the deadline in which a cancelled request counts as a failure of the target.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
 /// Number of slots and of queue places when limits are off.
 const UNLIMITED: u32 = u32::MAX;
 
@@ -368,8 +363,8 @@
             );
             let (response, connection) = sending.await?;
             let validator = Validator::new(response, connection, dialect, &metadata.id);
-            if let Err(fault) = validator.check_head() {
-                record_malformed(&executor.shared, &metadata, &self.target, fault);
+            if let Some(fault) = validator.fault() {
+                recorder::record_malformed(&executor.shared, &metadata, &self.target, fault);
             }
             if let Some(headers) = validator.headers_of_target() {
                 let has_run = !validator.is_refusal();
@@ -385,7 +380,7 @@
             executor.dispatcher.close_idle_since_before(began);
             Err(Reason::TimedOut)
         });
-        run.finish(completion(&result));
+        run.finish(recorder::completion(&result));
         recorder.finish(&result);
         let mut response =
             result.inspect_err(|reason| executor.handle_failure(*reason, &self.target))?;
@@ -407,7 +402,7 @@
             Buffered::Whole(bytes) => Guarded::wrap(Body::from_body(Full::new(bytes)), held),
             Buffered::Partial(body) => {
                 let shared = Arc::clone(&executor.shared);
-                let report = move |cut| record_cut(&shared, &metadata, &self.target, cut);
+                let report = move |cut| recorder::record_cut(&shared, &metadata, &self.target, cut);
                 let overrun = Overrun::new(Source::Target, deadline);
                 Bounded::watch(Guarded::wrap(body, held), overrun, report)
             }
@@ -416,44 +411,6 @@
     }
 }
 
-/// Records that the head of a response is malformed.
-fn record_malformed(shared: &SharedState, metadata: &Metadata, target: &Target, fault: Fault) {
-    let kind: &'static str = fault.into();
-    counter!("jackdaw_malformed_responses_total", "fault" => kind).increment(1);
-    if shared.log_limiter.admit(Instant::now()) {
-        info!(shared.logger, "response malformed"; "call" => &metadata.id, "route" => &metadata.route,
-            "instance" => target.instance.as_ref().map(Instance::as_str),
-            "address" => %target.address, "fault" => %fault);
-    }
-}
-
-/// Records that the body of a response was given up after its head had been passed on.
-fn record_cut(shared: &SharedState, metadata: &Metadata, target: &Target, cut: Cut) {
-    if cut.end.is_source_failure() {
-        // In addition to the head, which has been counted as answered.
-        let outcome = counters::Outcome::Failed;
-        shared.rollouts.count_response(&metadata.route, outcome);
-    }
-    if shared.log_limiter.admit(Instant::now()) {
-        info!(shared.logger, "response body given up"; "call" => &metadata.id,
-            "route" => &metadata.route, "instance" => target.instance.as_ref().map(Instance::as_str),
-            "address" => %target.address, "bytes" => cut.bytes,
-            "late_ms" => Millis::from(cut.late).0, "end" => %cut.end);
-    }
-}
-
-/// How a request at the target finished.
-///
-/// A server error does not clear the request of suspicion: it may have occurred before the part of
-/// the work that would crash the target.
-fn completion(result: &Result<Response<Buffered>, Reason>) -> Completion {
-    match result {
-        Ok(response) if !response.status().is_server_error() => Completion::Answered,
-        Err(Reason::Broken | Reason::TimedOut) => Completion::Unresolved,
-        _ => Completion::Resolved,
-    }
-}
-
 /// Writes the headers that the target needs.
 fn write_target_headers(
     headers: &mut HeaderMap,
@@ -488,50 +445,3 @@
     headers.remove(&dialect.key);
     headers.remove(&dialect.team);
 }
-
-/// Records the outcome of a request for the rollout of its target's revision.
-struct Recorder<'a> {
-    shared: &'a SharedState,
-    route: &'a str,
-    began: Instant,
-    deadline: Instant,
-    is_finished: bool,
-}
-
-impl<'a> Recorder<'a> {
-    fn begin(shared: &'a SharedState, route: &'a str, deadline: Instant) -> Self {
-        shared.rollouts.count_request();
-        Self {
-            shared,
-            route,
-            began: Instant::now(),
-            deadline,
-            is_finished: false,
-        }
-    }
-
-    fn finish(mut self, result: &Result<Response<Buffered>, Reason>) {
-        self.is_finished = true;
-        let outcome = match result {
-            Ok(response) if !response.status().is_server_error() => {
-                counters::Outcome::Answered(self.began.elapsed())
-            }
-            Ok(_) | Err(Reason::Broken | Reason::TimedOut) => counters::Outcome::Failed,
-            // The request has not run.
-            Err(_) => return,
-        };
-        self.shared.rollouts.count_response(self.route, outcome);
-    }
-}
-
-impl Drop for Recorder<'_> {
-    fn drop(&mut self) {
-        // Counts requests that a silent target held until their callers gave up, which are dropped
-        // here. A caller that leaves earlier proves nothing about the target.
-        if !self.is_finished && Instant::now() + DEADLINE_MARGIN >= self.deadline {
-            self.shared
-                .rollouts
-                .count_response(self.route, counters::Outcome::Failed);
-        }
-    }
-}
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -35,6 +35,7 @@
 pub mod pacer;
 pub mod pick;
 pub mod pipeline;
+pub(crate) mod recorder;
 pub mod retry;
 pub mod route;
 pub(crate) mod sidecar;
--- a/src/calls/validator.rs
+++ b/src/calls/validator.rs
@@ -33,17 +33,19 @@
     connection: Connection,
     dialect: &'a Dialect,
     id: &'a str,
+    head: Result<(), Fault>,
 }
 
 impl<'a> Validator<'a> {
     /// Wraps the response to the call `id` that came over `connection`.
-    pub const fn new(
+    pub fn new(
         response: Response<Incoming>,
         connection: Connection,
         dialect: &'a Dialect,
         id: &'a str,
     ) -> Self {
         Self {
+            head: response_head::check(response.status(), response.headers()),
             response,
             connection,
             dialect,
@@ -51,20 +53,16 @@
         }
     }
 
-    /// Checks the head, which says nothing reliable if it is malformed.
-    ///
-    /// # Errors
-    ///
-    /// The first fault.
-    pub fn check_head(&self) -> Result<(), Fault> {
-        response_head::check(self.response.status(), self.response.headers())
+    /// The fault of a malformed head, which says nothing reliable.
+    #[must_use]
+    pub fn fault(&self) -> Option<Fault> {
+        self.head.err()
     }
 
     /// Headers of the response if it is valid and from the process that the request was sent to.
     #[must_use]
     pub fn headers_of_target(&self) -> Option<&HeaderMap> {
-        let is_valid = self.check_head().is_ok();
-        let is_own = is_valid && self.belongs_to_request() && !self.is_misdirected();
+        let is_own = self.head.is_ok() && self.belongs_to_request() && !self.is_misdirected();
         is_own.then(|| self.response.headers())
     }
 
@@ -82,7 +80,7 @@
     /// Why the response can't be passed on.
     pub async fn validate(self, dispatcher: &Dispatcher) -> Result<Response<Buffered>, Reason> {
         // A malformed head proves nothing, so the request may have run even if the head says that it has not.
-        if self.check_head().is_err() || !self.belongs_to_request() {
+        if self.head.is_err() || !self.belongs_to_request() {
             dispatcher.mark_suspect();
             return Err(Reason::Broken);
         }
