--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod absence;
 pub mod announce;
+pub mod announcement;
 pub mod anti_entropy;
 pub mod datagram;
 pub mod entries;
--- a/src/rollout/order.rs
+++ b/src/rollout/order.rs
@@ -5,7 +5,7 @@
 use strum::{Display, EnumString, VariantNames};
 
 use crate::configuration::control_plane::Position;
-use crate::membership::announce::MAX_REVISION_BYTES;
+use crate::membership::announcement::MAX_REVISION_BYTES;
 use crate::units::{Millis, Revision, Service};
 
 /// Longest duration of an order, one day. A longer one is taken for a mistake in the unit.
--- a/trial/src/stand_in/target.rs
+++ b/trial/src/stand_in/target.rs
@@ -18,7 +18,7 @@
 use http_body_util::Full;
 use jackdawpulley::calls::dialect::Dialect;
 use jackdawpulley::clock;
-use jackdawpulley::membership::announce::Announcement;
+use jackdawpulley::membership::announcement::Announcement;
 use jackdawpulley::units::{Millis, Service, Slots, StartTime};
 use serde::{Deserialize, Serialize};
 use tokio::signal::unix::{SignalKind, signal};
--- a/trial/tests/common/faulty_target.rs
+++ b/trial/tests/common/faulty_target.rs
@@ -8,7 +8,7 @@
 use http::Method;
 use jackdaw_trial::rig::host::Host;
 use jackdaw_trial::rig::session;
-use jackdawpulley::membership::announce::Announcement;
+use jackdawpulley::membership::announcement::Announcement;
 use jackdawpulley::units::{Millis, Slots};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
