Serve late calls of routes that are known to be short

Cause: a call was admitted by its deadline alone, which says little of how long it takes.

Change: a call is also admitted if four times the longest time of its route is within the drain limit: that of the last 10 to 20 s, if the route had 20 requests or more in them (`calls::tail`, a state machine). Requests that timed out or may have run count, refused ones do not. On a route with fewer requests the deadline decides as before, which keeps late_requests_are_not_cut. What remains: a request that takes over four times as long as any of its route lately, and longer than the time that is left, is cut.

Measured: the ten tests of graceful_shutdown, the 13 of pipelined_requests, three of drain_schedule and two of request_tail pass.

--- a/src/calls/ingress.rs
+++ b/src/calls/ingress.rs
@@ -303,7 +303,8 @@
 
     /// Returns the target's response, or a refusal with the reason why there is none.
     async fn complete(&self, mut call: Call) -> Response<Body> {
-        if !self.shared.admits_call(call.deadline()) {
+        let is_stopping = self.shared.stage().is_stopping();
+        if is_stopping && !self.shared.admits_call(self.expected_end(&call)) {
             call.record_failure(Reason::Draining);
             return self.refuse(&call);
         }
@@ -344,6 +345,15 @@
         answered.unwrap_or_else(|| self.refuse(&call))
     }
 
+    /// When a call that begins now ends at the latest, as far as is known.
+    fn expected_end(&self, call: &Call) -> Instant {
+        let statistics = &self.sender.balancer.statistics;
+        let bound = statistics.time_bound(&call.resolved_route.route.name);
+        bound.map_or(call.deadline(), |bound| {
+            call.deadline().min(Instant::now() + bound)
+        })
+    }
+
     /// Decides by the quota of the call's team, if it has one.
     fn admit(&self, call: &Call) -> Result<Option<Admission>, Refusal> {
         let allowance = call
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -41,6 +41,7 @@
 pub(crate) mod sidecar;
 pub(crate) mod statistics;
 pub(crate) mod stream;
+pub mod tail;
 pub(crate) mod throttle;
 pub mod transit_delay;
 pub(crate) mod validator;
--- a/src/calls/statistics.rs
+++ b/src/calls/statistics.rs
@@ -7,8 +7,9 @@
 use volo_http::body::Body;
 
 use crate::calls::latency::Baseline;
-use crate::calls::outcome::Reason;
+use crate::calls::outcome::{Outcome, Reason};
 use crate::calls::sidecar::Load;
+use crate::calls::tail::Tail;
 use crate::calls::wait::Estimator;
 use crate::membership::roster::Upstream;
 use crate::units::Millis;
@@ -25,6 +26,7 @@
 struct Route {
     name: String,
     baseline: Baseline,
+    tail: Tail,
     wait_estimator: Estimator,
     /// Until when the route counts as nested, that is, called by targets only.
     nested_until: Option<Instant>,
@@ -57,6 +59,11 @@
                 route_mut(&mut self.routes(), route).nested_until = Some(now + NESTED_TTL);
             }
         }
+        let outcome = attempt.map_or_else(Reason::outcome, |_| Outcome::Answered);
+        if outcome != Outcome::NotRun {
+            let time = now.saturating_duration_since(began);
+            route_mut(&mut self.routes(), route).tail.record(now, time);
+        }
         let response = match attempt {
             Ok(response) => response,
             Err(reason) => {
@@ -96,6 +103,15 @@
         found.map_or_else(|_| Baseline::default(), |index| routes[index].baseline)
     }
 
+    /// Time within which requests of a route end, as far as is known.
+    pub fn time_bound(&self, route: &str) -> Option<Duration> {
+        let routes = self.routes();
+        let found = routes.binary_search_by(|entry| entry.name.as_str().cmp(route));
+        found
+            .ok()
+            .and_then(|index| routes[index].tail.bound(Instant::now()))
+    }
+
     /// Whether a sidecar has reported lately that only targets call a route.
     pub fn is_nested(&self, route: &str) -> bool {
         let routes = self.routes();
@@ -141,6 +157,7 @@
         let entry = Route {
             name: route.to_owned(),
             baseline: Baseline::default(),
+            tail: Tail::new(Instant::now()),
             wait_estimator: Estimator::default(),
             nested_until: None,
         };
--- a/src/drain.rs
+++ b/src/drain.rs
@@ -1,9 +1,10 @@
 //! Times of a graceful shutdown.
 //!
-//! A daemon that stops accepts its callers' connections for a while, until they have gone elsewhere, and has a limit
-//! by which all calls have to be answered. A call that arrives late and may outlast the limit would be given up
-//! while its target works on it. So from shortly before the end of that while, only calls whose deadline is within
-//! the limit are admitted; others are refused, which proves that they have not run.
+//! A stopping daemon accepts its callers' connections for a while, until they have gone elsewhere, and has a limit by
+//! which all calls have to be answered. A call that arrives late and outlasts the limit would be given up while its
+//! target works on it. So from shortly before the end of that while, only calls are admitted that end within the
+//! limit, by their deadline or as far as is known of their route; others are refused, which proves that they have
+//! not run.
 //!
 //! [`Schedule`] is a state machine without I/O.
 //!
@@ -72,9 +73,9 @@
         }
     }
 
-    /// Whether a call that is due at `deadline` may begin at `now`.
+    /// Whether a call that ends at `end` may begin at `now`.
     #[must_use]
-    pub fn admits(&self, now: Instant, deadline: Instant) -> bool {
-        now + SIGNAL_DELAY < self.accept_end || deadline <= self.limit
+    pub fn admits(&self, now: Instant, end: Instant) -> bool {
+        now + SIGNAL_DELAY < self.accept_end || end <= self.limit
     }
 }
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -519,11 +519,11 @@
         *schedule
     }
 
-    /// Whether a call that is due at `deadline` may begin: not if a shutdown could give it up.
+    /// Whether a call that ends at `end` may begin: not if a shutdown could give it up.
     #[must_use]
-    pub fn admits_call(&self, deadline: Instant) -> bool {
+    pub fn admits_call(&self, end: Instant) -> bool {
         let schedule = self.shutdown.get();
-        schedule.is_none_or(|schedule| schedule.admits(Instant::now(), deadline))
+        schedule.is_none_or(|schedule| schedule.admits(Instant::now(), end))
     }
 
     /// Subscribes to the lifecycle stage.
