Name the new modules in the tours

The tour of the library and that of the calls did not name the check of heads, the schedule of a stop and the tail of a route. Comments alone.

--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -5,7 +5,8 @@
 //! [`metadata`] to the sidecar, the daemon beside the target. The sidecar's concurrency [`limit`]
 //! bounds the requests at the target, and a [`pacer`] the rate at which they start if the target
 //! names one in a [`notice`]; [`wait`] bounds how long a request may wait for that. An [`overrun`] bounds
-//! what follows of a response after the deadline. Only the ingress may [`retry`]. The response names
+//! what follows of a response after the deadline. While a daemon stops, it takes late requests by the [`tail`] of
+//! their route. Only the ingress may [`retry`]. The response names
 //! the [`outcome`]. Header names and conventions are those of a [`dialect`]. The number of callers'
 //! [`connections`] is limited where they are accepted. Requests that follow each other on a
 //! connection pass through its [`pipeline`].
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,8 @@
 //! *sidecar*, which [`limit`](calls::limit)s concurrency, enforces idempotency [`keys`](idempotency::keys)
 //! and dispatches the request. Only the ingress may [`retry`](calls::retry). The response tells the caller
 //! the [`outcome`](calls::outcome): answered, provably not run, or unknown. A request that crashes targets
-//! is put in [`quarantine`]; a [`rollout`] moves a service's requests to a new revision step by step.
+//! is put in [`quarantine`]; a [`rollout`] moves a service's requests to a new revision step by step. A response
+//! is used only if its [head](response_head) is valid, and a daemon that stops keeps to a [schedule](drain).
 //!
 //! Decisions are made by state machines that get time, randomness and messages as arguments, so that
 //! other programs can embed them:
